--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format bench clean
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+demo: $(STAMP)
+	$(BIN)/python -m demo
+
+test: $(STAMP)
+	$(BIN)/python -m tests.run
+
+lint: $(STAMP)
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+bench: $(STAMP)
+	$(BIN)/python -m benchmarks
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/chiveledge/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the command line: ``python -m chiveledge``."""
+
+from __future__ import annotations
+
+from chiveledge.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/chiveledge/administration/__init__.py
@@ -0,0 +1,9 @@
+"""The operators' API: commands that change, and queries that show."""
+
+from __future__ import annotations
+
+from chiveledge.administration._commands import OperatorCommands
+from chiveledge.administration._queries import OperatorQueries
+from chiveledge.administration._token import make_token_check
+
+__all__ = ["OperatorCommands", "OperatorQueries", "make_token_check"]
--- /dev/null
+++ b/chiveledge/administration/_commands.py
@@ -0,0 +1,173 @@
+"""Operators' commands: configuration, preset and drain."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from chiveledge.clock import Clock
+from chiveledge.configuration import (
+    Accepted,
+    ChangeOutcome,
+    ChangeRefused,
+    ChangeUnknown,
+    ConfigurationKeeper,
+    Document,
+    Superseded,
+    Versioned,
+    change_configuration,
+    describe_change,
+    parse_document,
+)
+from chiveledge.http_errors import make_refusal, make_unknown
+from chiveledge.outcomes import Reason
+from chiveledge.platform import TableService
+
+CONFLICT_STATUS = 409
+NOT_FITTING_STATUS = 422
+PRECONDITION_REQUIRED_STATUS = 428
+
+
+class OperatorCommands:
+    """Handlers of operators' commands.
+
+    Parameters
+    ----------
+    table : TableService
+        Where the configuration lasts.
+    keeper : ConfigurationKeeper
+        The configuration in force.
+    clock : Clock
+        Source of time.
+    publish : callable
+        Sends an accepted document to all peers.
+    find_misfits : callable
+        Names the guarantees of a document that do not fit the workers.
+    drain : callable
+        Starts the graceful stop of this process.
+    """
+
+    def __init__(
+        self,
+        table: TableService,
+        keeper: ConfigurationKeeper,
+        clock: Clock,
+        publish: Callable[[Versioned], None],
+        find_misfits: Callable[[Document], list[str]],
+        drain: Callable[[], None],
+    ) -> None:
+        self._table = table
+        self._keeper = keeper
+        self._clock = clock
+        self._publish = publish
+        self._find_misfits = find_misfits
+        self._drain = drain
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the handlers to an application."""
+        app.router.add_put("/v1/admin/configuration", self.put_configuration)
+        app.router.add_put("/v1/admin/preset/{preset}", self.put_preset)
+        app.router.add_post("/v1/admin/drain", self.drain)
+
+    async def put_configuration(self, request: web.Request) -> web.Response:
+        """Replace the whole document."""
+        match parse_document("configuration", await request.text()):
+            case Ok(document):
+                return await self._change(request, document)
+            case Err(problem):
+                return make_refusal(Reason.BAD_INPUT, str(problem))
+        raise AssertionError("unreachable")
+
+    async def put_preset(self, request: web.Request) -> web.Response:
+        """Put another preset of the present document in force."""
+        await self._keeper.refresh()
+        if self._keeper.current is None:
+            return make_refusal(
+                Reason.BAD_INPUT, "there is no configuration yet; set one first"
+            )
+        before = self._keeper.current.document
+        preset = request.match_info["preset"]
+        if preset not in before.presets:
+            known = ", ".join(sorted(before.presets))
+            detail = f"preset: got {preset!r}; use one of {known}"
+            return make_refusal(Reason.BAD_INPUT, detail)
+        return await self._change(request, before.model_copy(update={"preset": preset}))
+
+    async def drain(self, _: web.Request) -> web.Response:
+        """Start the graceful stop of this process."""
+        self._drain()
+        return web.json_response({"draining": True}, status=202)
+
+    async def _change(self, request: web.Request, document: Document) -> web.Response:
+        match _find_expected(request):
+            case Ok(expected):
+                pass
+            case Err(refusal):
+                return refusal
+        misfits = self._find_misfits(document)
+        if misfits:
+            return make_refusal(
+                Reason.BAD_INPUT, "; ".join(misfits), status=NOT_FITTING_STATUS
+            )
+        if "dry_run" in request.query:
+            before = self._keeper.current.document if self._keeper.current else None
+            return web.json_response(describe_change(before, document)._asdict())
+        outcome = await change_configuration(
+            self._table,
+            self._clock,
+            expected=expected,
+            document=document,
+            author=request.headers.get("Chiveledge-Operator", "operator"),
+            write_id=uuid.uuid4().hex,
+        )
+        return self._reply(outcome)
+
+    def _reply(self, outcome: ChangeOutcome) -> web.Response:
+        match outcome:
+            case Accepted(versioned):
+                self._keeper.apply(versioned)
+                self._publish(versioned)
+                body = {
+                    "revision": versioned.revision,
+                    "preset": versioned.document.preset,
+                }
+                return web.json_response(body, headers=_etag(versioned))
+            case Superseded(winner, differing):
+                body = {
+                    "outcome": "refused",
+                    "reason": "superseded",
+                    "revision": winner.revision,
+                    "author": winner.author,
+                    "differing": list(differing),
+                    "detail": f"{winner.author} made revision {winner.revision} "
+                    "first; read it, and send your change with that revision",
+                }
+                return web.json_response(body, status=CONFLICT_STATUS)
+            case ChangeRefused(reason):
+                return make_refusal(Reason.STORE_UNAVAILABLE, reason, retry_after_s=1)
+            case ChangeUnknown(revision, write_id):
+                detail = (
+                    f"the change may be accepted as revision {revision}; "
+                    f"'chiveledge configuration' settles it (write {write_id})"
+                )
+                return make_unknown(Reason.STORE_UNAVAILABLE, detail)
+        raise AssertionError(f"unknown outcome {outcome!r}")
+
+
+def _find_expected(request: web.Request) -> Result[int, web.Response]:
+    text = request.headers.get("If-Match", "").strip('"')
+    if text.isdecimal():
+        return Ok(int(text))
+    detail = (
+        f"If-Match: got {text!r}; send the revision that you saw, 0 for the first one"
+    )
+    return Err(
+        make_refusal(Reason.BAD_INPUT, detail, status=PRECONDITION_REQUIRED_STATUS)
+    )
+
+
+def _etag(versioned: Versioned) -> dict[str, str]:
+    return {"ETag": f'"{versioned.revision}"'}
--- /dev/null
+++ b/chiveledge/administration/_queries.py
@@ -0,0 +1,162 @@
+"""Operators' queries: configuration, status, waiting jobs, time line and metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from aiohttp import web
+
+from chiveledge.configuration import ConfigurationKeeper
+from chiveledge.events import Timeline
+from chiveledge.gateway import GatewayServer
+from chiveledge.http_errors import make_refusal
+from chiveledge.jobs import JobState
+from chiveledge.membership import Membership
+from chiveledge.metrics import Metrics
+from chiveledge.outcomes import Reason
+from chiveledge.scheduler import Scheduler
+from chiveledge.settings import ProcessSettings
+
+UNAVAILABLE_STATUS = 503
+
+
+class OperatorQueries:
+    """Handlers of operators' queries.
+
+    Parameters
+    ----------
+    settings : ProcessSettings
+        Settings of the process.
+    keeper, membership, timeline, metrics
+        What they show.
+    gateway : GatewayServer or None
+        The gateway role, if this process has it.
+    scheduler : Scheduler or None
+        The scheduler role, if this process has it.
+    is_ready : callable
+        Whether the balancer may send callers here.
+    """
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        keeper: ConfigurationKeeper,
+        membership: Membership,
+        timeline: Timeline,
+        metrics: Metrics,
+        gateway: GatewayServer | None,
+        scheduler: Scheduler | None,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._settings = settings
+        self._keeper = keeper
+        self._membership = membership
+        self._timeline = timeline
+        self._metrics = metrics
+        self._gateway = gateway
+        self._scheduler = scheduler
+        self._is_ready = is_ready
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the handlers to an application."""
+        app.router.add_get("/healthz", self.show_health)
+        app.router.add_get("/readyz", self.show_ready)
+        app.router.add_get("/v1/admin/configuration", self.show_configuration)
+        app.router.add_get("/v1/admin/status", self.show_status)
+        app.router.add_get("/v1/admin/explain/{job_id}", self.explain_job)
+        app.router.add_get("/v1/admin/timeline", self.show_timeline)
+        app.router.add_get("/v1/admin/metrics", self.show_metrics)
+
+    async def show_health(self, _: web.Request) -> web.Response:
+        """Return that the process runs."""
+        return web.json_response({"process": self._settings.name})
+
+    async def show_ready(self, _: web.Request) -> web.Response:
+        """Return whether the balancer may send callers here."""
+        ready = self._is_ready()
+        body = {"ready": ready, "revision": self._keeper.revision}
+        return web.json_response(body, status=200 if ready else UNAVAILABLE_STATUS)
+
+    async def show_configuration(self, _: web.Request) -> web.Response:
+        """Return the document in force, read from the store if it answers."""
+        await self._keeper.refresh()
+        current = self._keeper.current
+        if current is None:
+            return make_refusal(Reason.BAD_INPUT, "no configuration yet", status=404)
+        body = {
+            "revision": current.revision,
+            "author": current.author,
+            "digest": current.digest,
+            "document": current.document.model_dump(mode="json"),
+        }
+        return web.json_response(body, headers={"ETag": f'"{current.revision}"'})
+
+    async def show_status(self, _: web.Request) -> web.Response:
+        """Return the state of this process and what it knows of others."""
+        current = self._keeper.current
+        body = {
+            "process": self._settings.name,
+            "roles": list(self._settings.roles),
+            "ready": self._is_ready(),
+            "revision": self._keeper.revision,
+            "preset": current.document.preset if current else "",
+            "hosts": [
+                {"name": e.name, "role": e.role, "region": e.region, "state": e.state}
+                for e in self._membership.entries
+            ],
+            "leads": [self._describe_region(region) for region in self._led()],
+        }
+        if self._gateway is not None:
+            body["queued_requests"] = self._gateway.queued
+            body["in_progress"] = self._gateway.in_progress
+            body["ejected_minions"] = self._gateway.pool.ejected()
+        return web.json_response(body)
+
+    async def explain_job(self, request: web.Request) -> web.Response:
+        """Return why a job waits, from the process that leads its region."""
+        job_id = request.match_info["job_id"]
+        for region in self._led():
+            leader = self._scheduler.leaders[region]
+            job = leader.jobs.get(job_id)
+            if job is not None:
+                waits = job.state is JobState.QUEUED
+                why = leader.planner.explain_waiting(job) if waits else job.reason
+                return web.json_response(
+                    {"job_id": job_id, "state": str(job.state), "why": why}
+                )
+        detail = f"this process does not lead the region of job {job_id!r}"
+        return make_refusal(Reason.BAD_INPUT, detail, status=404)
+
+    async def show_timeline(self, request: web.Request) -> web.Response:
+        """Return the events that this process keeps."""
+        after = request.query.get("after", "0")
+        if not after.isdecimal():
+            return make_refusal(
+                Reason.BAD_INPUT, f"after: got {after!r}; send a number"
+            )
+        subject = request.query.get("subject", "")
+        records = self._timeline.records(subject=subject, after=int(after))
+        return web.json_response({"events": records})
+
+    async def show_metrics(self, _: web.Request) -> web.Response:
+        """Return counters and percentiles."""
+        return web.json_response(self._metrics.to_record())
+
+    def _led(self) -> list[str]:
+        return list(self._scheduler.leaders) if self._scheduler else []
+
+    def _describe_region(self, region: str) -> dict[str, object]:
+        leader = self._scheduler.leaders[region]
+        jobs = leader.jobs.values()
+        return {
+            "region": region,
+            "epoch": self._scheduler.holds[region].epoch,
+            "queued": sum(1 for job in jobs if job.state is JobState.QUEUED),
+            "running": sum(1 for job in jobs if job.state is JobState.RUNNING),
+            "free_accelerators": leader.planner.cells.free_accelerators(),
+            "guarantees": [use._asdict() for use in leader.planner.guarantee_use()],
+            "at_risk": [
+                {"workspace": r.workspace, "cell": r.shape.size, "missing": r.missing}
+                for r in leader.risks
+            ],
+        }
--- /dev/null
+++ b/chiveledge/cells/_packing.py
@@ -0,0 +1,90 @@
+"""Decides whether a set of cells fits into free space."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from functools import lru_cache
+from typing import NamedTuple
+
+from chiveledge.types import Accelerators
+
+
+class CellShape(NamedTuple):
+    """A wanted cell: its size, and the least accelerators of each worker in it."""
+
+    size: Accelerators
+    unit: Accelerators
+
+
+class Block(NamedTuple):
+    """A largest free aligned run within a tree."""
+
+    offset: int
+    size: Accelerators
+
+
+@lru_cache(maxsize=1 << 16)
+def free_blocks(occupied: int, size: Accelerators) -> tuple[Block, ...]:
+    """Return the largest free cells of a tree.
+
+    Parameters
+    ----------
+    occupied : int
+        One bit for each accelerator that is not free.
+    size : int
+        Accelerators in the tree.
+    """
+    if occupied == 0:
+        return (Block(0, size),)
+    if size == 1:
+        return ()
+    half = size // 2
+    low = free_blocks(occupied & ((1 << half) - 1), half)
+    high = free_blocks(occupied >> half, half)
+    return low + tuple(Block(block.offset + half, block.size) for block in high)
+
+
+def fits(wanted: Iterable[CellShape], free: Counter[CellShape]) -> list[CellShape]:
+    """Pack wanted cells into free ones, and return those that do not fit.
+
+    Largest first into the smallest free cell that holds it, on workers no larger
+    than needed. With equal workers this is exact, since cell sizes are powers of
+    two. With unequal workers it may leave out a cell that a search would place; it
+    never places one that does not fit.
+
+    Parameters
+    ----------
+    wanted : iterable of CellShape
+        Cells to place.
+    free : Counter of CellShape
+        Number of free cells by size and unit.
+    """
+    left = Counter({shape: count for shape, count in free.items() if count > 0})
+    missing = []
+    for shape in sorted(wanted, reverse=True):
+        block = _smallest_block(shape, left)
+        if block is None:
+            missing.append(shape)
+            continue
+        _split_block(block, shape.size, left)
+    return missing
+
+
+def _smallest_block(shape: CellShape, left: Counter[CellShape]) -> CellShape | None:
+    holding = [
+        block
+        for block, count in left.items()
+        if count > 0 and block.size >= shape.size and block.unit >= shape.unit
+    ]
+    return min(holding, default=None)
+
+
+def _split_block(
+    block: CellShape, size: Accelerators, left: Counter[CellShape]
+) -> None:
+    left[block] -= 1
+    rest = block.size // 2
+    while rest >= size:
+        left[CellShape(rest, block.unit)] += 1
+        rest //= 2
--- /dev/null
+++ b/chiveledge/cli/_client.py
@@ -0,0 +1,143 @@
+"""Calls the HTTP APIs for the command line."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import aiohttp
+
+EXIT_DONE = 0
+EXIT_NOT_DONE = 1
+EXIT_BAD_INPUT = 2
+CALL_TIMEOUT_S = 60.0
+
+URL_VARIABLE = "CHIVELEDGE_URL"
+TOKEN_VARIABLE = "CHIVELEDGE_TOKEN"
+WORKSPACE_VARIABLE = "CHIVELEDGE_WORKSPACE"
+
+
+class Call(NamedTuple):
+    """One HTTP call."""
+
+    method: str
+    path: str
+    headers: Mapping[str, str] = {}
+    body: bytes = b""
+
+
+class Reply(NamedTuple):
+    """What came of a call; status 0 where the gateway was not reached."""
+
+    status: int
+    body: Any
+
+    @property
+    def done(self) -> bool:
+        """Whether the call did what it was for."""
+        return 200 <= self.status < 300
+
+
+def read_urls(url: str) -> list[str]:
+    """Return the processes to call: the option, or the environment."""
+    text = url or os.environ.get(URL_VARIABLE, "")
+    urls = [part.rstrip("/") for part in text.split(",") if part]
+    if not urls:
+        fail(f"--url: is missing; give http://IP:PORT or set {URL_VARIABLE}")
+    return urls
+
+
+def caller_headers(token: str, workspace: str) -> dict[str, str]:
+    """Return the headers of a caller of a workspace."""
+    name = workspace or os.environ.get(WORKSPACE_VARIABLE, "")
+    if not name:
+        fail(f"--workspace: is missing; give it or set {WORKSPACE_VARIABLE}")
+    return operator_headers(token) | {"Chiveledge-Workspace": name}
+
+
+def operator_headers(token: str) -> dict[str, str]:
+    """Return the headers of an operator."""
+    secret = token or os.environ.get(TOKEN_VARIABLE, "")
+    if not secret:
+        fail(f"--token: is missing; give it or set {TOKEN_VARIABLE}")
+    return {"Authorization": f"Bearer {secret}"}
+
+
+def call_first(urls: list[str], call: Call) -> Reply:
+    """Call the first process that is reached."""
+    return asyncio.run(_call_first(urls, call))
+
+
+def call_all(urls: list[str], call: Call) -> list[Reply]:
+    """Call all processes at once."""
+    return asyncio.run(_call_all(urls, call))
+
+
+def print_reply(reply: Reply, *, as_json: bool) -> int:
+    """Print what came of a call; return the exit code."""
+    stream = sys.stdout if reply.done else sys.stderr
+    if as_json or not isinstance(reply.body, dict):
+        print(json.dumps(reply.body), file=stream)
+    else:
+        for key, value in reply.body.items():
+            text = value if isinstance(value, str) else json.dumps(value)
+            print(f"{key:<16} {text}", file=stream)
+    if reply.done:
+        return EXIT_DONE
+    is_bad_input = isinstance(reply.body, dict) and reply.body.get("reason") == (
+        "bad_input"
+    )
+    return EXIT_BAD_INPUT if is_bad_input else EXIT_NOT_DONE
+
+
+def fail(message: str) -> None:
+    """Print a message on bad input and exit; nothing was done."""
+    print(f"chiveledge: {message}", file=sys.stderr)
+    sys.exit(EXIT_BAD_INPUT)
+
+
+async def _call_first(urls: list[str], call: Call) -> Reply:
+    reply = Reply(0, {"detail": "no process was reached"})
+    async with _open_session() as session:
+        for url in urls:
+            reply = await _call(session, url, call)
+            if reply.status:
+                return reply
+    return reply
+
+
+async def _call_all(urls: list[str], call: Call) -> list[Reply]:
+    async with _open_session() as session:
+        return await asyncio.gather(*(_call(session, url, call) for url in urls))
+
+
+def _open_session() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S))
+
+
+async def _call(session: aiohttp.ClientSession, url: str, call: Call) -> Reply:
+    try:
+        async with session.request(
+            call.method,
+            url + call.path,
+            headers=dict(call.headers),
+            data=call.body or None,
+        ) as response:
+            raw = await response.read()
+            return Reply(response.status, _decode(raw))
+    except aiohttp.ClientConnectorError as error:
+        return Reply(0, {"detail": f"{url}: {error.strerror or error}"})
+    except (TimeoutError, aiohttp.ClientError) as error:
+        detail = f"{url}: {type(error).__name__}; the outcome is unknown"
+        return Reply(504, {"outcome": "unknown", "detail": detail})
+
+
+def _decode(raw: bytes) -> Any:
+    try:
+        return json.loads(raw) if raw else {}
+    except ValueError:
+        return raw.decode(errors="replace")
--- /dev/null
+++ b/chiveledge/cli/_main.py
@@ -0,0 +1,66 @@
+"""Parses the command line and ends with an exit code.
+
+Exit codes: 0 done, 1 refused, unknown or not finished, 2 bad input (nothing done).
+"""
+
+from __future__ import annotations
+
+import sys
+
+import defopt
+
+from chiveledge.cli._commands import (
+    cancel,
+    drain,
+    preset,
+    request,
+    run,
+    set_configuration,
+    submit,
+)
+from chiveledge.cli._queries import (
+    configuration,
+    explain,
+    hosts,
+    metrics,
+    result,
+    status,
+    timeline,
+)
+
+COMMANDS = {
+    "run": run,
+    "request": request,
+    "submit": submit,
+    "cancel": cancel,
+    "preset": preset,
+    "set-configuration": set_configuration,
+    "drain": drain,
+}
+QUERIES = {
+    "status": status,
+    "result": result,
+    "explain": explain,
+    "hosts": hosts,
+    "configuration": configuration,
+    "timeline": timeline,
+    "metrics": metrics,
+}
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run one command and exit.
+
+    Parameters
+    ----------
+    argv : list of str, optional
+        Arguments; those of the process where none are given.
+    """
+    code = defopt.run(
+        COMMANDS | QUERIES,
+        argv=argv,
+        cli_options="has_default",
+        show_types=False,
+        short={},
+    )
+    sys.exit(code)
--- /dev/null
+++ b/chiveledge/cli/_queries.py
@@ -0,0 +1,163 @@
+"""Queries of callers and operators."""
+
+from __future__ import annotations
+
+import json as json_codec
+
+from chiveledge.cli._client import (
+    EXIT_DONE,
+    EXIT_NOT_DONE,
+    Call,
+    Reply,
+    call_all,
+    call_first,
+    caller_headers,
+    operator_headers,
+    print_reply,
+    read_urls,
+)
+from chiveledge.events import EventRecord, merge_records
+
+
+def status(
+    job_id: str,
+    *,
+    url: str = "",
+    token: str = "",
+    workspace: str = "",
+    json: bool = False,
+) -> int:
+    """Show the state of a job.
+
+    :param job_id: the job
+    :param url: gateways, separated by commas
+    :param token: token of the workspace
+    :param workspace: name of the workspace
+    :param json: print JSON
+    """
+    call = Call("GET", f"/v1/jobs/{job_id}", caller_headers(token, workspace))
+    return print_reply(call_first(read_urls(url), call), as_json=json)
+
+
+def result(
+    job_id: str,
+    *,
+    url: str = "",
+    token: str = "",
+    workspace: str = "",
+    json: bool = False,
+) -> int:
+    """Show the results of a finished job.
+
+    :param job_id: the job
+    :param url: gateways, separated by commas
+    :param token: token of the workspace
+    :param workspace: name of the workspace
+    :param json: print JSON
+    """
+    call = Call("GET", f"/v1/jobs/{job_id}/result", caller_headers(token, workspace))
+    return print_reply(call_first(read_urls(url), call), as_json=json)
+
+
+def explain(job_id: str, *, url: str = "", token: str = "", json: bool = False) -> int:
+    """Show why a job waits; the leader of its region knows.
+
+    :param job_id: the job
+    :param url: processes, separated by commas
+    :param token: operator token
+    :param json: print JSON
+    """
+    call = Call("GET", f"/v1/admin/explain/{job_id}", operator_headers(token))
+    replies = call_all(read_urls(url), call)
+    answers = [reply for reply in replies if reply.done]
+    return print_reply((answers or replies)[0], as_json=json)
+
+
+def configuration(*, url: str = "", token: str = "", json: bool = False) -> int:
+    """Show the configuration in force and its revision.
+
+    :param url: processes, separated by commas
+    :param token: operator token
+    :param json: print JSON
+    """
+    call = Call("GET", "/v1/admin/configuration", operator_headers(token))
+    return print_reply(call_first(read_urls(url), call), as_json=json)
+
+
+def hosts(*, url: str = "", token: str = "", json: bool = False) -> int:
+    """Show every process: whether it is ready, and the regions that it leads.
+
+    :param url: processes, separated by commas
+    :param token: operator token
+    :param json: print JSON
+    """
+    urls = read_urls(url)
+    call = Call("GET", "/v1/admin/status", operator_headers(token))
+    replies = call_all(urls, call)
+    if json:
+        print(json_codec.dumps([reply.body for reply in replies]))
+    else:
+        print(f"{'process':<28} {'ready':<6} {'revision':<9} {'preset':<12} leads")
+        for address, reply in zip(urls, replies, strict=True):
+            print(_describe_process(address, reply))
+    return EXIT_DONE if all(reply.done for reply in replies) else EXIT_NOT_DONE
+
+
+def timeline(
+    *, subject: str = "", url: str = "", token: str = "", json: bool = False
+) -> int:
+    """Show the merged events of all processes.
+
+    :param subject: only events of this request, job, target or region
+    :param url: processes, separated by commas
+    :param token: operator token
+    :param json: print one JSON object a line
+    """
+    query = f"?subject={subject}" if subject else ""
+    call = Call("GET", f"/v1/admin/timeline{query}", operator_headers(token))
+    replies = call_all(read_urls(url), call)
+    records = [r for reply in replies if reply.done for r in reply.body["events"]]
+    for record in merge_records(records):
+        print(json_codec.dumps(record) if json else format_event(record))
+    return EXIT_DONE if all(reply.done for reply in replies) else EXIT_NOT_DONE
+
+
+def metrics(*, url: str = "", token: str = "") -> int:
+    """Print the counters and percentiles of each process as JSON.
+
+    :param url: processes, separated by commas
+    :param token: operator token
+    """
+    call = Call("GET", "/v1/admin/metrics", operator_headers(token))
+    replies = call_all(read_urls(url), call)
+    for reply in replies:
+        print(json_codec.dumps(reply.body))
+    return EXIT_DONE if all(reply.done for reply in replies) else EXIT_NOT_DONE
+
+
+def format_event(record: EventRecord) -> str:
+    """Return one line of the time line for people."""
+    fields = [
+        record["time"][11:23],
+        f"{record['process']:<26}",
+        f"{record['part']:<13}",
+        f"{record['name']:<18}",
+        f"r{record['revision']}",
+        f"e{record['epoch']}" if record["epoch"] else "-",
+        record["subject"],
+        record["outcome"],
+        record["detail"],
+    ]
+    return " ".join(field for field in fields if field)
+
+
+def _describe_process(address: str, reply: Reply) -> str:
+    if not reply.done:
+        return f"{address:<28} {'-':<6} not reached"
+    body = reply.body
+    ready = "yes" if body["ready"] else "no"
+    led = [f"{region['region']} (epoch {region['epoch']})" for region in body["leads"]]
+    return (
+        f"{body['process']:<28} {ready:<6} {body['revision']:<9} "
+        f"{body['preset']:<12} {', '.join(led)}"
+    )
--- /dev/null
+++ b/chiveledge/clock.py
@@ -0,0 +1,86 @@
+"""The clock interface that every part receives as an argument."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import time
+from datetime import UTC, datetime, timedelta
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Source of monotonic time, wall time and delays."""
+
+    def monotonic(self) -> float:
+        """Return seconds on a clock that never goes back."""
+
+    def now(self) -> datetime:
+        """Return the wall time in UTC."""
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait for a number of seconds."""
+
+
+class SystemClock:
+    """The clock of the machine."""
+
+    def monotonic(self) -> float:
+        return time.monotonic()
+
+    def now(self) -> datetime:
+        return datetime.now(UTC)
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+
+
+class ManualClock:
+    """A clock that moves only when told to, for tests and benchmarks.
+
+    Parameters
+    ----------
+    start : datetime, optional
+        Wall time at monotonic second zero.
+    """
+
+    def __init__(self, start: datetime | None = None) -> None:
+        self._start = start or datetime(2026, 1, 1, tzinfo=UTC)
+        self._elapsed_s = 0.0
+        self._sleepers: list[tuple[float, int, asyncio.Future[None]]] = []
+        self._sequence = 0
+
+    def monotonic(self) -> float:
+        return self._elapsed_s
+
+    def now(self) -> datetime:
+        return self._start + timedelta(seconds=self._elapsed_s)
+
+    async def sleep(self, seconds: float) -> None:
+        future = asyncio.get_running_loop().create_future()
+        self._sequence += 1
+        due = self._elapsed_s + max(seconds, 0.0)
+        heapq.heappush(self._sleepers, (due, self._sequence, future))
+        await future
+
+    def jump(self, seconds: float) -> None:
+        """Move the time forward without waking sleepers in between."""
+        self._elapsed_s += seconds
+
+    async def advance(self, seconds: float) -> None:
+        """Move the time forward and wake every sleeper that falls due, in order."""
+        target_s = self._elapsed_s + seconds
+        await _drain_ready()
+        while self._sleepers and self._sleepers[0][0] <= target_s:
+            due, _, future = heapq.heappop(self._sleepers)
+            self._elapsed_s = max(self._elapsed_s, due)
+            if not future.done():
+                future.set_result(None)
+            await _drain_ready()
+        self._elapsed_s = target_s
+        await _drain_ready()
+
+
+async def _drain_ready(rounds: int = 20) -> None:
+    for _ in range(rounds):
+        await asyncio.sleep(0)
--- /dev/null
+++ b/chiveledge/configuration/__init__.py
@@ -0,0 +1,52 @@
+"""The one configuration document: its model, how it is changed and how it spreads."""
+
+from __future__ import annotations
+
+from chiveledge.configuration._change import (
+    Accepted,
+    ChangeOutcome,
+    ChangeRefused,
+    ChangeUnknown,
+    Superseded,
+    change_configuration,
+    decode_versioned,
+    encode_versioned,
+    read_configuration,
+)
+from chiveledge.configuration._effect import ChangeEffect, describe_change
+from chiveledge.configuration._keeper import ConfigurationKeeper
+from chiveledge.configuration._model import (
+    Document,
+    Guarantee,
+    Kind,
+    Preset,
+    RequestClass,
+    Versioned,
+    Workspace,
+    hash_token,
+    parse_document,
+)
+
+__all__ = [
+    "Accepted",
+    "ChangeEffect",
+    "ChangeOutcome",
+    "ChangeRefused",
+    "ChangeUnknown",
+    "ConfigurationKeeper",
+    "Document",
+    "Guarantee",
+    "Kind",
+    "Preset",
+    "RequestClass",
+    "Superseded",
+    "Versioned",
+    "Workspace",
+    "change_configuration",
+    "decode_versioned",
+    "describe_change",
+    "encode_versioned",
+    "hash_token",
+    "parse_document",
+    "read_configuration",
+]
--- /dev/null
+++ b/chiveledge/configuration/_model.py
@@ -0,0 +1,154 @@
+"""Model of the configuration document."""
+
+from __future__ import annotations
+
+import hashlib
+from enum import StrEnum
+from typing import Annotated, NamedTuple
+
+from pydantic import AfterValidator, Field, model_validator
+from result import Result
+
+from chiveledge.settings import SettingsError, Strict, check_model, parse_json5
+from chiveledge.types import (
+    KindName,
+    PresetName,
+    RegionName,
+    Revision,
+    WorkspaceName,
+)
+
+
+class RequestClass(StrEnum):
+    """Urgency of a request or job."""
+
+    URGENT = "urgent"
+    STANDARD = "standard"
+    BATCH = "batch"
+
+    @property
+    def rank(self) -> int:
+        """Zero for the most urgent."""
+        return tuple(RequestClass).index(self)
+
+
+def _check_power_of_two(value: int) -> int:
+    if value < 1 or value & (value - 1):
+        raise ValueError("a cell holds 1, 2, 4, 8, 16, 32 or 64 accelerators")
+    return value
+
+
+CellSize = Annotated[int, AfterValidator(_check_power_of_two)]
+
+
+class Guarantee(Strict):
+    """A number of equal cells that a workspace can always reclaim in a region.
+
+    Attributes
+    ----------
+    region : str
+        Place of the cells.
+    cell : int
+        Accelerators in one cell, a power of two.
+    count : int
+        Number of cells.
+    per_worker : int
+        Accelerators that each worker of the cell has at least; 0 stands for the
+        smaller of `cell` and 8.
+    """
+
+    region: RegionName
+    cell: CellSize
+    count: int = Field(ge=1)
+    per_worker: int = Field(default=0, ge=0)
+
+    @property
+    def unit(self) -> int:
+        """Least accelerators of a worker in the cell."""
+        return self.per_worker or min(self.cell, 8)
+
+
+class Workspace(Strict):
+    """A team: its share, its guarantees and the hash of its callers' token."""
+
+    weight: int = Field(ge=1, le=1000)
+    token_sha256: str = Field(pattern=r"^[0-9a-f]{64}$")
+    guarantees: tuple[Guarantee, ...] = ()
+
+
+class Kind(Strict):
+    """A kind of request: where it runs and how urgent it is."""
+
+    service: str
+    request_class: RequestClass
+    idempotent: bool
+    deadline_ms: int = Field(ge=1, le=3_600_000)
+
+
+class Preset(Strict):
+    """Policy of an ordinary day, a peak or a maintenance period."""
+
+    admit: tuple[RequestClass, ...]
+    borrowing: bool = True
+    start_jobs: bool = True
+    class_shares: dict[RequestClass, int]
+
+    @model_validator(mode="after")
+    def _check_shares(self) -> Preset:
+        for request_class in self.admit:
+            if self.class_shares.get(request_class, 0) < 1:
+                raise ValueError(
+                    f"class_shares.{request_class} must be 1 or more, "
+                    "since the preset admits it"
+                )
+        return self
+
+
+class Document(Strict):
+    """The whole configuration; one preset of it is in force."""
+
+    preset: PresetName
+    presets: dict[PresetName, Preset]
+    workspaces: dict[WorkspaceName, Workspace]
+    kinds: dict[KindName, Kind]
+
+    @model_validator(mode="after")
+    def _check_preset(self) -> Document:
+        if self.preset not in self.presets:
+            known = ", ".join(sorted(self.presets))
+            raise ValueError(f"preset {self.preset!r} is not one of: {known}")
+        return self
+
+    @property
+    def policy(self) -> Preset:
+        """The preset in force."""
+        return self.presets[self.preset]
+
+
+class Versioned(NamedTuple):
+    """A document with its revision, and who made it."""
+
+    revision: Revision
+    document: Document
+    author: str
+    digest: str
+
+
+def parse_document(path: str, text: str) -> Result[Document, SettingsError]:
+    """Decode and check a document of JSON with comments.
+
+    Parameters
+    ----------
+    path : str
+        Named in errors.
+    text : str
+        The document.
+    """
+    return parse_json5(path, text).and_then(
+        lambda value: check_model(Document, path, value)
+    )
+
+
+def hash_token(token: str) -> str:
+    """Return the form in which a token stands in the document."""
+    return hashlib.sha256(token.encode()).hexdigest()
--- /dev/null
+++ b/chiveledge/gateway/_admission.py
@@ -0,0 +1,124 @@
+"""Checks what callers send before any of it costs anything."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import uuid
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from chiveledge.configuration import ConfigurationKeeper, hash_token
+from chiveledge.gateway._dispatch import RequestEnvelope
+from chiveledge.http_errors import make_refusal
+from chiveledge.outcomes import Reason
+from chiveledge.types import WorkspaceName
+
+HEADER_WORKSPACE = "Chiveledge-Workspace"
+HEADER_DEADLINE_MS = "Chiveledge-Deadline-Ms"
+HEADER_KEY = "Idempotency-Key"
+MAX_KEY_CHARS = 128
+BODY_TIMEOUT_S = 10.0
+MS_PER_S = 1000
+
+
+def find_bearer(request: web.Request) -> str:
+    """Return the bearer token of a call, or an empty text."""
+    scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+    return token if scheme == "Bearer" else ""
+
+
+def check_workspace(
+    request: web.Request, keeper: ConfigurationKeeper
+) -> Result[WorkspaceName, web.Response]:
+    """Return the workspace that the caller proved to be, or the refusal."""
+    if keeper.current is None:
+        return Err(
+            make_refusal(
+                Reason.STALE_CONFIGURATION,
+                "there is no configuration yet; an operator must set one",
+                retry_after_s=1.0,
+            )
+        )
+    name = request.headers.get(HEADER_WORKSPACE, "")
+    workspace = keeper.current.document.workspaces.get(name)
+    if workspace is None:
+        detail = f"{HEADER_WORKSPACE}: unknown workspace {name!r}; name one of yours"
+        return Err(make_refusal(Reason.UNAUTHORISED, detail))
+    given = hash_token(find_bearer(request))
+    if not hmac.compare_digest(given, workspace.token_sha256):
+        detail = f"Authorization: not the token of workspace {name!r}"
+        return Err(make_refusal(Reason.UNAUTHORISED, detail))
+    return Ok(name)
+
+
+def check_key(request: web.Request) -> Result[str, web.Response]:
+    """Return the idempotency key, or the refusal."""
+    key = request.headers.get(HEADER_KEY, "")
+    allowed = key.isascii() and key.replace("-", "").replace("_", "").isalnum()
+    if not key or len(key) > MAX_KEY_CHARS or not allowed:
+        detail = (
+            f"{HEADER_KEY}: got {key[:40]!r}; send 1 to {MAX_KEY_CHARS} letters, "
+            "digits, '-' or '_', the same for each repeat"
+        )
+        return Err(make_refusal(Reason.BAD_INPUT, detail))
+    return Ok(key)
+
+
+async def read_body(request: web.Request) -> Result[bytes, web.Response]:
+    """Return the whole body, or the refusal of a large or slow one."""
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            return Ok(await request.read())
+    except TimeoutError:
+        detail = f"the body took longer than {BODY_TIMEOUT_S:g} s; send it faster"
+        return Err(make_refusal(Reason.BAD_INPUT, detail, status=408))
+    except web.HTTPRequestEntityTooLarge:
+        detail = f"the body is larger than {request.client_max_size} bytes"
+        return Err(make_refusal(Reason.BAD_INPUT, detail, status=413))
+
+
+async def check_request(
+    request: web.Request, keeper: ConfigurationKeeper
+) -> Result[RequestEnvelope, web.Response]:
+    """Return the checked request, or the refusal that names the wrong field."""
+    match check_workspace(request, keeper):
+        case Ok(name):
+            workspace = name
+        case Err(refusal):
+            return Err(refusal)
+    kinds = keeper.current.document.kinds
+    kind_name = request.match_info["kind"]
+    kind = kinds.get(kind_name)
+    if kind is None:
+        detail = f"unknown kind {kind_name!r}; use one of {', '.join(sorted(kinds))}"
+        return Err(make_refusal(Reason.BAD_INPUT, detail, status=404))
+    deadline_ms = request.headers.get(HEADER_DEADLINE_MS, str(kind.deadline_ms))
+    if not deadline_ms.isdecimal() or not 0 < int(deadline_ms) <= 3_600_000:
+        detail = f"{HEADER_DEADLINE_MS}: got {deadline_ms!r}; send 1 to 3600000"
+        return Err(make_refusal(Reason.BAD_INPUT, detail))
+    key = ""
+    if not kind.idempotent:
+        match check_key(request):
+            case Ok(found):
+                key = found
+            case Err(refusal):
+                return Err(refusal)
+    match await read_body(request):
+        case Ok(read):
+            body = read
+        case Err(refusal):
+            return Err(refusal)
+    envelope = RequestEnvelope(
+        request_id=uuid.uuid4().hex,
+        workspace=workspace,
+        kind=kind_name,
+        service=kind.service,
+        request_class=kind.request_class,
+        idempotent=kind.idempotent,
+        key=key,
+        deadline_s=int(deadline_ms) / MS_PER_S,
+        body=body,
+    )
+    return Ok(envelope)
--- /dev/null
+++ b/chiveledge/gateway/_jobs.py
@@ -0,0 +1,235 @@
+"""Submits, cancels and looks up jobs in the table service."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from result import Err, Ok, Result
+
+from chiveledge.clock import Clock
+from chiveledge.configuration import ConfigurationKeeper
+from chiveledge.jobs import (
+    Job,
+    JobSpec,
+    JobState,
+    cancel_key,
+    decode_job,
+    encode_job,
+    inbox_key,
+    job_key,
+    make_job_id,
+    region_of,
+)
+from chiveledge.membership import Membership
+from chiveledge.metrics import Metrics
+from chiveledge.platform import (
+    CallError,
+    Check,
+    Conflict,
+    GroupCommit,
+    ObjectStore,
+    Put,
+    TableService,
+    Unavailable,
+)
+from chiveledge.scheduler import Planner, list_workers
+from chiveledge.types import JobId, RegionName, WorkspaceName
+
+JOB_PATIENCE_S = 2.0
+
+
+@dataclass(frozen=True)
+class JobAccepted:
+    """The job's row is committed; `repeated` if it was before."""
+
+    job: Job
+    repeated: bool
+
+
+@dataclass(frozen=True)
+class JobRefused:
+    """No job was made."""
+
+    detail: str
+    retry_after_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class JobUnknown:
+    """The job may be committed; its status tells."""
+
+    job_id: JobId
+
+
+SubmitOutcome: TypeAlias = JobAccepted | JobRefused | JobUnknown
+
+
+class JobDesk:
+    """The gateway's side of jobs.
+
+    Parameters
+    ----------
+    table, objects : TableService, ObjectStore
+        Where jobs and large results last.
+    keeper, membership
+        The configuration in force and the known workers.
+    clock, metrics
+        Time and counters.
+    notice : callable
+        Tells a region's leader of new rows.
+    regions : sequence of str
+        Regions of the deployment.
+    """
+
+    def __init__(
+        self,
+        table: TableService,
+        objects: ObjectStore,
+        keeper: ConfigurationKeeper,
+        membership: Membership,
+        clock: Clock,
+        metrics: Metrics,
+        notice: Callable[[RegionName], None],
+        regions: Sequence[RegionName],
+    ) -> None:
+        self._table = table
+        self._objects = objects
+        self._keeper = keeper
+        self._membership = membership
+        self._clock = clock
+        self._notice = notice
+        self._regions = tuple(regions)
+        self._writes = GroupCommit(table, clock, metrics, patience_s=JOB_PATIENCE_S)
+
+    async def submit(
+        self, workspace: WorkspaceName, key: str, spec: JobSpec
+    ) -> SubmitOutcome:
+        """Commit a job's row; the same key gives the same job."""
+        why = self._explain_never(spec)
+        if why:
+            return JobRefused(why)
+        job_id = make_job_id(spec.region, workspace, key)
+        job = Job(job_id, workspace, spec, self._clock.now())
+        result = await self._writes.commit(
+            checks=(Check(job.key, 0),),
+            puts=(Put(job.key, encode_job(job)), Put(inbox_key(job_id), "{}")),
+        )
+        match result:
+            case Ok(_):
+                self._notice(spec.region)
+                return JobAccepted(job, repeated=False)
+            case Err(Conflict()):
+                return await self._find_repeat(job)
+            case Err(Unavailable(reason)):
+                return JobRefused(reason, retry_after_s=1.0)
+            case Err(_):
+                return JobUnknown(job_id)
+        raise AssertionError("unreachable")
+
+    async def find(
+        self, workspace: WorkspaceName, job_id: JobId
+    ) -> Result[Job | None, CallError]:
+        """Return a job of the workspace, or None."""
+        match await self._table.read(job_key(job_id)):
+            case Ok(None):
+                return Ok(None)
+            case Ok(row):
+                job = decode_job(row.value)
+                return Ok(job if job.workspace == workspace else None)
+            case Err(error):
+                return Err(error)
+        raise AssertionError("unreachable")
+
+    async def read_results(self, job: Job) -> Result[tuple[str, ...], CallError]:
+        """Return the results of a finished job's members."""
+        if not job.result_object:
+            return Ok(job.results)
+        match await self._objects.read(job.result_object):
+            case Ok(str() as text):
+                return Ok(tuple(json.loads(text)))
+            case Ok(_):
+                return Err(Unavailable("the object with the results is gone"))
+            case Err(error):
+                return Err(error)
+        raise AssertionError("unreachable")
+
+    async def cancel(
+        self, workspace: WorkspaceName, job_ids: Sequence[JobId]
+    ) -> dict[JobId, str]:
+        """Ask the leaders to cancel jobs; return what came of each request.
+
+        The values are ``"requested"``, ``"ended"``, ``"not_found"``,
+        ``"refused"`` and ``"unknown"``.
+        """
+        answers = await asyncio.gather(
+            *(self._cancel(workspace, job_id) for job_id in job_ids)
+        )
+        for region in {region_of(job_id) for job_id in job_ids}:
+            self._notice(region)
+        return dict(zip(job_ids, answers, strict=True))
+
+    async def _cancel(self, workspace: WorkspaceName, job_id: JobId) -> str:
+        match await self.find(workspace, job_id):
+            case Ok(None):
+                return "not_found"
+            case Ok(job) if job.state.ended:
+                return "ended"
+            case Err(_):
+                return "refused"
+        key = cancel_key(job_id)
+        result = await self._writes.commit(
+            checks=(Check(key, 0),), puts=(Put(key, "{}"),)
+        )
+        match result:
+            case Ok(_) | Err(Conflict()):
+                return "requested"
+            case Err(Unavailable()):
+                return "refused"
+            case Err(_):
+                return "unknown"
+        raise AssertionError("unreachable")
+
+    async def _find_repeat(self, job: Job) -> SubmitOutcome:
+        match await self.find(job.workspace, job.job_id):
+            case Ok(found) if found is not None and found.spec == job.spec:
+                return JobAccepted(found, repeated=True)
+            case Ok(found) if found is not None:
+                return JobRefused(
+                    "Idempotency-Key: used for another job before; choose a new one"
+                )
+            case _:
+                return JobUnknown(job.job_id)
+
+    def _explain_never(self, spec: JobSpec) -> str:
+        if spec.region not in self._regions:
+            known = ", ".join(self._regions)
+            return f"region: got {spec.region!r}; use one of {known}"
+        workers = list_workers(self._membership.entries, spec.region)
+        if not workers:
+            # The list may lag; the leader decides once it knows the workers.
+            return ""
+        sizes = [worker.size for worker in workers]
+        planner = Planner(spec.region, sizes, self._keeper.current.document)
+        return planner.explain_never(spec)
+
+
+def describe_job(job: Job) -> dict[str, object]:
+    """Return a job as callers see it."""
+    attempt = job.attempt
+    return {
+        "job_id": job.job_id,
+        "workspace": job.workspace,
+        "state": str(job.state),
+        "reason": job.reason,
+        "attempts": job.attempts,
+        "members": job.spec.members,
+        "borrowed": bool(attempt and attempt.borrowed),
+        "workers": list(attempt.workers) if attempt else [],
+        "submitted_at": job.submitted_at.isoformat(),
+        "ended_at": job.ended_at.isoformat() if job.ended_at else "",
+        "finished": job.state is JobState.FINISHED,
+    }
--- /dev/null
+++ b/chiveledge/gateway/_router.py
@@ -0,0 +1,261 @@
+"""Chooses a minion for each request, and ejects those that fail."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from chiveledge.clock import Clock
+from chiveledge.configuration import RequestClass
+from chiveledge.events import Timeline
+from chiveledge.peers import MinionLoad
+from chiveledge.platform import HostEntry, HostState
+from chiveledge.types import MinionName, ProcessName, RegionName
+
+KEPT_SLOTS = {
+    RequestClass.URGENT: 0,
+    RequestClass.STANDARD: 1,
+    RequestClass.BATCH: 2,
+}
+"""Slots of a minion that a class leaves free for more urgent ones."""
+
+EJECT_AFTER_FAILURES = 5
+EJECT_BASE_S = 1.0
+EJECT_MAX_S = 30.0
+EJECT_MOST_SHARE = 0.5
+SLOW_FACTOR = 4.0
+SERVICE_EWMA_WEIGHT = 0.1
+PEER_REPORT_TTL_S = 5.0
+
+
+class RouterPolicy(NamedTuple):
+    """Limits of minions and the share of this gateway.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that a minion runs at once.
+    connections : int
+        Connections that this gateway may have to one minion; the limits of all
+        gateways together stay within the minion's own.
+    """
+
+    slots: int
+    connections: int
+
+
+@dataclass
+class _MinionState:
+    """What this gateway knows of one minion."""
+
+    entry: HostEntry
+    in_flight: int = 0
+    reported_running: int = 0
+    reported_s: float = float("-inf")
+    failures: int = 0
+    ejected_until_s: float = float("-inf")
+    ejections: int = 0
+    probing: bool = False
+    service_s: float = 0.0
+    peer_loads: dict[ProcessName, tuple[int, float]] = field(default_factory=dict)
+
+
+class MinionPool:
+    """The minions of the services, as one gateway sees them.
+
+    Two minions are drawn at random and the one with less load is taken. Load is
+    this gateway's own requests in flight plus what the peers reported of theirs.
+
+    Parameters
+    ----------
+    region : str
+        Minions of this region are preferred.
+    policy : RouterPolicy
+        Limits.
+    clock : Clock
+        Source of time.
+    timeline : Timeline
+        Receives ejections.
+    seed : int, optional
+        Seed of the random draws.
+    """
+
+    def __init__(
+        self,
+        region: RegionName,
+        policy: RouterPolicy,
+        clock: Clock,
+        timeline: Timeline,
+        *,
+        seed: int = 0,
+    ) -> None:
+        self._region = region
+        self._policy = policy
+        self._clock = clock
+        self._timeline = timeline
+        self._random = random.Random(seed)
+        self._minions: dict[MinionName, _MinionState] = {}
+
+    @property
+    def loads(self) -> tuple[MinionLoad, ...]:
+        """This gateway's requests in flight, for the peers."""
+        return tuple(
+            MinionLoad(name, state.in_flight)
+            for name, state in self._minions.items()
+            if state.in_flight
+        )
+
+    def set_entries(self, entries: Iterable[HostEntry]) -> list[MinionName]:
+        """Take in the listed minions; return those that are gone and idle."""
+        listed = {entry.name: entry for entry in entries}
+        for name, entry in listed.items():
+            state = self._minions.setdefault(name, _MinionState(entry))
+            state.entry = entry
+        gone = []
+        for name, state in list(self._minions.items()):
+            if name not in listed:
+                state.entry = state.entry._replace(state=HostState.LEAVING)
+                if state.in_flight == 0:
+                    del self._minions[name]
+                    gone.append(name)
+        return gone
+
+    def hear(self, peer: ProcessName, loads: Sequence[MinionLoad]) -> None:
+        """Take in a peer's requests in flight."""
+        now_s = self._clock.monotonic()
+        reported = {load.name: load.in_flight for load in loads}
+        for name, state in self._minions.items():
+            state.peer_loads[peer] = (reported.get(name, 0), now_s)
+
+    def pick(
+        self,
+        service: str,
+        request_class: RequestClass,
+        exclude: Collection[MinionName] = (),
+    ) -> HostEntry | None:
+        """Choose a minion and count the request as in flight there.
+
+        Returns
+        -------
+        HostEntry or None
+            None where no minion has room for a request of this class.
+        """
+        room = [
+            state
+            for state in self._minions.values()
+            if state.entry.service == service
+            and state.entry.name not in exclude
+            and self._has_room(state, request_class)
+        ]
+        near = [state for state in room if state.entry.region == self._region]
+        # Only urgent work may pay for the way to another region.
+        if not near and request_class is RequestClass.URGENT:
+            near = room
+        if not near:
+            return None
+        chosen = self._choose(near)
+        chosen.in_flight += 1
+        if chosen.ejections and chosen.failures:
+            chosen.probing = True
+        return chosen.entry
+
+    def has_service(self, service: str) -> bool:
+        """Whether any minion of a service is live."""
+        return any(
+            state.entry.service == service and state.entry.state is HostState.LIVE
+            for state in self._minions.values()
+        )
+
+    def slots(self, service: str) -> int:
+        """Return the slots of a service's live minions in this region."""
+        live = [
+            state
+            for state in self._minions.values()
+            if state.entry.service == service
+            and state.entry.state is HostState.LIVE
+            and state.entry.region == self._region
+        ]
+        return len(live) * self._policy.slots
+
+    def succeeded(self, name: MinionName, service_s: float, running: int) -> None:
+        """Record an answer."""
+        state = self._finish(name)
+        if state is None:
+            return
+        state.failures = 0
+        state.ejections = 0
+        state.reported_running = running
+        state.reported_s = self._clock.monotonic()
+        weight = SERVICE_EWMA_WEIGHT if state.service_s else 1.0
+        state.service_s += weight * (service_s - state.service_s)
+
+    def declined(self, name: MinionName, running: int) -> None:
+        """Record that a minion did not run a request since it is full."""
+        state = self._finish(name)
+        if state is not None:
+            state.reported_running = max(running, self._policy.slots)
+            state.reported_s = self._clock.monotonic()
+
+    def failed(self, name: MinionName) -> None:
+        """Record a failure, and eject the minion after several in a row."""
+        state = self._finish(name)
+        if state is None:
+            return
+        state.failures += 1
+        if state.failures >= EJECT_AFTER_FAILURES or state.ejections:
+            self._eject(state)
+
+    def cancelled(self, name: MinionName) -> None:
+        """Record that a request ended without telling anything of the minion."""
+        self._finish(name)
+
+    def ejected(self) -> list[MinionName]:
+        """Return the minions that get no requests now."""
+        now_s = self._clock.monotonic()
+        return [n for n, s in self._minions.items() if s.ejected_until_s > now_s]
+
+    def _finish(self, name: MinionName) -> _MinionState | None:
+        state = self._minions.get(name)
+        if state is not None:
+            state.in_flight -= 1
+            state.probing = False
+        return state
+
+    def _has_room(self, state: _MinionState, request_class: RequestClass) -> bool:
+        if state.entry.state is not HostState.LIVE or state.probing:
+            return False
+        if state.ejected_until_s > self._clock.monotonic():
+            return False
+        if state.in_flight >= self._policy.connections:
+            return False
+        limit = self._policy.slots - KEPT_SLOTS[request_class]
+        return self._load(state) < limit
+
+    def _load(self, state: _MinionState) -> int:
+        horizon = self._clock.monotonic() - PEER_REPORT_TTL_S
+        peers = sum(load for load, at_s in state.peer_loads.values() if at_s > horizon)
+        return state.in_flight + peers
+
+    def _choose(self, states: Sequence[_MinionState]) -> _MinionState:
+        drawn = self._random.sample(states, min(2, len(states)))
+        typical_s = sorted(s.service_s for s in states)[len(states) // 2]
+        return min(drawn, key=lambda s: self._cost(s, typical_s))
+
+    def _cost(self, state: _MinionState, typical_s: float) -> float:
+        slow = typical_s > 0 and state.service_s > SLOW_FACTOR * typical_s
+        return self._load(state) + (self._policy.slots if slow else 0)
+
+    def _eject(self, state: _MinionState) -> None:
+        same = [
+            s for s in self._minions.values() if s.entry.service == state.entry.service
+        ]
+        now_s = self._clock.monotonic()
+        out = sum(1 for s in same if s.ejected_until_s > now_s)
+        if out + 1 > EJECT_MOST_SHARE * len(same):
+            return
+        pause_s = min(EJECT_BASE_S * 2**state.ejections, EJECT_MAX_S)
+        state.ejections += 1
+        state.ejected_until_s = now_s + pause_s
+        self._timeline.add("gateway", "minion_ejected", state.entry.name)
--- /dev/null
+++ b/chiveledge/jobs.py
@@ -0,0 +1,236 @@
+"""Jobs: what callers submit, and the rows that keep them."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from datetime import datetime
+from enum import StrEnum
+from typing import NamedTuple
+
+from pydantic import Field
+
+from chiveledge.configuration import RequestClass
+from chiveledge.platform import MemberPlacement
+from chiveledge.settings import Strict
+from chiveledge.types import (
+    AttemptId,
+    Epoch,
+    JobId,
+    RegionName,
+    WorkerName,
+    WorkspaceName,
+)
+
+MAX_MEMBERS = 64
+MAX_PAYLOAD_CHARS = 65536
+
+
+class JobState(StrEnum):
+    """State of a job, as callers see it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    FINISHED = "finished"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def ended(self) -> bool:
+        """Whether the state is final."""
+        return self not in (JobState.QUEUED, JobState.RUNNING)
+
+
+class JobSpec(Strict):
+    """What a caller submits.
+
+    Attributes
+    ----------
+    region : str
+        Where the gang runs.
+    request_class : RequestClass
+        Urgency.
+    members : int
+        Size of the gang; all members run together or none does.
+    accelerators, cores, memory_mb : int
+        Declared size of one member.
+    adjacent : bool
+        Whether all accelerators of the gang must be in one cell.
+    run_time_hint_s : float
+        Declared run time; 0 where it is not known. It is only a hint.
+    payload : str
+        What the members run; it is passed on as it is.
+    """
+
+    region: RegionName
+    request_class: RequestClass = RequestClass.STANDARD
+    members: int = Field(default=1, ge=1, le=MAX_MEMBERS)
+    accelerators: int = Field(default=0, ge=0, le=MAX_MEMBERS)
+    cores: int = Field(default=1, ge=1)
+    memory_mb: int = Field(default=256, ge=1)
+    adjacent: bool = True
+    run_time_hint_s: float = Field(default=0.0, ge=0)
+    payload: str = Field(default="{}", max_length=MAX_PAYLOAD_CHARS)
+
+
+class CellRecord(NamedTuple):
+    """A cell by its first accelerator, which holds for any tree of the region.
+
+    Attributes
+    ----------
+    worker : str
+        Worker of the first accelerator.
+    index : int
+        Index of the first accelerator on that worker.
+    size : int
+        Accelerators in the cell.
+    bound_size, bound_unit : int
+        Guaranteed cell that it is part of; 0 for a borrower.
+    """
+
+    worker: WorkerName
+    index: int
+    size: int
+    bound_size: int = 0
+    bound_unit: int = 0
+
+
+class Attempt(NamedTuple):
+    """One placement of a gang.
+
+    Attributes
+    ----------
+    started_at : datetime
+        Wall time of the commit.
+    """
+
+    attempt_id: AttemptId
+    epoch: Epoch
+    started_at: datetime
+    members: tuple[MemberPlacement, ...]
+    cells: tuple[CellRecord, ...]
+
+    @property
+    def borrowed(self) -> bool:
+        """Whether a claim on a guarantee may stop the attempt."""
+        return not any(cell.bound_size for cell in self.cells)
+
+    @property
+    def workers(self) -> tuple[WorkerName, ...]:
+        """Workers of the members, each once."""
+        return tuple(dict.fromkeys(member.worker for member in self.members))
+
+
+class Job(NamedTuple):
+    """A job as its row keeps it.
+
+    Attributes
+    ----------
+    attempts : int
+        Attempts that were committed so far.
+    attempt : Attempt or None
+        The one that runs.
+    failed_on : tuple of str
+        Workers on which a member failed, for blame.
+    saved_s : float
+        Work that a checkpoint saved, in seconds.
+    results : tuple of str
+        Result of each member, once finished, unless they are large.
+    result_object : str
+        Name of the object that holds large results.
+    reason : str
+        Why the job failed or waits.
+    """
+
+    job_id: JobId
+    workspace: WorkspaceName
+    spec: JobSpec
+    submitted_at: datetime
+    state: JobState = JobState.QUEUED
+    attempts: int = 0
+    attempt: Attempt | None = None
+    failed_on: tuple[WorkerName, ...] = ()
+    saved_s: float = 0.0
+    results: tuple[str, ...] = ()
+    result_object: str = ""
+    reason: str = ""
+    ended_at: datetime | None = None
+
+    @property
+    def key(self) -> str:
+        """Key of the job's row."""
+        return job_key(self.job_id)
+
+
+def make_job_id(region: RegionName, workspace: WorkspaceName, key: str) -> JobId:
+    """Return the ID of the job of a workspace's idempotency key."""
+    digest = hashlib.sha256(f"{workspace}\n{key}".encode()).hexdigest()[:20]
+    return f"{region}.{digest}"
+
+
+def region_of(job_id: JobId) -> RegionName:
+    """Return the region that a job ID names."""
+    return job_id.rpartition(".")[0]
+
+
+def job_key(job_id: JobId) -> str:
+    """Return the key of a job's row."""
+    return f"job/{region_of(job_id)}/{job_id}"
+
+
+def inbox_key(job_id: JobId) -> str:
+    """Return the key of the row that tells the leader of a new job."""
+    return f"inbox/{region_of(job_id)}/{job_id}"
+
+
+def cancel_key(job_id: JobId) -> str:
+    """Return the key of the row that asks the leader to cancel a job."""
+    return f"cancel/{region_of(job_id)}/{job_id}"
+
+
+def encode_job(job: Job) -> str:
+    """Return the text of a job's row."""
+    fields = job._asdict()
+    fields["spec"] = job.spec.model_dump(mode="json")
+    fields["submitted_at"] = job.submitted_at.isoformat()
+    fields["ended_at"] = job.ended_at.isoformat() if job.ended_at else None
+    if job.attempt is not None:
+        fields["attempt"] = _encode_attempt(job.attempt)
+    return json.dumps(fields)
+
+
+def decode_job(text: str) -> Job:
+    """Return the job of a row's text."""
+    fields = json.loads(text)
+    fields["spec"] = JobSpec.model_validate(fields["spec"])
+    fields["submitted_at"] = datetime.fromisoformat(fields["submitted_at"])
+    if fields["ended_at"]:
+        fields["ended_at"] = datetime.fromisoformat(fields["ended_at"])
+    fields["state"] = JobState(fields["state"])
+    fields["failed_on"] = tuple(fields["failed_on"])
+    fields["results"] = tuple(fields["results"])
+    if fields["attempt"] is not None:
+        fields["attempt"] = _decode_attempt(fields["attempt"])
+    return Job(**fields)
+
+
+def _encode_attempt(attempt: Attempt) -> dict[str, object]:
+    fields = attempt._asdict()
+    fields["started_at"] = attempt.started_at.isoformat()
+    fields["members"] = [list(member) for member in attempt.members]
+    fields["cells"] = [list(cell) for cell in attempt.cells]
+    return fields
+
+
+def _decode_attempt(fields: dict[str, object]) -> Attempt:
+    members = tuple(
+        MemberPlacement(member, worker, tuple(accelerators), cores, memory_mb)
+        for member, worker, accelerators, cores, memory_mb in fields["members"]
+    )
+    return Attempt(
+        attempt_id=fields["attempt_id"],
+        epoch=fields["epoch"],
+        started_at=datetime.fromisoformat(fields["started_at"]),
+        members=members,
+        cells=tuple(CellRecord(*cell) for cell in fields["cells"]),
+    )
--- /dev/null
+++ b/chiveledge/peers/__init__.py
@@ -0,0 +1,25 @@
+"""Messages between the project's own processes, and the links that carry them."""
+
+from __future__ import annotations
+
+from chiveledge.peers._codec import (
+    ConfigurationPush,
+    JobNotice,
+    MinionLoad,
+    PeerEnvelope,
+    PeerReport,
+    decode_message,
+    encode_message,
+)
+from chiveledge.peers._mesh import PeerMesh
+
+__all__ = [
+    "ConfigurationPush",
+    "JobNotice",
+    "MinionLoad",
+    "PeerEnvelope",
+    "PeerMesh",
+    "PeerReport",
+    "decode_message",
+    "encode_message",
+]
--- /dev/null
+++ b/chiveledge/platform/minion.py
@@ -0,0 +1,123 @@
+"""A minion: a back end that runs one request a slot."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NamedTuple, Protocol, TypeAlias
+
+import aiohttp
+
+from chiveledge.platform import _wire
+from chiveledge.types import KindName, RequestId
+
+HTTP_SERVER_ERROR = 500
+
+
+class MinionRequest(NamedTuple):
+    """One request as it is sent to a minion."""
+
+    request_id: RequestId
+    kind: KindName
+    body: bytes
+    deadline_s: float
+
+
+@dataclass(frozen=True)
+class MinionAnswer:
+    """A whole answer that carries the request's own ID."""
+
+    status: int
+    body: bytes
+    content_type: str
+    running: int
+
+
+@dataclass(frozen=True)
+class MinionDeclined:
+    """The minion said that it did not run the request."""
+
+    running: int
+
+
+@dataclass(frozen=True)
+class MinionNotReached:
+    """No byte of the request left."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class MinionLost:
+    """The request may have run; there is no whole answer of its own.
+
+    Attributes
+    ----------
+    kind : str
+        ``"timeout"``, ``"truncated"``, ``"crossed"`` or ``"reset"``.
+    """
+
+    kind: str
+
+
+MinionReply: TypeAlias = MinionAnswer | MinionDeclined | MinionNotReached | MinionLost
+
+
+class Minion(Protocol):
+    """Runs requests."""
+
+    async def run(self, request: MinionRequest) -> MinionReply:
+        """Run one request and return what came of it."""
+
+
+class HttpMinion:
+    """Client of one minion over HTTP, with a bounded number of connections.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        A session of this minion alone, whose connector holds the limit.
+    url : str
+        Scheme, IP address and port.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url.rstrip("/") + _wire.MINION_RUN
+
+    async def run(self, request: MinionRequest) -> MinionReply:
+        headers = {
+            _wire.HEADER_REQUEST_ID: request.request_id,
+            _wire.HEADER_KIND: request.kind,
+            _wire.HEADER_DEADLINE_MS: str(int(request.deadline_s * 1000)),
+        }
+        limit = aiohttp.ClientTimeout(total=request.deadline_s)
+        try:
+            async with self._session.post(
+                self._url, data=request.body, headers=headers, timeout=limit
+            ) as response:
+                return await _read_reply(response, request)
+        except aiohttp.ClientConnectorError as error:
+            return MinionNotReached(str(error.strerror or error))
+        except (TimeoutError, aiohttp.ServerTimeoutError):
+            return MinionLost("timeout")
+        except aiohttp.ClientPayloadError:
+            return MinionLost("truncated")
+        except (aiohttp.ClientError, OSError):
+            return MinionLost("reset")
+
+
+async def _read_reply(
+    response: aiohttp.ClientResponse, request: MinionRequest
+) -> MinionReply:
+    if response.headers.get(_wire.HEADER_REQUEST_ID) != request.request_id:
+        # The next answer on this connection may be another caller's as well.
+        response.close()
+        return MinionLost("crossed")
+    body = await response.read()
+    if response.content_length is None and "Transfer-Encoding" not in response.headers:
+        # Without a length the end of the connection can't be told from a cut.
+        return MinionLost("truncated")
+    running = int(response.headers.get(_wire.HEADER_RUNNING, "0"))
+    if response.status == _wire.MINION_BUSY_STATUS:
+        return MinionDeclined(running)
+    return MinionAnswer(response.status, body, response.content_type, running)
--- /dev/null
+++ b/chiveledge/platform/objects.py
@@ -0,0 +1,64 @@
+"""The platform's object store."""
+
+from __future__ import annotations
+
+import json
+from typing import Protocol
+
+from result import Err, Ok, Result
+
+from chiveledge.platform import _wire
+from chiveledge.platform._http import HttpCaller
+from chiveledge.platform.errors import CallError, Unavailable
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+
+
+class ObjectStore(Protocol):
+    """Whole objects by name; writing the same object twice is idempotent."""
+
+    async def write(self, name: str, text: str) -> Result[None, CallError]:
+        """Store a whole object."""
+
+    async def read(self, name: str) -> Result[str | None, CallError]:
+        """Return a whole object, or None where there is none."""
+
+
+class HttpObjectStore:
+    """Client of the object store over HTTP.
+
+    Parameters
+    ----------
+    caller : HttpCaller
+        Connection to the service.
+    """
+
+    def __init__(self, caller: HttpCaller) -> None:
+        self._caller = caller
+
+    async def write(self, name: str, text: str) -> Result[None, CallError]:
+        reply = await self._caller.call(
+            "PUT", f"{_wire.OBJECTS}/{name}", {"text": text}
+        )
+        match reply:
+            case Ok(answer) if answer.status == HTTP_OK:
+                return Ok(None)
+            case Ok(answer):
+                return Err(Unavailable(f"write of {name!r} got {answer.status}"))
+            case Err(error):
+                return Err(error)
+        raise AssertionError("unreachable")
+
+    async def read(self, name: str) -> Result[str | None, CallError]:
+        match await self._caller.call("GET", f"{_wire.OBJECTS}/{name}"):
+            case Ok(answer) if answer.status == HTTP_NOT_FOUND:
+                return Ok(None)
+            case Ok(answer) if answer.status == HTTP_OK:
+                return Ok(str(answer.body["text"]))
+            case Ok(answer):
+                detail = json.dumps(answer.body)
+                return Err(Unavailable(f"read of {name!r} got {detail}"))
+            case Err(error):
+                return Err(error)
+        raise AssertionError("unreachable")
--- /dev/null
+++ b/chiveledge/process.py
@@ -0,0 +1,299 @@
+"""One process of the system: a thin daemon around the library."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import aiohttp
+from aiohttp import web
+
+from chiveledge.administration import (
+    OperatorCommands,
+    OperatorQueries,
+    make_token_check,
+)
+from chiveledge.clock import Clock, SystemClock
+from chiveledge.configuration import (
+    ConfigurationKeeper,
+    Document,
+    Versioned,
+    decode_versioned,
+    encode_versioned,
+)
+from chiveledge.events import Timeline
+from chiveledge.gateway import GatewayServer
+from chiveledge.logs import PartLogger
+from chiveledge.membership import Membership
+from chiveledge.metrics import Metrics
+from chiveledge.peers import (
+    ConfigurationPush,
+    JobNotice,
+    PeerEnvelope,
+    PeerMesh,
+    PeerReport,
+)
+from chiveledge.platform import (
+    HostEntry,
+    HostRole,
+    HttpCaller,
+    HttpHostList,
+    HttpObjectStore,
+    HttpTable,
+    HttpWorker,
+    Worker,
+)
+from chiveledge.scheduler import Scheduler, find_guarantee_misfits, list_workers
+from chiveledge.settings import ProcessSettings, Role
+from chiveledge.types import RegionName
+
+DRAIN_NOTICE_S = 1.5
+"""Time in which the balancer sees that this process is not ready any more."""
+
+DRAIN_POLL_S = 0.05
+MAX_CONNECTIONS = 256
+
+log = PartLogger("process")
+
+
+class Process:
+    """Runs the roles of one process until it is told to stop.
+
+    Parameters
+    ----------
+    settings : ProcessSettings
+        Checked settings.
+    clock : Clock, optional
+        Source of time.
+    """
+
+    def __init__(self, settings: ProcessSettings, clock: Clock | None = None) -> None:
+        self._settings = settings
+        self._clock = clock or SystemClock()
+        self._metrics = Metrics()
+        self._timeline = Timeline(settings.name, self._clock)
+        self._draining = asyncio.Event()
+        self._stopped = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return not self._draining.is_set() and self._keeper.fresh
+
+    def drain(self) -> None:
+        """Start the graceful stop."""
+        if not self._draining.is_set():
+            self._timeline.add("process", "draining", self._settings.name)
+            log.info("Draining.", process=self._settings.name)
+        self._draining.set()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or a drain, finish what is in progress, and return."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.drain)
+        connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            self._build(session)
+            runner = await self._listen()
+            tasks = [asyncio.create_task(work) for work in self._list_work()]
+            drained = asyncio.create_task(self._draining.wait())
+            self._timeline.add("process", "started", self._settings.name)
+            log.info("Started.", process=self._settings.name)
+            try:
+                await asyncio.wait(
+                    [*tasks, drained], return_when=asyncio.FIRST_COMPLETED
+                )
+                _raise_broken(tasks)
+                await self._finish_work()
+            finally:
+                for task in [*tasks, drained]:
+                    task.cancel()
+                await asyncio.gather(*tasks, drained, return_exceptions=True)
+                await runner.cleanup()
+                if self._gateway is not None:
+                    await self._gateway.close()
+        log.info("Stopped.", process=self._settings.name)
+
+    def _build(self, session: aiohttp.ClientSession) -> None:
+        settings = self._settings
+        timing = settings.timing
+
+        def call(url: str) -> HttpCaller:
+            return HttpCaller(
+                session,
+                url,
+                metrics=self._metrics,
+                timeout_s=settings.platform.timeout_s,
+            )
+
+        def make_worker(url: str) -> Worker:
+            return HttpWorker(call(url))
+
+        table = HttpTable(call(settings.platform.table))
+        objects = HttpObjectStore(call(settings.platform.objects))
+        self._keeper = ConfigurationKeeper(
+            table,
+            self._clock,
+            self._timeline,
+            poll_s=timing.configuration_poll_s,
+            stale_s=timing.configuration_stale_s,
+        )
+        self._membership = Membership(
+            HttpHostList(call(settings.platform.hosts)),
+            self._clock,
+            self._timeline,
+            poll_s=timing.host_poll_s,
+        )
+        self._mesh = PeerMesh(
+            settings.name,
+            settings.peer,
+            self._clock,
+            self._metrics,
+            report_s=timing.peer_report_s,
+            make_report=self._make_report,
+        )
+        common = (table, objects, self._keeper, self._membership)
+        tools = (self._clock, self._timeline, self._metrics)
+        self._scheduler = None
+        if Role.SCHEDULER in settings.roles:
+            self._scheduler = Scheduler(settings, *common, *tools, make_worker)
+        self._gateway = None
+        if Role.GATEWAY in settings.roles:
+            self._gateway = GatewayServer(settings, *common, *tools, self._notice_job)
+        self._commands = OperatorCommands(
+            table,
+            self._keeper,
+            self._clock,
+            self._publish,
+            self._find_misfits,
+            self.drain,
+        )
+        self._queries = OperatorQueries(
+            settings,
+            self._keeper,
+            self._membership,
+            self._timeline,
+            self._metrics,
+            self._gateway,
+            self._scheduler,
+            lambda: self.ready,
+        )
+        self._mesh.messages.subscribe(self._on_message)
+        self._membership.stream.subscribe(self._on_entries)
+
+    async def _listen(self) -> web.AppRunner:
+        app = web.Application(
+            middlewares=[make_token_check(self._settings.operator_token)],
+            client_max_size=self._settings.limits.body_bytes,
+        )
+        self._commands.add_routes(app)
+        self._queries.add_routes(app)
+        if self._gateway is not None:
+            self._gateway.add_routes(app)
+        app.on_response_prepare.append(self._close_when_draining)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
+        await runner.setup()
+        endpoint = self._settings.http
+        await web.TCPSite(
+            runner, endpoint.address, endpoint.port, reuse_address=True
+        ).start()
+        return runner
+
+    def _list_work(self) -> list:
+        work = [self._keeper.run(), self._membership.run(), self._mesh.run()]
+        if self._scheduler is not None:
+            work.append(self._scheduler.run())
+        if self._gateway is not None:
+            work.append(self._gateway.run())
+        return work
+
+    async def _finish_work(self) -> None:
+        """Let the balancer and the peers learn, then finish what is in progress."""
+        self._mesh.report_now()
+        if self._scheduler is not None:
+            await self._scheduler.stop()
+        if self._gateway is None:
+            return
+        await self._clock.sleep(DRAIN_NOTICE_S)
+        deadline = self._clock.monotonic() + self._settings.timing.drain_s
+        while self._gateway.in_progress and self._clock.monotonic() < deadline:
+            await self._clock.sleep(DRAIN_POLL_S)
+
+    async def _close_when_draining(
+        self, _: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self._draining.is_set():
+            response.force_close()
+
+    def _make_report(self) -> PeerReport:
+        return PeerReport(
+            revision=self._keeper.revision,
+            confirmation_age_s=self._keeper.confirmation_age_s,
+            ready=self.ready,
+            loads=self._gateway.pool.loads if self._gateway else (),
+            leaving=self._membership.leaving,
+        )
+
+    def _on_message(self, envelope: PeerEnvelope) -> None:
+        match envelope.body:
+            case PeerReport() as report:
+                self._keeper.hear(
+                    envelope.sender, report.revision, report.confirmation_age_s
+                )
+                self._membership.hear_leaving(report.leaving)
+                if self._gateway is not None:
+                    self._gateway.pool.hear(envelope.sender, report.loads)
+            case ConfigurationPush(text):
+                self._keeper.apply(decode_versioned(text))
+            case JobNotice(region):
+                if self._scheduler is not None:
+                    self._scheduler.notice_job(region)
+
+    def _on_entries(self, entries: tuple[HostEntry, ...]) -> None:
+        peers = [entry for entry in entries if entry.role is HostRole.CHIVELEDGE]
+        self._mesh.set_peers(peers)
+        names = {entry.name for entry in peers} | {self._settings.name}
+        self._keeper.expect_processes(len(names))
+
+    def _publish(self, versioned: Versioned) -> None:
+        self._mesh.broadcast(ConfigurationPush(encode_versioned(versioned)))
+
+    def _notice_job(self, region: RegionName) -> None:
+        self._mesh.broadcast(JobNotice(region))
+        if self._scheduler is not None:
+            self._scheduler.notice_job(region)
+
+    def _find_misfits(self, document: Document) -> list[str]:
+        return [
+            misfit
+            for region in self._settings.regions
+            for misfit in find_guarantee_misfits(
+                document,
+                region,
+                [
+                    worker.size
+                    for worker in list_workers(self._membership.entries, region)
+                ],
+            )
+        ]
+
+
+def _raise_broken(tasks: list[asyncio.Task]) -> None:
+    """Stop the process on a task that ended, since none of them ever should."""
+    for task in tasks:
+        if task.done():
+            match task.exception():
+                case None:
+                    raise AssertionError(f"{task.get_coro()} ended")
+                case error:
+                    raise error
+
+
+def run_process(settings: ProcessSettings) -> None:
+    """Run a process until it is told to stop."""
+
+    async def run() -> None:
+        await Process(settings).run()
+
+    asyncio.run(run())
--- /dev/null
+++ b/chiveledge/scheduler/_book.py
@@ -0,0 +1,204 @@
+"""The region's jobs in memory and their rows in the table service."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from datetime import timedelta
+
+from result import Err, Ok, Result
+
+from chiveledge.clock import Clock
+from chiveledge.jobs import (
+    Attempt,
+    Job,
+    JobState,
+    cancel_key,
+    decode_job,
+    encode_job,
+)
+from chiveledge.platform import (
+    CallError,
+    Check,
+    Conflict,
+    GroupCommit,
+    ObjectStore,
+    Put,
+    Row,
+)
+from chiveledge.scheduler._blame import BlameLedger
+from chiveledge.scheduler._endings import (
+    AllFinished,
+    Cancelled,
+    Ending,
+    MembersFailed,
+    MembersLost,
+    NeverStarted,
+    Reclaimed,
+)
+from chiveledge.scheduler._leadership import Leadership
+from chiveledge.types import JobId, WorkerName
+
+INLINE_RESULT_CHARS = 16384
+KEEP_ENDED = timedelta(hours=1)
+OBJECT_RETRY_S = 0.5
+
+
+class JobRows:
+    """Jobs of the region led, each with the version of its row.
+
+    Every commit carries the leadership's fence, so a leader that lost the region
+    can't change a job.
+
+    Parameters
+    ----------
+    writes : GroupCommit
+        Joins the rows of many jobs into few transactions.
+    objects : ObjectStore
+        Holds large results.
+    leadership : Leadership
+        Gives the fence.
+    blame : BlameLedger
+        Learns of failures and successes.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        writes: GroupCommit,
+        objects: ObjectStore,
+        leadership: Leadership,
+        blame: BlameLedger,
+        clock: Clock,
+    ) -> None:
+        self._writes = writes
+        self._objects = objects
+        self._leadership = leadership
+        self._blame = blame
+        self._clock = clock
+        self._jobs: dict[JobId, Job] = {}
+        self._versions: dict[JobId, int] = {}
+
+    @property
+    def jobs(self) -> dict[JobId, Job]:
+        """Jobs that have not ended, and those that ended lately."""
+        return self._jobs
+
+    def load(self, rows: Iterable[Row]) -> list[Job]:
+        """Take in rows; return the jobs that were not known."""
+        fresh = []
+        for row in rows:
+            job = decode_job(row.value)
+            if job.job_id in self._jobs:
+                continue
+            self._jobs[job.job_id] = job
+            self._versions[job.job_id] = row.version
+            fresh.append(job)
+        return fresh
+
+    async def commit_start(self, job: Job, attempt: Attempt) -> Result[Job, CallError]:
+        """Commit that an attempt runs."""
+        running = job._replace(
+            state=JobState.RUNNING,
+            attempt=attempt,
+            attempts=job.attempts + 1,
+            reason="",
+        )
+        return await self._commit(running)
+
+    async def commit_ending(self, job: Job, ending: Ending) -> Result[Job, CallError]:
+        """Commit how an attempt ended, and what that means for the job."""
+        if isinstance(ending, NeverStarted) and job.attempt is None:
+            return Ok(job)
+        return await self._commit(await self._after(job, ending))
+
+    async def commit_refusal(self, job: Job, reason: str) -> Result[Job, CallError]:
+        """Commit that a job can never run."""
+        return await self._commit(self._end(job, JobState.FAILED, reason))
+
+    async def commit_cancel(self, job: Job) -> Result[Job, CallError]:
+        """Commit the cancellation of a job that does not run."""
+        return await self._commit(self._end(job, JobState.CANCELLED, "cancelled"))
+
+    async def delete_ended(self) -> int:
+        """Delete rows of jobs that ended long ago; return their number."""
+        horizon = self._clock.now() - KEEP_ENDED
+        old = [
+            job
+            for job in self._jobs.values()
+            if job.ended_at and job.ended_at < horizon
+        ]
+        for job in old:
+            check = Check(job.key, self._versions[job.job_id])
+            result = await self._writes.commit(
+                checks=(self._leadership.fence, check), deletes=(job.key,)
+            )
+            if result.is_ok():
+                del self._jobs[job.job_id]
+                del self._versions[job.job_id]
+        return len(old)
+
+    async def _commit(self, job: Job) -> Result[Job, CallError]:
+        check = Check(job.key, self._versions[job.job_id])
+        deletes = (cancel_key(job.job_id),) if job.state.ended else ()
+        result = await self._writes.commit(
+            checks=(self._leadership.fence, check),
+            puts=(Put(job.key, encode_job(job)),),
+            deletes=deletes,
+        )
+        match result:
+            case Ok(version):
+                self._jobs[job.job_id] = job
+                self._versions[job.job_id] = version
+                return Ok(job)
+            case Err(Conflict(keys)):
+                self._leadership.lose(f"a commit found other versions of {keys}")
+                return result
+            case Err(_):
+                return result
+        raise AssertionError("unreachable")
+
+    async def _after(self, job: Job, ending: Ending) -> Job:
+        """Return the job as it is after its attempt ended."""
+        queued = job._replace(state=JobState.QUEUED, attempt=None)
+        match ending:
+            case AllFinished(results):
+                workers = job.attempt.workers if job.attempt else ()
+                self._blame.succeeded(job.job_id, workers, self._clock.monotonic())
+                finished = self._end(job, JobState.FINISHED, "")
+                return await self._with_results(finished, results)
+            case Cancelled():
+                return self._end(job, JobState.CANCELLED, "cancelled")
+            case MembersFailed(workers):
+                return self._after_failure(queued, workers)
+            case MembersLost(workers):
+                return queued._replace(reason=f"lost members on {','.join(workers)}")
+            case Reclaimed(reason) | NeverStarted(reason):
+                return queued._replace(reason=reason)
+        raise AssertionError(f"unknown ending {ending!r}")
+
+    def _after_failure(self, job: Job, workers: tuple[WorkerName, ...]) -> Job:
+        self._blame.failed(job.job_id, workers)
+        failed_on = tuple(dict.fromkeys((*job.failed_on, *workers)))
+        job = job._replace(failed_on=failed_on)
+        if self._blame.job_is_to_blame(failed_on):
+            reason = f"failed on {len(failed_on)} different workers"
+            return self._end(job, JobState.FAILED, reason)
+        return job._replace(reason=f"failed on {','.join(workers)}; will be retried")
+
+    def _end(self, job: Job, state: JobState, reason: str) -> Job:
+        if state is not JobState.FINISHED:
+            self._blame.job_ended(job.job_id)
+        return job._replace(
+            state=state, attempt=None, reason=reason, ended_at=self._clock.now()
+        )
+
+    async def _with_results(self, job: Job, results: tuple[str, ...]) -> Job:
+        text = json.dumps(results)
+        if len(text) <= INLINE_RESULT_CHARS:
+            return job._replace(results=results)
+        name = f"results/{job.job_id}"
+        while (await self._objects.write(name, text)).is_err():
+            await self._clock.sleep(OBJECT_RETRY_S)
+        return job._replace(result_object=name)
--- /dev/null
+++ b/chiveledge/scheduler/_capacity.py
@@ -0,0 +1,107 @@
+"""Processors and memory of workers: a flat check beside the cells."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Sequence
+
+from chiveledge.cells import WorkerSize
+from chiveledge.jobs import JobSpec
+from chiveledge.platform import MemberPlacement
+from chiveledge.types import AttemptId, WorkerName
+
+ACCELERATOR_SHARE = 0.75
+"""Share of a worker's processors and memory that its accelerators' tasks may use."""
+
+
+class FlatCapacity:
+    """Processors and memory that gangs use on each worker.
+
+    Members with accelerators may use each accelerator's part of the
+    `ACCELERATOR_SHARE`; all others share what is left. So a member with
+    accelerators always finds room where its accelerators are free.
+
+    Parameters
+    ----------
+    workers : sequence of WorkerSize
+        The region's workers.
+    """
+
+    def __init__(self, workers: Sequence[WorkerSize]) -> None:
+        self._workers = {worker.name: worker for worker in workers}
+        self._cores = {w.name: _open_cores(w) for w in workers}
+        self._memory_mb = {w.name: _open_memory_mb(w) for w in workers}
+        self._taken: dict[AttemptId, tuple[MemberPlacement, ...]] = {}
+
+    def explain_misfit(self, spec: JobSpec) -> str:
+        """Return why no worker could ever run a member, or an empty text."""
+        if any(_could_run(worker, spec) for worker in self._workers.values()):
+            return ""
+        return (
+            f"no worker of region {spec.region!r} can ever run a member with "
+            f"accelerators={spec.accelerators}, cores={spec.cores}, "
+            f"memory_mb={spec.memory_mb}; declare a smaller member"
+        )
+
+    def place(
+        self, attempt: AttemptId, spec: JobSpec, avoid: Collection[WorkerName]
+    ) -> tuple[MemberPlacement, ...] | None:
+        """Place a gang without accelerators; return None where there is no room."""
+        cores = dict(self._cores)
+        memory_mb = dict(self._memory_mb)
+        members = []
+        for member in range(spec.members):
+            fitting = [
+                name
+                for name in cores
+                if name not in avoid
+                and cores[name] >= spec.cores
+                and memory_mb[name] >= spec.memory_mb
+            ]
+            if not fitting:
+                return None
+            worker = min(fitting, key=lambda name: (cores[name], name))
+            cores[worker] -= spec.cores
+            memory_mb[worker] -= spec.memory_mb
+            members.append(
+                MemberPlacement(member, worker, (), spec.cores, spec.memory_mb)
+            )
+        self.take(attempt, tuple(members))
+        return tuple(members)
+
+    def take(self, attempt: AttemptId, members: tuple[MemberPlacement, ...]) -> None:
+        """Count the members of a gang; those with accelerators have their own part."""
+        self._taken[attempt] = members
+        self._add(members, -1)
+
+    def release(self, attempt: AttemptId) -> None:
+        """Give back what a gang uses."""
+        self._add(self._taken.pop(attempt, ()), 1)
+
+    def _add(self, members: tuple[MemberPlacement, ...], sign: int) -> None:
+        for member in members:
+            if not member.accelerators and member.worker in self._cores:
+                self._cores[member.worker] += sign * member.cores
+                self._memory_mb[member.worker] += sign * member.memory_mb
+
+
+def _open_cores(worker: WorkerSize) -> float:
+    share = 1 - ACCELERATOR_SHARE if worker.accelerators else 1.0
+    return worker.cores * share
+
+
+def _open_memory_mb(worker: WorkerSize) -> float:
+    share = 1 - ACCELERATOR_SHARE if worker.accelerators else 1.0
+    return worker.memory_mb * share
+
+
+def _could_run(worker: WorkerSize, spec: JobSpec) -> bool:
+    if spec.accelerators == 0:
+        return spec.cores <= _open_cores(worker) and spec.memory_mb <= _open_memory_mb(
+            worker
+        )
+    if spec.accelerators > worker.accelerators:
+        return False
+    part = ACCELERATOR_SHARE * spec.accelerators / worker.accelerators
+    return (
+        spec.cores <= worker.cores * part and spec.memory_mb <= worker.memory_mb * part
+    )
--- /dev/null
+++ b/chiveledge/scheduler/_leadership.py
@@ -0,0 +1,255 @@
+"""Leadership of one region: a lease in the table service, fenced by an epoch.
+
+The leadership row changes only at a takeover, so every placement can check its
+version. The renewal row holds a counter. A challenger takes over after it saw the
+counter stand still for the whole lease on its own monotonic clock; a leader stops
+acting a margin before its lease ends, counted from when the renewal was sent.
+"""
+
+from __future__ import annotations
+
+import json
+import uuid
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from result import Err, Ok
+
+from chiveledge.clock import Clock
+from chiveledge.events import Timeline
+from chiveledge.logs import PartLogger
+from chiveledge.platform import (
+    Check,
+    Conflict,
+    Put,
+    Row,
+    TableService,
+    Transaction,
+    commit_settled,
+)
+from chiveledge.settings import TimingSettings
+from chiveledge.types import Epoch, ProcessName, RegionName
+
+LEASE_MARGIN_SHARE = 0.2
+STANDBY_DELAY_S = 0.15
+"""Extra wait of a challenger for each place behind in the region's order."""
+
+log = PartLogger("leadership")
+
+
+class LeadershipRecord(NamedTuple):
+    """Content of a leadership row."""
+
+    epoch: Epoch
+    holder: ProcessName
+    incarnation: str
+
+
+@dataclass(frozen=True)
+class _Sighting:
+    """When a challenger first saw a region's present rows."""
+
+    leadership_version: int
+    renewal_version: int
+    since_s: float
+
+
+def leadership_key(region: RegionName) -> str:
+    """Return the key of a region's leadership row."""
+    return f"leadership/{region}/holder"
+
+
+def renewal_key(region: RegionName) -> str:
+    """Return the key of a region's renewal row."""
+    return f"leadership/{region}/renewal"
+
+
+class Leadership:
+    """This process's hold, or its challenge, on one region.
+
+    Parameters
+    ----------
+    region, process : str
+        What to lead, and who.
+    table : TableService
+        Where the rows last.
+    clock : Clock
+        Its monotonic time judges leases.
+    timeline : Timeline
+        Receives takeovers and losses.
+    timing : TimingSettings
+        Lease and renewal period.
+    standby_rank : int
+        Place of this process among the region's challengers, 0 for the first.
+    """
+
+    def __init__(
+        self,
+        region: RegionName,
+        process: ProcessName,
+        table: TableService,
+        clock: Clock,
+        timeline: Timeline,
+        timing: TimingSettings,
+        *,
+        standby_rank: int = 0,
+    ) -> None:
+        self._region = region
+        self._process = process
+        self._incarnation = uuid.uuid4().hex
+        self._table = table
+        self._clock = clock
+        self._timeline = timeline
+        self._timing = timing
+        self._rank = standby_rank
+        self._epoch = 0
+        self._fence: Check | None = None
+        self._renewal_version = 0
+        self._valid_until_s = float("-inf")
+        self._sighting: _Sighting | None = None
+
+    @property
+    def epoch(self) -> Epoch:
+        """The epoch held, 0 while another process leads."""
+        return self._epoch
+
+    @property
+    def fence(self) -> Check:
+        """The check that every transaction of the leader carries."""
+        if self._fence is None:
+            raise AssertionError("only a leader has a fence")
+        return self._fence
+
+    @property
+    def valid(self) -> bool:
+        """Whether the lease allows outward effects now."""
+        return self._epoch > 0 and self._clock.monotonic() < self._valid_until_s
+
+    def lose(self, why: str) -> None:
+        """Give up the region, since another process has or may have it."""
+        if self._epoch == 0:
+            return
+        self._timeline.add(
+            "leadership", "lost", self._region, epoch=self._epoch, detail=why
+        )
+        log.warning("Lost the region.", region=self._region, why=why)
+        self._epoch = 0
+        self._fence = None
+        self._sighting = None
+
+    async def challenge(self) -> bool:
+        """Look at the rows once; take the region over if its lease lapsed.
+
+        Returns
+        -------
+        bool
+            Whether this process leads the region now.
+        """
+        asked_s = self._clock.monotonic()
+        match await self._table.scan(f"leadership/{self._region}/"):
+            case Ok(rows):
+                by_key = {row.key: row for row in rows}
+            case Err(_):
+                # The counter can't be seen, so its standing still proves nothing.
+                self._sighting = None
+                return False
+        holder = by_key.get(leadership_key(self._region))
+        renewal = by_key.get(renewal_key(self._region))
+        if not self._has_lapsed(holder, renewal, asked_s):
+            return False
+        return await self._take_over(holder, renewal)
+
+    async def renew(self) -> None:
+        """Extend the lease; lose the region if another process took it."""
+        sent_s = self._clock.monotonic()
+        key = renewal_key(self._region)
+        transaction = Transaction(
+            write_id=uuid.uuid4().hex,
+            checks=(self.fence,),
+            puts=(Put(key, json.dumps({"epoch": self._epoch})),),
+        )
+        match await self._table.transact(transaction):
+            case Ok(_):
+                self._valid_until_s = sent_s + self._usable_lease_s()
+            case Err(Conflict()):
+                self.lose("another process took over")
+            case Err(_):
+                pass
+
+    async def resign(self) -> None:
+        """Let another process take over at once, at a graceful stop."""
+        if self._epoch == 0:
+            return
+        fence = self.fence
+        self.lose("resigned")
+        transaction = Transaction(
+            write_id=uuid.uuid4().hex,
+            checks=(fence,),
+            deletes=(renewal_key(self._region),),
+        )
+        await self._table.transact(transaction)
+
+    def _usable_lease_s(self) -> float:
+        return self._timing.leader_lease_s * (1 - LEASE_MARGIN_SHARE)
+
+    def _has_lapsed(
+        self, holder: Row | None, renewal: Row | None, asked_s: float
+    ) -> bool:
+        versions = (
+            holder.version if holder else 0,
+            renewal.version if renewal else 0,
+        )
+        seen = self._sighting
+        if seen is None or versions != (seen.leadership_version, seen.renewal_version):
+            self._sighting = _Sighting(*versions, self._clock.monotonic())
+            if renewal is not None:
+                return False
+            seen = self._sighting
+        wait_s = 0.0 if renewal is None else self._timing.leader_lease_s
+        wait_s += self._rank * STANDBY_DELAY_S
+        return asked_s - seen.since_s >= wait_s or (wait_s == 0.0)
+
+    async def _take_over(self, holder: Row | None, renewal: Row | None) -> bool:
+        before = _decode(holder)
+        record = LeadershipRecord(before.epoch + 1, self._process, self._incarnation)
+        key = leadership_key(self._region)
+        sent_s = self._clock.monotonic()
+        transaction = Transaction(
+            write_id=uuid.uuid4().hex,
+            checks=(
+                Check(key, holder.version if holder else 0),
+                Check(renewal_key(self._region), renewal.version if renewal else 0),
+            ),
+            puts=(
+                Put(key, json.dumps(record._asdict())),
+                Put(renewal_key(self._region), json.dumps({"epoch": record.epoch})),
+            ),
+        )
+        result = await commit_settled(
+            self._table,
+            transaction,
+            self._clock,
+            patience_s=self._timing.leader_lease_s,
+        )
+        match result:
+            case Ok(version):
+                self._hold(record, version, sent_s)
+                return True
+            case Err(_):
+                self._sighting = None
+                return False
+        raise AssertionError("unreachable")
+
+    def _hold(self, record: LeadershipRecord, version: int, sent_s: float) -> None:
+        self._epoch = record.epoch
+        self._fence = Check(leadership_key(self._region), version)
+        self._valid_until_s = sent_s + self._usable_lease_s()
+        self._sighting = None
+        self._timeline.add("leadership", "taken_over", self._region, epoch=record.epoch)
+        log.info("Took the region over.", region=self._region, epoch=record.epoch)
+
+
+def _decode(row: Row | None) -> LeadershipRecord:
+    if row is None:
+        return LeadershipRecord(0, "", "")
+    return LeadershipRecord(**json.loads(row.value))
--- /dev/null
+++ b/chiveledge/scheduler/_scheduler.py
@@ -0,0 +1,203 @@
+"""The scheduler role of a process: challenges for each region, leads those it wins."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections.abc import Callable, Sequence
+
+from chiveledge.cells import WorkerSize
+from chiveledge.clock import Clock
+from chiveledge.configuration import ConfigurationKeeper, Versioned
+from chiveledge.events import Timeline
+from chiveledge.membership import Membership
+from chiveledge.metrics import Metrics
+from chiveledge.platform import (
+    HostEntry,
+    HostRole,
+    HostState,
+    ObjectStore,
+    TableService,
+    Worker,
+)
+from chiveledge.scheduler._leadership import Leadership
+from chiveledge.scheduler._region import ListedWorker, RegionContext, RegionLeader
+from chiveledge.settings import ProcessSettings
+from chiveledge.types import RegionName
+
+ACTIVE_STANDBYS = 2
+"""Challengers that look at a region's rows at the full rate."""
+
+PASSIVE_POLL_FACTOR = 4
+
+
+class Scheduler:
+    """Leads regions.
+
+    Parameters
+    ----------
+    settings : ProcessSettings
+        Settings of the process.
+    table, objects : TableService, ObjectStore
+        The platform's stores.
+    keeper : ConfigurationKeeper
+        The configuration in force.
+    membership : Membership
+        Known hosts.
+    clock, timeline, metrics
+        Time, events, counters.
+    make_worker : callable
+        Returns the client of the worker at a URL.
+    """
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        table: TableService,
+        objects: ObjectStore,
+        keeper: ConfigurationKeeper,
+        membership: Membership,
+        clock: Clock,
+        timeline: Timeline,
+        metrics: Metrics,
+        make_worker: Callable[[str], Worker],
+    ) -> None:
+        self._settings = settings
+        self._table = table
+        self._objects = objects
+        self._keeper = keeper
+        self._membership = membership
+        self._clock = clock
+        self._timeline = timeline
+        self._metrics = metrics
+        self._make_worker = make_worker
+        self._leaders: dict[RegionName, RegionLeader] = {}
+        self._holds: dict[RegionName, Leadership] = {}
+        self._stopping = False
+
+    @property
+    def leaders(self) -> dict[RegionName, RegionLeader]:
+        """Regions that this process leads."""
+        return self._leaders
+
+    @property
+    def holds(self) -> dict[RegionName, Leadership]:
+        """Leadership of each region that this process leads."""
+        return self._holds
+
+    def notice_job(self, region: RegionName) -> None:
+        """Tell the region's leader, if it is this process, of a new job."""
+        if region in self._leaders:
+            self._leaders[region].notice_job()
+
+    async def run(self) -> None:
+        """Challenge for every region until cancelled."""
+        await self._keeper.wait_first()
+        self._keeper.stream.subscribe(self._on_document)
+        self._membership.stream.subscribe(self._on_entries)
+        async with asyncio.TaskGroup() as group:
+            for region in self._settings.regions:
+                group.create_task(self._run_region(region))
+
+    async def stop(self) -> None:
+        """Give up all regions, so that others take over at once."""
+        self._stopping = True
+        await asyncio.gather(*(hold.resign() for hold in self._holds.values()))
+
+    async def _run_region(self, region: RegionName) -> None:
+        while not self._stopping:
+            rank = self._find_rank(region)
+            leadership = Leadership(
+                region,
+                self._settings.name,
+                self._table,
+                self._clock,
+                self._timeline,
+                self._settings.timing,
+                standby_rank=rank,
+            )
+            while not self._stopping and not await self._try_lead(leadership):
+                await self._clock.sleep(self._poll_s(rank))
+                if self._find_rank(region) != rank:
+                    break
+            if leadership.epoch:
+                await self._lead(region, leadership)
+
+    async def _try_lead(self, leadership: Leadership) -> bool:
+        if not self._keeper.fresh:
+            return False
+        return await leadership.challenge()
+
+    async def _lead(self, region: RegionName, leadership: Leadership) -> None:
+        context = RegionContext(
+            region,
+            self._table,
+            self._objects,
+            self._clock,
+            self._timeline,
+            self._metrics,
+            self._settings.timing,
+            self._make_worker,
+        )
+        workers = list_workers(self._membership.entries, region)
+        document = self._keeper.current.document
+        leader = RegionLeader(context, leadership, document, workers)
+        self._leaders[region] = leader
+        self._holds[region] = leadership
+        try:
+            await leader.run()
+        finally:
+            del self._leaders[region]
+            del self._holds[region]
+
+    def _find_rank(self, region: RegionName) -> int:
+        """Return this process's place among those that may lead a region.
+
+        Processes of the region come first. The order differs between regions, so
+        that the regions of one host's processes spread when it fails.
+        """
+        peers = self._membership.of_role(HostRole.CHIVELEDGE)
+        own = (self._settings.name, self._settings.region)
+        candidates = {(p.name, p.region) for p in peers if p.service != "gateway"}
+        candidates.add(own)
+        ordered = sorted(
+            candidates, key=lambda c: (c[1] != region, _hash(region, c[0]))
+        )
+        return ordered.index(own)
+
+    def _poll_s(self, rank: int) -> float:
+        period_s = self._settings.timing.leader_renew_s
+        return period_s if rank < ACTIVE_STANDBYS else period_s * PASSIVE_POLL_FACTOR
+
+    def _on_document(self, versioned: Versioned) -> None:
+        for leader in self._leaders.values():
+            leader.set_document(versioned.document)
+
+    def _on_entries(self, entries: Sequence[HostEntry]) -> None:
+        for region, leader in self._leaders.items():
+            leader.set_workers(list_workers(entries, region))
+
+
+def list_workers(
+    entries: Sequence[HostEntry], region: RegionName
+) -> list[ListedWorker]:
+    """Return a region's workers from the host list."""
+    return [
+        ListedWorker(
+            WorkerSize(
+                entry.name,
+                entry.service,
+                entry.accelerators,
+                entry.cores,
+                entry.memory_mb,
+            ),
+            entry.url,
+            entry.state is HostState.LEAVING,
+        )
+        for entry in entries
+        if entry.role is HostRole.WORKER and entry.region == region
+    ]
+
+
+def _hash(region: RegionName, name: str) -> str:
+    return hashlib.sha256(f"{region}\n{name}".encode()).hexdigest()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,3 @@
+"""Tests; the folders mirror the package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/cells/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of cells and guarantees."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Contract tests of the platform's interfaces."""
+
+from __future__ import annotations
