--- a/chiveledge/cells/_allocator.py
+++ b/chiveledge/cells/_allocator.py
@@ -336,9 +336,17 @@
 
     def _unbound_count(self, promise: Promise) -> int:
         places = self._places.get(promise.workspace, ())
-        bound = sum(1 for place in places if place.shape == promise.shape)
+        bound = sum(
+            1
+            for place in places
+            if place.shape == promise.shape and self._is_healthy(place)
+        )
         return max(promise.count - bound, 0)
 
+    def _is_healthy(self, place: _Place) -> bool:
+        """Whether no worker of a place is lost; else it serves no guarantee."""
+        return not self._dead[place.cell.tree] & place.cell.mask
+
     def _unbound_shapes(self) -> list[CellShape]:
         return [
             promise.shape
--- a/chiveledge/clock.py
+++ b/chiveledge/clock.py
@@ -85,14 +85,23 @@
         target_s = self._elapsed_s + seconds
         await _drain_ready()
         while self._sleepers and self._sleepers[0][0] <= target_s:
-            due, _, future = heapq.heappop(self._sleepers)
+            due = self._sleepers[0][0]
             self._elapsed_s = max(self._elapsed_s, due)
-            if not future.done():
-                future.set_result(None)
-            await _drain_ready()
+            if self._wake_due(due):
+                await _drain_ready()
         self._elapsed_s = target_s
         await _drain_ready()
 
+    def _wake_due(self, due: float) -> bool:
+        """Wake all sleepers of one moment; return whether there was any."""
+        woken = False
+        while self._sleepers and self._sleepers[0][0] == due:
+            _, _, future = heapq.heappop(self._sleepers)
+            if not future.done():
+                future.set_result(None)
+                woken = True
+        return woken
+
 
 async def run_with_timeout(
     clock: Clock, work: Awaitable[T], seconds: float
--- a/chiveledge/configuration/_change.py
+++ b/chiveledge/configuration/_change.py
@@ -141,7 +141,7 @@
         case Ok(row):
             found = decode_versioned(row.value) if row else None
     if (found.revision if found else 0) != expected:
-        return _supersede(found, document, expected)
+        return _judge_winner(found, document, expected, author)
     versioned = make_versioned(expected + 1, document, author)
     transaction = _build_transaction(row, versioned, write_id)
     result = await commit_settled(
@@ -151,7 +151,7 @@
         case Ok(_):
             return Accepted(versioned)
         case Err(Conflict()):
-            return await _find_winner(table, document, expected)
+            return await _find_winner(table, document, expected, author)
         case Err(Unavailable(reason)):
             return ChangeRefused(reason)
         case Err(Unsettled()):
@@ -172,11 +172,12 @@
 
 
 async def _find_winner(
-    table: TableService, document: Document, expected: Revision
+    table: TableService, document: Document, expected: Revision, author: str
 ) -> ChangeOutcome:
     match await table.read(CURRENT_KEY):
         case Ok(row) if row is not None:
-            return _supersede(decode_versioned(row.value), document, expected)
+            winner = decode_versioned(row.value)
+            return _judge_winner(winner, document, expected, author)
         case Ok(_):
             return ChangeRefused("the document was removed by hand")
         case Err(error):
@@ -184,14 +185,21 @@
     raise AssertionError("unreachable")
 
 
-def _supersede(
-    winner: Versioned | None, document: Document, expected: Revision
+def _judge_winner(
+    winner: Versioned | None, document: Document, expected: Revision, author: str
 ) -> ChangeOutcome:
     if winner is None:
         return ChangeRefused(
             f"revision {expected} was expected, but there is no configuration yet; "
             "expect revision 0"
         )
+    if (winner.revision, winner.document, winner.author) == (
+        expected + 1,
+        document,
+        author,
+    ):
+        # The same operator's same change: its reply was lost, and it was repeated.
+        return Accepted(winner)
     theirs = winner.document.model_dump(mode="json")
     ours = document.model_dump(mode="json")
     differing = tuple(name for name in ours if ours[name] != theirs[name])
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -25,7 +25,7 @@
 )
 from standins.faults import Faults, make_app
 
-TICK_S = 0.02
+TICK_S = 0.05
 HELD = (TaskState.RESERVED, TaskState.RUNNING)
 ORDERS = ("start", "stop", "checkpoint", "throttle", "forget")
 
--- /dev/null
+++ b/tests/cli/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of chiveledge.cli."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/configuration/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of chiveledge.configuration."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/peers/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of chiveledge.peers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/platform/test_table.py
@@ -0,0 +1,102 @@
+"""Contract of the table service, and of commits that settle lost replies."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from chiveledge.clock import SystemClock
+from chiveledge.metrics import Metrics
+from chiveledge.platform import (
+    Check,
+    Conflict,
+    GroupCommit,
+    Put,
+    Transaction,
+    Unavailable,
+    Unsettled,
+    commit_settled,
+)
+
+
+def write(key, value, version, write_id="w1"):
+    return Transaction(write_id, (Check(key, version),), (Put(key, value),))
+
+
+async def test_read_of_absent_row(table):
+    assert (await table.client.read("a")).ok() is None
+    assert (await table.client.scan("a")).unwrap() == []
+
+
+async def test_commit_read_scan_delete(table):
+    version = (await table.client.transact(write("a/1", "x", 0))).unwrap()
+    row = (await table.client.read("a/1")).unwrap()
+    assert (row.value, row.version, row.write_id) == ("x", version, "w1")
+    await table.client.transact(Transaction("w2", puts=(Put("a/2", "y"),)))
+    assert [r.key for r in (await table.client.scan("a/")).unwrap()] == ["a/1", "a/2"]
+    await table.client.transact(Transaction("w3", deletes=("a/1",)))
+    assert [r.key for r in (await table.client.scan("a/")).unwrap()] == ["a/2"]
+
+
+async def test_failed_check_writes_nothing_and_names_the_key(table):
+    await table.client.transact(write("a", "x", 0))
+    both = Transaction("w2", (Check("a", 0),), (Put("a", "y"), Put("b", "y")))
+    assert (await table.client.transact(both)).unwrap_err() == Conflict(("a",))
+    assert (await table.client.read("a")).unwrap().value == "x"
+    assert (await table.client.read("b")).unwrap() is None
+
+
+FAULTS = [
+    ("down", {"down": True}, Unavailable, False),
+    ("reply_lost", {"lose_replies": 1}, Unsettled, True),
+]
+
+
+@pytest.mark.parametrize(("name", "fault", "error", "written"), FAULTS)
+async def test_fault_tells_whether_it_may_have_an_effect(
+    table, name, fault, error, written
+):
+    table.faults.set(fault)
+    result = await table.client.transact(write("a", "x", 0))
+    table.faults.set({})
+    assert isinstance(result.unwrap_err(), error)
+    assert ((await table.client.read("a")).unwrap() is not None) == written
+
+
+async def test_lost_reply_is_settled_as_committed(table):
+    table.faults.set({"lose_replies": 1})
+    result = await commit_settled(
+        table.client, write("a", "x", 0), SystemClock(), patience_s=5.0
+    )
+    row = (await table.client.read("a")).unwrap()
+    assert result.unwrap() == row.version
+    assert table.fake.transactions == 1
+
+
+async def test_lost_reply_of_a_loser_is_settled_as_conflict(table):
+    await table.client.transact(write("a", "other", 0, "w0"))
+    table.faults.set({"lose_replies": 1})
+    result = await commit_settled(
+        table.client, write("a", "x", 0), SystemClock(), patience_s=5.0
+    )
+    assert result.unwrap_err() == Conflict(("a",))
+
+
+@pytest.mark.parametrize("lost", [0, 1, 2])
+async def test_group_commit_gives_each_unit_its_own_outcome(table, lost):
+    await table.client.transact(write("taken", "x", 0, "w0"))
+    table.faults.set({"lose_replies": lost})
+    writes = GroupCommit(
+        table.client, SystemClock(), Metrics(), patience_s=5.0, linger_s=0.01
+    )
+    commits = [
+        writes.commit(checks=(Check(key, 0),), puts=(Put(key, "new"),))
+        for key in ("a", "taken", "b")
+    ]
+    first, taken, last = await asyncio.gather(*commits)
+    assert first.is_ok() and last.is_ok()
+    assert isinstance(taken.unwrap_err(), Conflict)
+    rows = {r.key: r.value for r in (await table.client.scan("")).unwrap()}
+    assert rows == {"a": "new", "b": "new", "taken": "x"}
+    assert first.unwrap() == (await table.client.read("a")).unwrap().version
--- /dev/null
+++ b/tests/platform/test_worker.py
@@ -0,0 +1,89 @@
+"""Contract of a worker."""
+
+from __future__ import annotations
+
+import pytest
+
+from chiveledge.platform import (
+    AttemptOrder,
+    Conflict,
+    MemberPlacement,
+    Reservation,
+    SyncRequest,
+    TaskState,
+    Unavailable,
+    Unsettled,
+)
+
+LEASE_S = 30.0
+
+
+def reserve(attempt="a", epoch=1, accelerators=(0, 1), cores=2, member=0):
+    place = MemberPlacement(member, "worker-1", accelerators, cores, 512)
+    return Reservation("honam", epoch, "job", attempt, LEASE_S, "{}", 0.0, (place,))
+
+
+def order(attempt="a", epoch=1):
+    return AttemptOrder("honam", epoch, (attempt,), LEASE_S)
+
+
+def sync(epoch=1, renew=(), after=-1):
+    return SyncRequest("honam", epoch, renew, LEASE_S, after, 0.0)
+
+
+async def states(worker):
+    report = (await worker.client.sync(sync())).unwrap()
+    return {task.attempt: task.state for task in report.tasks}
+
+
+async def test_life_of_a_task(worker):
+    (await worker.client.reserve(reserve())).unwrap()
+    assert await states(worker) == {"a": TaskState.RESERVED}
+    (await worker.client.start(order())).unwrap()
+    assert (await states(worker))["a"] in (TaskState.RUNNING, TaskState.FINISHED)
+    (await worker.client.stop(order())).unwrap()
+    assert (await states(worker))["a"] in (TaskState.STOPPED, TaskState.FINISHED)
+    (await worker.client.forget(order())).unwrap()
+    assert await states(worker) == {}
+
+
+async def test_orders_are_idempotent(worker):
+    for _ in range(2):
+        (await worker.client.reserve(reserve())).unwrap()
+    for _ in range(2):
+        (await worker.client.stop(order())).unwrap()
+    assert await states(worker) == {"a": TaskState.STOPPED}
+
+
+@pytest.mark.parametrize(
+    "second",
+    [reserve("b", accelerators=(1, 2)), reserve("b", accelerators=(7,), cores=31)],
+    ids=["accelerator", "cores"],
+)
+async def test_nothing_is_given_twice(worker, second):
+    (await worker.client.reserve(reserve())).unwrap()
+    assert isinstance((await worker.client.reserve(second)).unwrap_err(), Conflict)
+
+
+@pytest.mark.parametrize("verb", ["start", "stop", "checkpoint", "forget"])
+async def test_lower_epoch_is_declined(worker, verb):
+    (await worker.client.reserve(reserve(epoch=5))).unwrap()
+    result = await getattr(worker.client, verb)(order(epoch=4))
+    assert isinstance(result.unwrap_err(), Conflict)
+    assert isinstance((await worker.client.sync(sync(epoch=4))).unwrap_err(), Conflict)
+
+
+async def test_start_without_reservation_is_declined(worker):
+    assert isinstance((await worker.client.start(order("z"))).unwrap_err(), Conflict)
+
+
+@pytest.mark.parametrize(
+    ("fault", "error", "held"),
+    [({"down": True}, Unavailable, False), ({"lose_replies": 1}, Unsettled, True)],
+)
+async def test_fault_tells_whether_it_may_have_an_effect(worker, fault, error, held):
+    worker.faults.set(fault)
+    result = await worker.client.reserve(reserve())
+    worker.faults.set({})
+    assert isinstance(result.unwrap_err(), error)
+    assert ("a" in await states(worker)) == held
--- /dev/null
+++ b/tests/scheduler/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of chiveledge.scheduler."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/scheduler/test_jobs.py
@@ -0,0 +1,304 @@
+"""Jobs: cancel, blame, reclaim, order, outages and bounded rows."""
+
+from __future__ import annotations
+
+import pytest
+
+from chiveledge.configuration import RequestClass
+from chiveledge.jobs import JobSpec, JobState, cancel_key
+from chiveledge.platform import Put, TaskState, Transaction
+from tests.support import (
+    REGION,
+    Region,
+    check_no_double_use,
+    count_states,
+    make_document,
+    run_region,
+)
+
+LONG = '{"run_s": 1000.0}'
+URGENT_START_BOUND_S = 2.9
+
+
+def make_spec(members=1, accelerators=8, payload=LONG, **fields):
+    return JobSpec(
+        region=REGION,
+        members=members,
+        accelerators=accelerators,
+        cores=1,
+        memory_mb=256,
+        payload=payload,
+        **fields,
+    )
+
+
+def request_cancel(region: Region, job_id: str) -> None:
+    puts = (Put(cancel_key(job_id), "{}"),)
+    region.table.commit(Transaction(f"c-{job_id}", puts=puts))
+
+
+def in_state(region: Region, job_id: str, state: JobState):
+    return lambda: region.job(job_id).state is state
+
+
+@pytest.mark.parametrize("wait_s", [0.0, 0.4, 3.0], ids=["new", "starting", "running"])
+def test_cancelled_job_surely_stops(wait_s):
+    async def work(region):
+        region.start_leader("a")
+        job_id = await region.submit(make_spec(2), "k")
+        await region.run_for(wait_s)
+        request_cancel(region, job_id)
+        await region.run_until(
+            in_state(region, job_id, JobState.CANCELLED), within_s=5.0
+        )
+        await region.run_for(2.0)
+        for worker in region.workers.values():
+            assert not worker.tasks
+        assert not region.table.find_all("cancel/")
+
+    run_region(work)
+
+
+@pytest.mark.parametrize("step", range(0, 20, 2))
+def test_cancel_racing_a_finish_has_one_outcome(step):
+    async def work(region):
+        region.start_leader("a")
+        job_id = await region.submit(make_spec(payload='{"run_s": 1.0}'), "k")
+        await region.run_for(1.0 + step * 0.05)
+        request_cancel(region, job_id)
+        await region.run_until(lambda: region.job(job_id).state.ended, within_s=5.0)
+        state = region.job(job_id).state
+        await region.run_for(3.0)
+        assert region.job(job_id).state is state
+        if state is JobState.FINISHED:
+            assert region.job(job_id).results == (f"{job_id}:0",)
+
+    run_region(work)
+
+
+def test_wave_of_cancellations_takes_few_writes():
+    async def work(region):
+        region.start_leader("a")
+        ids = [await region.submit(make_spec(4), f"k{n}") for n in range(1000)]
+        await region.run_for(3.0)
+        before = region.table.transactions
+        for job_id in ids:
+            request_cancel(region, job_id)
+        requests = region.table.transactions - before
+        await region.run_until(
+            lambda: all(region.job(j).state is JobState.CANCELLED for j in ids),
+            within_s=10.0,
+        )
+        writes = region.table.transactions - before - requests
+        renewals = 10.0 / region.timing.leader_renew_s
+        assert writes - renewals < len(ids) / 10
+
+    run_region(work)
+
+
+def test_guaranteed_gang_reclaims_its_shape_from_borrowers():
+    async def work(region):
+        region.start_leader("a")
+        borrowers = [
+            await region.submit(make_spec(), f"b{n}", "depots") for n in range(4)
+        ]
+        await region.run_until(
+            lambda: all(region.job(b).state is JobState.RUNNING for b in borrowers),
+            within_s=5.0,
+        )
+        owner = await region.submit(make_spec(2), "g", "cafes")
+        bound_s = URGENT_START_BOUND_S + region.timing.checkpoint_s
+        await region.run_until(
+            in_state(region, owner, JobState.RUNNING), within_s=bound_s
+        )
+        check_no_double_use(region)
+        assert not region.job(owner).attempt.borrowed
+        states = [region.job(borrower) for borrower in borrowers]
+        stopped = [job for job in states if job.state is JobState.QUEUED]
+        assert len(stopped) == 2
+        assert all(job.saved_s > 0 for job in stopped)
+
+    document = make_document({"cafes": [(16, 1)], "depots": []})
+    run_region(work, document=document)
+
+
+@pytest.mark.parametrize("mode", ["ignore_stop", "ignore_checkpoint"])
+def test_worker_that_ignores_orders_holds_no_guarantee_beyond_its_lease(mode):
+    async def work(region):
+        region.start_leader("a")
+        borrower = await region.submit(make_spec(), "b", "depots")
+        await region.run_until(
+            in_state(region, borrower, JobState.RUNNING), within_s=5.0
+        )
+        for worker in region.workers.values():
+            worker.faults.set({"mode": mode})
+        owner = await region.submit(make_spec(), "g", "cafes")
+        timing = region.timing
+        bound_s = (
+            timing.task_lease_s
+            + timing.worker_sync_s
+            + timing.checkpoint_s
+            + URGENT_START_BOUND_S
+        )
+        await region.run_until(
+            in_state(region, owner, JobState.RUNNING), within_s=bound_s
+        )
+        check_no_double_use(region)
+
+    document = make_document({"cafes": [(8, 1)], "depots": []})
+    run_region(work, workers=1, document=document)
+
+
+def test_job_that_fails_everywhere_is_failed_and_blames_no_worker():
+    async def work(region):
+        region.start_leader("a")
+        bad = '{"run_s": 0.1, "fail": true}'
+        ids = [await region.submit(make_spec(payload=bad), f"k{n}") for n in range(12)]
+        await region.run_until(
+            lambda: all(region.job(j).state is JobState.FAILED for j in ids),
+            within_s=60.0,
+        )
+        good = await region.submit(make_spec(4, payload='{"run_s": 0.1}'), "good")
+        await region.run_until(in_state(region, good, JobState.FINISHED), within_s=10.0)
+
+    run_region(work)
+
+
+def test_worker_that_fails_everything_is_quarantined():
+    async def work(region):
+        region.start_leader("a")
+        region.workers["w00"].faults.set({"mode": "fail"})
+        ids = []
+        for number in range(12):
+            spec = make_spec(payload='{"run_s": 0.1}')
+            ids.append(await region.submit(spec, f"k{number}"))
+            await region.run_for(1.0)
+        await region.run_until(
+            lambda: all(region.job(j).state is JobState.FINISHED for j in ids),
+            within_s=60.0,
+        )
+        failed = sum(
+            sum(count_states(region, job_id, TaskState.FAILED).values())
+            for job_id in ids
+        )
+        assert failed <= 3
+
+    run_region(work)
+
+
+def test_impossible_job_is_failed_with_its_reason():
+    async def work(region):
+        region.start_leader("a")
+        job_id = await region.submit(make_spec(9), "k")
+        await region.run_until(in_state(region, job_id, JobState.FAILED), within_s=5.0)
+        assert "no cells" in region.job(job_id).reason
+
+    run_region(work)
+
+
+@pytest.mark.parametrize("outage_s", [2.0, 30.0])
+def test_store_outage_keeps_gangs_and_loses_no_finish(outage_s):
+    async def work(region):
+        region.start_leader("a")
+        region.start_leader("b")
+        payload = f'{{"run_s": {outage_s / 2}}}'
+        short = await region.submit(make_spec(2, payload=payload), "short")
+        long = await region.submit(make_spec(2), "long")
+        await region.run_until(
+            lambda: all(region.job(j).state is JobState.RUNNING for j in (short, long)),
+            within_s=5.0,
+        )
+        region.table.faults.set({"down": True})
+        await region.run_for(outage_s)
+        region.table.faults.set({})
+        await region.run_until(in_state(region, short, JobState.FINISHED), within_s=9.0)
+        await region.run_for(region.timing.task_lease_s)
+        assert region.job(long).state is JobState.RUNNING
+        assert region.job(long).attempts == region.job(short).attempts == 1
+        assert count_states(region, long, TaskState.STOPPED) == {}
+
+    run_region(work)
+
+
+def test_urgent_job_starts_in_time_with_a_takeover_in_the_middle():
+    async def work(region):
+        leader = region.start_leader("a")
+        await region.run_for(2.0)
+        region.start_leader("b")
+        await region.run_for(3.0)
+        leader.cancel()
+        spec = make_spec(request_class=RequestClass.URGENT)
+        job_id = await region.submit(spec, "k")
+        await region.run_until(
+            in_state(region, job_id, JobState.RUNNING), within_s=URGENT_START_BOUND_S
+        )
+
+    run_region(work)
+
+
+def test_large_gang_does_not_starve_behind_small_jobs():
+    async def work(region):
+        region.start_leader("a")
+        payload = '{"run_s": 30.0}'
+        number = 0
+        for _ in range(8):
+            await region.submit(
+                make_spec(accelerators=4, payload=payload), f"s{number}"
+            )
+            number += 1
+        large = await region.submit(make_spec(4, payload=payload), "large")
+        while region.job(large).state is JobState.QUEUED:
+            assert region.clock.monotonic() < 600.0, "the large gang starves"
+            spec = make_spec(accelerators=4, payload=payload)
+            await region.submit(spec, f"s{number}")
+            number += 1
+            await region.run_for(4.0)
+
+    run_region(work)
+
+
+def test_worker_short_of_memory_stops_over_users_borrowers_first():
+    async def work(region):
+        region.start_leader("a")
+        heavy = '{"run_s": 1000.0, "used_memory_mb": 40000}'
+        owner = await region.submit(make_spec(accelerators=4, payload=heavy), "g")
+        await region.run_until(in_state(region, owner, JobState.RUNNING), within_s=5.0)
+        spec = make_spec(accelerators=4, payload=heavy)
+        borrower = await region.submit(spec, "b", "depots")
+        await region.run_until(
+            lambda: "more memory" in region.job(borrower).reason, within_s=10.0
+        )
+        assert region.job(owner).state is JobState.RUNNING
+
+    document = make_document({"cafes": [(8, 1)], "depots": []})
+    run_region(work, workers=1, document=document)
+
+
+def test_ended_jobs_are_deleted():
+    async def work(region):
+        region.start_leader("a")
+        job_id = await region.submit(make_spec(payload='{"run_s": 0.1}'), "k")
+        await region.run_until(
+            in_state(region, job_id, JobState.FINISHED), within_s=5.0
+        )
+        region.clock.jump(7200.0)
+        await region.run_until(
+            lambda: not region.table.find_all("job/"), within_s=200.0
+        )
+        assert not region.table.find_all("inbox/")
+
+    run_region(work)
+
+
+def test_large_results_go_to_the_object_store():
+    async def work(region):
+        region.start_leader("a")
+        payload = '{"run_s": 0.1, "result_chars": 9000}'
+        job_id = await region.submit(make_spec(4, payload=payload), "k")
+        await region.run_until(
+            in_state(region, job_id, JobState.FINISHED), within_s=5.0
+        )
+        job = region.job(job_id)
+        assert job.results == () and job.result_object in region.objects.texts
+
+    run_region(work)
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,298 @@
+"""Helpers that tests share: documents, workers and a region without processes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from chiveledge.cells import WorkerSize
+from chiveledge.clock import ManualClock
+from chiveledge.configuration import Document, hash_token
+from chiveledge.events import Timeline
+from chiveledge.jobs import Job, JobSpec, decode_job, encode_job, inbox_key, make_job_id
+from chiveledge.metrics import Metrics
+from chiveledge.platform import Put, TaskState, Transaction
+from chiveledge.scheduler._leadership import Leadership
+from chiveledge.scheduler._region import ListedWorker, RegionContext, RegionLeader
+from chiveledge.settings import TimingSettings
+from standins.objects import MemoryObjects
+from standins.table import MemoryTable
+from standins.worker import MemoryWorker
+
+REGION = "gyeonggi"
+STEP_S = 0.05
+
+
+def make_document(
+    guarantees: dict[str, list[tuple[int, int]]] | None = None,
+    *,
+    borrowing: bool = True,
+    preset: str = "ordinary",
+) -> Document:
+    """Return a document whose workspaces have (cell, count) guarantees."""
+    workspaces = {
+        name: {
+            "weight": 1,
+            "token_sha256": hash_token(f"{name}-token"),
+            "guarantees": [
+                {"region": REGION, "cell": cell, "count": count}
+                for cell, count in cells
+            ],
+        }
+        for name, cells in (guarantees or {"cafes": [], "depots": []}).items()
+    }
+    policy = {
+        "admit": ["urgent", "standard", "batch"],
+        "borrowing": borrowing,
+        "class_shares": {"urgent": 8, "standard": 4, "batch": 1},
+    }
+    closed = {"admit": [], "start_jobs": False, "class_shares": {}}
+    kinds = {
+        "quote": ("urgent", True, 2000),
+        "order": ("standard", False, 4000),
+        "forecast": ("standard", True, 4000),
+        "blend": ("batch", True, 60000),
+    }
+    return Document.model_validate(
+        {
+            "preset": preset,
+            "presets": {"ordinary": policy, "peak": policy, "closed": closed},
+            "workspaces": workspaces,
+            "kinds": {
+                name: {
+                    "service": "planner",
+                    "request_class": request_class,
+                    "idempotent": idempotent,
+                    "deadline_ms": deadline_ms,
+                }
+                for name, (request_class, idempotent, deadline_ms) in kinds.items()
+            },
+        }
+    )
+
+
+def make_sizes(count: int, accelerators: int = 8) -> list[WorkerSize]:
+    """Return workers of one rack."""
+    return [
+        WorkerSize(f"w{index:02d}", "rack", accelerators, 32, 65536)
+        for index in range(count)
+    ]
+
+
+class Region:
+    """One region: a table, workers, and any number of leaders, in one process.
+
+    Parameters
+    ----------
+    workers : int
+        Number of workers, each with 8 accelerators.
+    document : Document, optional
+        The configuration in force.
+    """
+
+    def __init__(self, workers: int = 4, document: Document | None = None) -> None:
+        self.clock = ManualClock()
+        self.table = MemoryTable(self.clock)
+        self.objects = MemoryObjects(self.clock)
+        self.document = document or make_document()
+        self.sizes = make_sizes(workers)
+        self.workers = {
+            size.name: MemoryWorker(size.name, clock=self.clock) for size in self.sizes
+        }
+        self.timeline = Timeline("test", self.clock)
+        self.timing = TimingSettings()
+        self.leaders: list[RegionLeader] = []
+        self._tasks = [
+            asyncio.ensure_future(worker.run()) for worker in self.workers.values()
+        ]
+
+    def start_leader(
+        self, name: str, wrap: Callable[[Any], Any] = lambda service: service
+    ) -> asyncio.Task[None]:
+        """Start a process that challenges, and leads once it won.
+
+        `wrap` is applied to the table and to each worker that the leader calls.
+        """
+        task = asyncio.ensure_future(self._lead(name, wrap))
+        self._tasks.append(task)
+        return task
+
+    async def submit(self, spec: JobSpec, key: str, workspace: str = "cafes") -> str:
+        """Commit a job's rows as a gateway does."""
+        job_id = make_job_id(REGION, workspace, key)
+        job = Job(job_id, workspace, spec, self.clock.now())
+        puts = (Put(job.key, encode_job(job)), Put(inbox_key(job_id), "{}"))
+        self.table.commit(Transaction(f"submit-{key}", puts=puts))
+        return job_id
+
+    def job(self, job_id: str) -> Job:
+        """Return a job as its row has it."""
+        return decode_job(self.table.rows[f"job/{REGION}/{job_id}"].value)
+
+    async def run_until(self, done: Callable[[], bool], *, within_s: float) -> float:
+        """Advance the clock until a condition holds; return the seconds it took."""
+        started_s = self.clock.monotonic()
+        while not done():
+            waited_s = self.clock.monotonic() - started_s
+            assert waited_s <= within_s, f"not within {within_s} s"
+            await self.clock.advance(STEP_S)
+        return self.clock.monotonic() - started_s
+
+    async def run_for(self, seconds: float) -> None:
+        """Advance the clock."""
+        await self.run_until(
+            _after(self.clock, self.clock.monotonic() + seconds), within_s=seconds + 1
+        )
+
+    async def close(self) -> None:
+        """Cancel all tasks."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _lead(self, name: str, wrap: Callable[[Any], Any]) -> None:
+        table = wrap(self.table)
+        context = RegionContext(
+            REGION,
+            table,
+            self.objects,
+            self.clock,
+            self.timeline,
+            Metrics(),
+            self.timing,
+            lambda url: wrap(self.workers[url]),
+        )
+        listed = [ListedWorker(size, size.name, False) for size in self.sizes]
+        while True:
+            leadership = Leadership(
+                REGION, name, table, self.clock, self.timeline, self.timing
+            )
+            while not await leadership.challenge():
+                await self.clock.sleep(self.timing.leader_renew_s)
+            leader = RegionLeader(context, leadership, self.document, listed)
+            self.leaders.append(leader)
+            await leader.run()
+
+
+class CallPoint:
+    """Does something once, before or after the n-th call that a leader makes.
+
+    Parameters
+    ----------
+    number : int
+        The call, counted over the table and all workers, without syncs and reads.
+    after : bool
+        Whether the call has its effect first.
+    act : callable
+        Coroutine function to run; its value replaces the reply unless it is None.
+    """
+
+    def __init__(self, number, after, act):
+        self.number = number
+        self.after = after
+        self.act = act
+        self.calls = 0
+        self.hit = ""
+
+    def wrap(self, service):
+        return Wrapped(service, self)
+
+    async def around(self, name, call):
+        self.calls += 1
+        if self.calls != self.number:
+            return await call()
+        self.hit = name
+        if not self.after:
+            replaced = await self.act()
+            return replaced if replaced is not None else await call()
+        reply = await call()
+        replaced = await self.act()
+        return replaced if replaced is not None else reply
+
+
+class Wrapped:
+    """A service whose orders go through a call point."""
+
+    def __init__(self, service, point):
+        self._service = service
+        self._point = point
+
+    def __getattr__(self, name):
+        method = getattr(self._service, name)
+        if name in ("sync", "read", "scan"):
+            return method
+
+        async def call(*arguments):
+            return await self._point.around(name, lambda: method(*arguments))
+
+        return call
+
+
+def _after(clock: ManualClock, time_s: float) -> Callable[[], bool]:
+    return lambda: clock.monotonic() >= time_s
+
+
+def check_no_double_use(region: Region) -> None:
+    """Check that no worker ran two attempts on one accelerator at a time."""
+    for worker in region.workers.values():
+        held = [
+            index
+            for task in worker.tasks.values()
+            if task.state in (TaskState.RESERVED, TaskState.RUNNING)
+            for index in task.placement.accelerators
+        ]
+        assert len(held) == len(set(held)), f"{worker.name} gave one twice"
+
+
+def count_states(region: Region, job_id: str, state: TaskState) -> dict[int, int]:
+    """Return how often each member of a job came into a state."""
+    counts: dict[int, int] = {}
+    for worker in region.workers.values():
+        for change in worker.history:
+            if change.job == job_id and change.state is state:
+                counts[change.member] = counts.get(change.member, 0) + 1
+    return counts
+
+
+def longest_partial_run(region: Region, job_id: str, members: int) -> float:
+    """Return the longest time in which only some members of an attempt ran."""
+    changes = sorted(
+        change
+        for worker in region.workers.values()
+        for change in worker.history
+        if change.job == job_id
+    )
+    running: dict[str, set[int]] = {}
+    ended: dict[str, set[int]] = {}
+    since: dict[str, float] = {}
+    longest = 0.0
+    for change in changes:
+        members_on = running.setdefault(change.attempt, set())
+        finished = ended.setdefault(change.attempt, set())
+        if change.state is TaskState.RUNNING:
+            members_on.add(change.member)
+        elif change.state is not TaskState.RESERVED:
+            members_on.discard(change.member)
+        if change.state is TaskState.FINISHED:
+            finished.add(change.member)
+        partial = members_on and len(members_on | finished) < members
+        if partial:
+            since.setdefault(change.attempt, change.time_s)
+        elif change.attempt in since:
+            longest = max(longest, change.time_s - since.pop(change.attempt))
+    now = region.clock.monotonic()
+    return max([longest, *(now - start for start in since.values())])
+
+
+def run_region(work: Callable[[Region], Coroutine], **options: Any) -> None:
+    """Run an asynchronous test with a region that is closed afterwards."""
+
+    async def run() -> None:
+        region = Region(**options)
+        try:
+            await work(region)
+        finally:
+            await region.close()
+
+    asyncio.run(run())
