Bind guarantees late, and let borrowers be displaced by attained service

A workspace's steady small jobs kept its guaranteed cells bound for ever and scattered, so no 32-cell ever came free, while the cells held for the largest gang stood idle. Now: a gang borrows while free cells hold it, and binds its guarantee only when it must. Keeping cells idle for the largest gang is gone.

--- a/chiveledge/cells/_allocator.py
+++ b/chiveledge/cells/_allocator.py
@@ -20,6 +20,9 @@
 WorkLoss = Callable[[AttemptId], float]
 """Returns the work of a gang, in accelerator seconds."""
 
+MOST_DISPLACED = 2
+"""Accelerators that a gang may displace, in multiples of its own."""
+
 LEAST_STOP_COST = 1e-9
 """Makes stopping a gang without lost work dearer than stopping none."""
 
@@ -121,7 +124,6 @@
         self._promises = tuple(promises)
         self._dead = [0] * len(trees)
         self._used = [0] * len(trees)
-        self._held = [0] * len(trees)
         self._avoided = [0] * len(trees)
         self._bound = [0] * len(trees)
         self._places: dict[WorkspaceName, list[_Place]] = {}
@@ -164,12 +166,6 @@
         """Say which healthy workers the gangs placed next must not use."""
         self._avoided = self._masks_of(workers)
 
-    def hold(self, cells: Iterable[Cell]) -> None:
-        """Keep cells for a large waiting gang: new borrowers stay out of them."""
-        self._held = [0] * len(self._trees)
-        for cell in cells:
-            self._held[cell.tree] |= cell.mask
-
     def place_guaranteed(
         self,
         attempt: AttemptId,
@@ -216,14 +212,12 @@
         attempt: AttemptId,
         workspace: WorkspaceName,
         shapes: Sequence[CellShape],
-        *,
-        into_held: bool = False,
     ) -> GangCells | None:
         """Place a gang in free cells; return None where there are too few."""
         taken = list(self._used)
         cells = []
         for shape in sorted(shapes, reverse=True):
-            cell = self._find_free(shape, into_held=into_held)
+            cell = self._find_free(shape)
             if cell is None:
                 self._used = taken
                 return None
@@ -233,6 +227,40 @@
         self._gangs[attempt] = gang
         return gang
 
+    def place_displacing(
+        self,
+        attempt: AttemptId,
+        workspace: WorkspaceName,
+        shapes: Sequence[CellShape],
+        may_displace: Callable[[AttemptId], bool],
+    ) -> GangCells | None:
+        """Place a borrower where other borrowers run that may be displaced.
+
+        The fewest accelerators are displaced, and at most `MOST_DISPLACED` times
+        those of the new gang.
+
+        Parameters
+        ----------
+        may_displace : callable
+            Whether a running borrower may be stopped for this gang.
+        """
+        search = _Search(workspace, self._size_of, [], [], {})
+        for shape in sorted(shapes, reverse=True):
+            cell = self._find_displaceable(search, shape, may_displace)
+            if cell is None:
+                return None
+            search.cells.append(cell)
+            search.victims.update(dict.fromkeys(self._gangs_in(cell)))
+        wanted = sum(shape.size for shape in shapes)
+        if sum(map(self._size_of, search.victims)) > MOST_DISPLACED * wanted:
+            return None
+        for cell in search.cells:
+            self._used[cell.tree] |= cell.mask
+        cells, victims = tuple(search.cells), tuple(search.victims)
+        gang = GangCells(attempt, workspace, cells, (), victims)
+        self._gangs[attempt] = gang
+        return gang
+
     def adopt(
         self,
         attempt: AttemptId,
@@ -266,26 +294,6 @@
                 self._used[cell.tree] |= cell.mask
         self._release_empty_places()
 
-    def largest_fit(self, shape: CellShape, remaining: WorkLoss) -> Cell | None:
-        """Return the place for `shape` that running gangs leave soonest.
-
-        Parameters
-        ----------
-        shape : CellShape
-            Wanted cell.
-        remaining : callable
-            Expected work left of a gang.
-        """
-        best: tuple[float, Cell] | None = None
-        for cell, _ in self._aligned_cells(shape, self._dead):
-            gangs = self._gangs_in(cell)
-            if any(not self._gangs[name].borrowed for name in gangs):
-                continue
-            cost = sum(remaining(name) for name in gangs)
-            if best is None or cost < best[0]:
-                best = (cost, cell)
-        return best[1] if best else None
-
     def fragmentation(self, shape: CellShape) -> float:
         """Return the share of free accelerators that can't serve `shape`."""
         free = usable = 0
@@ -438,6 +446,25 @@
                     break
         return best
 
+    def _find_displaceable(
+        self,
+        search: _Search,
+        shape: CellShape,
+        may_displace: Callable[[AttemptId], bool],
+    ) -> Cell | None:
+        best = None
+        for cell, _ in self._aligned_cells(shape, self._dead):
+            cost = self._stop_cost(search, cell, allow_stops=True)
+            if cost is None or (best is not None and cost >= best[0]):
+                continue
+            new = [n for n in self._gangs_in(cell) if n not in search.victims]
+            if all(may_displace(name) for name in new):
+                best = (cost, cell)
+        return best[1] if best else None
+
+    def _size_of(self, attempt: AttemptId) -> Accelerators:
+        return sum(cell.size for cell in self._gangs[attempt].cells)
+
     def _spare_shapes(
         self, workspace: WorkspaceName, shape: CellShape
     ) -> list[CellShape]:
@@ -534,11 +561,11 @@
             return None
         return self._bind(workspace, outer, shape)
 
-    def _find_free(self, shape: CellShape, *, into_held: bool) -> Cell | None:
+    def _find_free(self, shape: CellShape) -> Cell | None:
         taken = [
-            used | dead | avoided | (0 if into_held else held)
-            for used, dead, avoided, held in zip(
-                self._used, self._dead, self._avoided, self._held, strict=True
+            used | dead | avoided
+            for used, dead, avoided in zip(
+                self._used, self._dead, self._avoided, strict=True
             )
         ]
         found = next(self._aligned_cells(shape, taken), None)
--- a/chiveledge/scheduler/_order.py
+++ b/chiveledge/scheduler/_order.py
@@ -28,10 +28,15 @@
         return self.accelerators / max(self.weight, MIN_WEIGHT)
 
 
+SERVICE_LEVELS_S = (1800.0, 7200.0)
+"""Run time at which a job comes into the next level of attained service."""
+
+
 class Rank(NamedTuple):
     """Sort key of a waiting job: the least is tried first."""
 
     class_rank: int
+    level: int
     share: float
     submitted_at: datetime
 
@@ -42,20 +47,28 @@
     """Return waiting jobs, first to try first.
 
     By class, where waiting makes a job more urgent step by step but never as urgent
-    as an urgent one; then the workspace that runs least for its weight; then age.
+    as an urgent one; then by least attained service, since run times are not known;
+    then the workspace that runs least for its weight; then age.
     """
     idle = Usage(0, MIN_WEIGHT)
     return sorted(
         jobs,
         key=lambda job: Rank(
-            _aged_rank(job, now),
+            aged_rank(job, now),
+            service_level(job.saved_s),
             usage.get(job.workspace, idle).share,
             job.submitted_at,
         ),
     )
 
 
-def _aged_rank(job: Job, now: datetime) -> int:
+def service_level(ran_s: float) -> int:
+    """Return the level of attained service, 0 for the least."""
+    return sum(ran_s >= bound_s for bound_s in SERVICE_LEVELS_S)
+
+
+def aged_rank(job: Job, now: datetime) -> int:
+    """Return the class of a job after ageing, 0 for urgent."""
     rank = job.spec.request_class.rank
     if rank == RequestClass.URGENT.rank:
         return rank
--- a/chiveledge/scheduler/_planner.py
+++ b/chiveledge/scheduler/_planner.py
@@ -20,23 +20,28 @@
 from chiveledge.jobs import Attempt, CellRecord, Job, JobSpec
 from chiveledge.platform import MemberPlacement
 from chiveledge.scheduler._capacity import FlatCapacity
-from chiveledge.scheduler._order import Usage, order_jobs
+from chiveledge.scheduler._order import (
+    Usage,
+    aged_rank,
+    order_jobs,
+    service_level,
+)
 from chiveledge.scheduler._shapes import (
     find_cells,
     place_members,
     record_cells,
     wanted_shapes,
 )
-from chiveledge.types import AttemptId, JobId, RegionName, WorkerName, WorkspaceName
+from chiveledge.types import AttemptId, RegionName, WorkerName, WorkspaceName
 
 QueuedJob: TypeAlias = Job
 """A job that waits."""
 
-RESERVE_AFTER_S = 120.0
-"""Waiting time after which the largest waiting gang has cells kept for it."""
+STARVES_AFTER_S = 600.0
+"""Waiting time after which a gang may displace smaller ones."""
 
-DEFAULT_RUN_S = 3600.0
-"""Expected run time of a job whose own is not known."""
+LEAST_RUN_S = 600.0
+"""Run time of a borrower before a job that is not urgent may displace it."""
 
 
 class PlannedStart(NamedTuple):
@@ -93,7 +98,6 @@
         self._running: dict[AttemptId, _Running] = {}
         self._lost: frozenset[WorkerName] = frozenset()
         self._avoided: frozenset[WorkerName] = frozenset()
-        self._reserved_for: JobId | None = None
         self._build()
 
     @property
@@ -173,7 +177,6 @@
         if not self._document.policy.start_jobs:
             return []
         ordered = order_jobs(waiting, self._usage(), now)
-        self._reserve_for_large(ordered, now)
         starts: list[PlannedStart] = []
         failed_shapes: set[tuple[object, ...]] = set()
         for job in ordered:
@@ -258,7 +261,8 @@
             job.workspace,
             tuple(wanted_shapes(spec)),
             (spec.members, spec.cores, spec.memory_mb) if not spec.accelerators else (),
-            job.job_id if job.job_id == self._reserved_for else "",
+            job.spec.request_class,
+            service_level(job.saved_s),
             job.failed_on,
         )
 
@@ -287,20 +291,21 @@
         shapes: Collection[CellShape],
         now: datetime,
     ) -> GangCells | None:
+        borrowing = self._document.policy.borrowing
+        if borrowing:
+            gang = self._cells.place_borrowed(attempt_id, job.workspace, list(shapes))
+            if gang is not None:
+                return gang
         gang = self._cells.place_guaranteed(
             attempt_id,
             job.workspace,
             list(shapes),
             lambda name: self._lost_by(name, now),
         )
-        if gang is not None or not self._document.policy.borrowing:
+        if gang is not None or not borrowing:
             return gang
-        return self._cells.place_borrowed(
-            attempt_id,
-            job.workspace,
-            list(shapes),
-            into_held=job.job_id == self._reserved_for
-            or job.spec.request_class is RequestClass.URGENT,
+        return self._cells.place_displacing(
+            attempt_id, job.workspace, list(shapes), self._may_displace(job, now)
         )
 
     def _lost_by(self, attempt_id: AttemptId, now: datetime) -> float:
@@ -311,34 +316,34 @@
         accelerators = sum(len(member.accelerators) for member in running.members)
         return accelerators * (now - running.started_at).total_seconds()
 
-    def _left_of(self, attempt_id: AttemptId, now: datetime) -> float:
-        running = self._running.get(attempt_id)
-        if running is None:
-            return 0.0
-        ran_s = (now - running.started_at).total_seconds()
-        hint_s = running.job.spec.run_time_hint_s or DEFAULT_RUN_S
-        # A job that outlived its hint is expected to run as long again.
-        return max(hint_s - ran_s, ran_s)
-
-    def _reserve_for_large(self, ordered: Sequence[Job], now: datetime) -> None:
-        """Keep cells for the largest gang that has waited long."""
-        aged = [
-            job
-            for job in ordered
-            if (now - job.submitted_at).total_seconds() >= RESERVE_AFTER_S
-            and wanted_shapes(job.spec)
-        ]
-        self._cells.hold(())
-        self._reserved_for = None
-        if not aged:
-            return
-        largest = max(aged, key=lambda job: max(wanted_shapes(job.spec)).size)
-        cell = self._cells.largest_fit(
-            max(wanted_shapes(largest.spec)), lambda name: self._left_of(name, now)
-        )
-        if cell is not None:
-            self._cells.hold([cell])
-            self._reserved_for = largest.job_id
+    def _may_displace(self, job: Job, now: datetime) -> Callable[[AttemptId], bool]:
+        """Return which running borrowers a waiting job may take the place of.
+
+        Those of a less urgent class for an urgent job; for others those with more
+        attained service, or smaller ones once the job has waited long. A borrower
+        runs for `LEAST_RUN_S` before a job that is not urgent may displace it.
+        """
+        urgent = job.spec.request_class is RequestClass.URGENT
+        level = service_level(job.saved_s)
+        size = job.spec.members * job.spec.accelerators
+        starves = (now - job.submitted_at).total_seconds() >= STARVES_AFTER_S
+
+        def may_displace(attempt_id: AttemptId) -> bool:
+            running = self._running.get(attempt_id)
+            if running is None:
+                return False
+            rank = running.job.spec.request_class.rank
+            if urgent:
+                return rank > RequestClass.URGENT.rank
+            ran_s = (now - running.started_at).total_seconds()
+            if rank < aged_rank(job, now) or ran_s < LEAST_RUN_S:
+                return False
+            if service_level(running.job.saved_s + ran_s) > level:
+                return True
+            other = sum(len(member.accelerators) for member in running.members)
+            return starves and other < size
+
+        return may_displace
 
 
 def find_guarantee_misfits(
