--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -111,13 +111,19 @@
 
     def plan(self, waiting: list[Job], now: datetime) -> list[Start]:
         starts = []
+        taken = frozenset().union(*self._used.values())
+        failed: set[tuple[int, int]] = set()
         for job in sorted(waiting, key=lambda job: job.submitted_at):
-            taken = frozenset().union(*self._used.values())
+            shape = (job.spec.members, job.spec.accelerators)
+            if shape in failed:
+                continue
             positions = next(list_windows(job, taken), None)
             if positions is None:
                 if self._strict:
                     break
+                failed.add(shape)
                 continue
+            taken |= positions
             name = f"f{next(self._numbers)}"
             self._used[name] = positions
             starts.append(Start(job, name, positions, ()))
--- a/chiveledge/cells/_allocator.py
+++ b/chiveledge/cells/_allocator.py
@@ -128,6 +128,7 @@
         self._bound = [0] * len(trees)
         self._places: dict[WorkspaceName, list[_Place]] = {}
         self._gangs: dict[AttemptId, GangCells] = {}
+        self._gangs_of_tree: list[dict[AttemptId, int]] = [{} for _ in trees]
 
     @property
     def trees(self) -> tuple[Tree, ...]:
@@ -195,17 +196,15 @@
             if not self._choose_guaranteed(search, shape):
                 self._release_empty_places()
                 return None
-        for cell in search.cells:
-            self._used[cell.tree] |= cell.mask
-        gang = GangCells(
-            attempt,
-            workspace,
-            tuple(search.cells),
-            tuple(search.bound),
-            tuple(search.victims),
+        return self._add(
+            GangCells(
+                attempt,
+                workspace,
+                tuple(search.cells),
+                tuple(search.bound),
+                tuple(search.victims),
+            )
         )
-        self._gangs[attempt] = gang
-        return gang
 
     def place_borrowed(
         self,
@@ -214,18 +213,16 @@
         shapes: Sequence[CellShape],
     ) -> GangCells | None:
         """Place a gang in free cells; return None where there are too few."""
-        taken = list(self._used)
+        before = list(self._used)
         cells = []
         for shape in sorted(shapes, reverse=True):
             cell = self._find_free(shape)
             if cell is None:
-                self._used = taken
+                self._used = before
                 return None
             self._used[cell.tree] |= cell.mask
             cells.append(cell)
-        gang = GangCells(attempt, workspace, tuple(cells))
-        self._gangs[attempt] = gang
-        return gang
+        return self._add(GangCells(attempt, workspace, tuple(cells)))
 
     def place_displacing(
         self,
@@ -254,12 +251,8 @@
         wanted = sum(shape.size for shape in shapes)
         if sum(map(self._size_of, search.victims)) > MOST_DISPLACED * wanted:
             return None
-        for cell in search.cells:
-            self._used[cell.tree] |= cell.mask
         cells, victims = tuple(search.cells), tuple(search.victims)
-        gang = GangCells(attempt, workspace, cells, (), victims)
-        self._gangs[attempt] = gang
-        return gang
+        return self._add(GangCells(attempt, workspace, cells, (), victims))
 
     def adopt(
         self,
@@ -277,22 +270,21 @@
             kept.append(place.shape)
         if len(kept) < len(cells):
             kept = []
-        for cell in cells:
-            self._used[cell.tree] |= cell.mask
-        gang = GangCells(attempt, workspace, tuple(cells), tuple(kept))
-        self._gangs[attempt] = gang
+        gang = self._add(GangCells(attempt, workspace, tuple(cells), tuple(kept)))
         self._release_empty_places()
         return gang
 
     def release(self, attempt: AttemptId) -> None:
         """Free the cells of a gang."""
-        if self._gangs.pop(attempt, None) is None:
+        gang = self._gangs.pop(attempt, None)
+        if gang is None:
             return
-        self._used = [0] * len(self._trees)
-        for gang in self._gangs.values():
-            for cell in gang.cells:
-                self._used[cell.tree] |= cell.mask
-        self._release_empty_places()
+        for index in {cell.tree for cell in gang.cells}:
+            masks = self._gangs_of_tree[index]
+            del masks[attempt]
+            self._used[index] = _join_masks(masks.values())
+        if not gang.borrowed:
+            self._release_empty_places()
 
     def fragmentation(self, shape: CellShape) -> float:
         """Return the share of free accelerators that can't serve `shape`."""
@@ -495,11 +487,17 @@
         return LEAST_STOP_COST + sum(search.loss(name) for name in new)
 
     def _gangs_in(self, cell: Cell) -> list[AttemptId]:
-        return [
-            name
-            for name, gang in self._gangs.items()
-            if any(c.tree == cell.tree and c.mask & cell.mask for c in gang.cells)
-        ]
+        wanted = cell.mask
+        masks = self._gangs_of_tree[cell.tree]
+        return [name for name, mask in masks.items() if mask & wanted]
+
+    def _add(self, gang: GangCells) -> GangCells:
+        self._gangs[gang.attempt] = gang
+        for cell in gang.cells:
+            masks = self._gangs_of_tree[cell.tree]
+            masks[gang.attempt] = masks.get(gang.attempt, 0) | cell.mask
+            self._used[cell.tree] |= cell.mask
+        return gang
 
     def _aligned_cells(
         self, shape: CellShape, taken: Sequence[int]
@@ -581,3 +579,10 @@
             for place in list(places):
                 if not guaranteed.get(place.cell.tree, 0) & place.cell.mask:
                     self._unbind(workspace, place)
+
+
+def _join_masks(masks: Iterable[int]) -> int:
+    joined = 0
+    for mask in masks:
+        joined |= mask
+    return joined
--- a/chiveledge/configuration/_model.py
+++ b/chiveledge/configuration/_model.py
@@ -29,7 +29,10 @@
     @property
     def rank(self) -> int:
         """Zero for the most urgent."""
-        return tuple(RequestClass).index(self)
+        return _RANKS[self]
+
+
+_RANKS = {request_class: rank for rank, request_class in enumerate(RequestClass)}
 
 
 def _check_power_of_two(value: int) -> int:
