--- a/chiveledge/configuration/_change.py
+++ b/chiveledge/configuration/_change.py
@@ -94,15 +94,22 @@
     return Versioned(revision, document, author, digest)
 
 
+async def read_revision(table: TableService) -> Result[Revision, CallError]:
+    """Return the revision in force, 0 where none was ever accepted."""
+    result = await table.read(CURRENT_KEY)
+    return result.map(lambda row: int(row.value) if row else 0)
+
+
 async def read_configuration(
     table: TableService,
 ) -> Result[Versioned | None, CallError]:
     """Return the document in force, or None where none was ever accepted."""
-    match await table.read(CURRENT_KEY):
-        case Ok(None):
+    match await read_revision(table):
+        case Ok(0):
             return Ok(None)
-        case Ok(row):
-            return Ok(decode_versioned(row.value))
+        case Ok(revision):
+            document = await table.read(revision_key(revision))
+            return document.map(lambda row: decode_versioned(row.value))
         case Err(error):
             return Err(error)
     raise AssertionError("unreachable")
@@ -134,14 +141,13 @@
     write_id : str
         Unique name of this change.
     """
-    current = await table.read(CURRENT_KEY)
-    match current:
+    match await table.read(CURRENT_KEY):
         case Err(error):
             return ChangeRefused(f"the table service is not available: {error}")
         case Ok(row):
-            found = decode_versioned(row.value) if row else None
-    if (found.revision if found else 0) != expected:
-        return _judge_winner(found, document, expected, author)
+            revision = int(row.value) if row else 0
+    if revision != expected:
+        return await _find_winner(table, document, expected, author)
     versioned = make_versioned(expected + 1, document, author)
     transaction = _build_transaction(row, versioned, write_id)
     result = await commit_settled(
@@ -167,19 +173,16 @@
     return Transaction(
         write_id=write_id,
         checks=(Check(CURRENT_KEY, row.version if row else 0), Check(key, 0)),
-        puts=(Put(key, text), Put(CURRENT_KEY, text)),
+        puts=(Put(key, text), Put(CURRENT_KEY, str(versioned.revision))),
     )
 
 
 async def _find_winner(
     table: TableService, document: Document, expected: Revision, author: str
 ) -> ChangeOutcome:
-    match await table.read(CURRENT_KEY):
-        case Ok(row) if row is not None:
-            winner = decode_versioned(row.value)
+    match await read_configuration(table):
+        case Ok(winner):
             return _judge_winner(winner, document, expected, author)
-        case Ok(_):
-            return ChangeRefused("the document was removed by hand")
         case Err(error):
             return ChangeRefused(f"another change came first; who is unknown: {error}")
     raise AssertionError("unreachable")
--- a/chiveledge/configuration/_keeper.py
+++ b/chiveledge/configuration/_keeper.py
@@ -9,7 +9,7 @@
 from result import Err, Ok
 
 from chiveledge.clock import Clock
-from chiveledge.configuration._change import read_configuration
+from chiveledge.configuration._change import read_configuration, read_revision
 from chiveledge.configuration._model import Versioned
 from chiveledge.events import Timeline
 from chiveledge.logs import PartLogger
@@ -129,18 +129,27 @@
     async def refresh(self) -> bool:
         """Read the store once; return whether it answered."""
         asked_s = self._clock.monotonic()
-        match await read_configuration(self._table):
-            case Ok(versioned):
-                if versioned is not None:
-                    self.apply(versioned)
-                    if versioned.revision >= self.revision:
-                        self._confirmed_s = max(self._confirmed_s, asked_s)
+        match await read_revision(self._table):
+            case Ok(revision) if revision > self.revision:
+                return await self._fetch(asked_s)
+            case Ok(revision):
+                if revision == self.revision:
+                    self._confirmed_s = max(self._confirmed_s, asked_s)
                 return True
             case Err(_):
                 self._missed_s = self._clock.monotonic()
                 return False
         raise AssertionError("unreachable")
 
+    async def _fetch(self, asked_s: float) -> bool:
+        """Read and apply a whole document."""
+        match await read_configuration(self._table):
+            case Ok(versioned) if versioned is not None:
+                self.apply(versioned)
+                self._confirmed_s = max(self._confirmed_s, asked_s)
+                return True
+        return False
+
     async def wait_first(self) -> Versioned:
         """Wait for the first document, from the store or from a peer."""
         while self._current is None:
--- a/chiveledge/scheduler/_leadership.py
+++ b/chiveledge/scheduler/_leadership.py
@@ -47,10 +47,9 @@
 
 @dataclass(frozen=True)
 class _Sighting:
-    """When a challenger first saw a region's present rows."""
+    """When a challenger first saw a region's present renewal; version 0 is none."""
 
-    leadership_version: int
-    renewal_version: int
+    version: int
     since_s: float
 
 
@@ -146,18 +145,21 @@
             Whether this process leads the region now.
         """
         asked_s = self._clock.monotonic()
-        match await self._table.scan(f"leadership/{self._region}/"):
-            case Ok(rows):
-                by_key = {row.key: row for row in rows}
+        match await self._table.read(renewal_key(self._region)):
+            case Ok(renewal):
+                pass
             case Err(_):
                 # The counter can't be seen, so its standing still proves nothing.
                 self._sighting = None
                 return False
-        holder = by_key.get(leadership_key(self._region))
-        renewal = by_key.get(renewal_key(self._region))
-        if not self._has_lapsed(holder, renewal, asked_s):
+        if not self._has_lapsed(renewal, asked_s):
             return False
-        return await self._take_over(holder, renewal)
+        match await self._table.read(leadership_key(self._region)):
+            case Ok(holder):
+                return await self._take_over(holder, renewal)
+            case Err(_):
+                return False
+        raise AssertionError("unreachable")
 
     async def renew(self) -> None:
         """Extend the lease; lose the region if another process took it."""
@@ -192,22 +194,14 @@
     def _usable_lease_s(self) -> float:
         return self._timing.leader_lease_s * (1 - LEASE_MARGIN_SHARE)
 
-    def _has_lapsed(
-        self, holder: Row | None, renewal: Row | None, asked_s: float
-    ) -> bool:
-        versions = (
-            holder.version if holder else 0,
-            renewal.version if renewal else 0,
-        )
-        seen = self._sighting
-        if seen is None or versions != (seen.leadership_version, seen.renewal_version):
-            self._sighting = _Sighting(*versions, self._clock.monotonic())
-            if renewal is not None:
-                return False
-            seen = self._sighting
-        wait_s = 0.0 if renewal is None else self._timing.leader_lease_s
-        wait_s += self._rank * STANDBY_DELAY_S
-        return asked_s - seen.since_s >= wait_s or (wait_s == 0.0)
+    def _has_lapsed(self, renewal: Row | None, asked_s: float) -> bool:
+        version = renewal.version if renewal else 0
+        if self._sighting is None or version != self._sighting.version:
+            self._sighting = _Sighting(version, self._clock.monotonic())
+        wait_s = self._rank * STANDBY_DELAY_S
+        if renewal is not None:
+            wait_s += self._timing.leader_lease_s
+        return wait_s == 0.0 or asked_s - self._sighting.since_s >= wait_s
 
     async def _take_over(self, holder: Row | None, renewal: Row | None) -> bool:
         before = _decode(holder)
--- a/chiveledge/scheduler/_order.py
+++ b/chiveledge/scheduler/_order.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
 from datetime import datetime
 from typing import NamedTuple
@@ -15,6 +16,9 @@
 
 MIN_WEIGHT = 1
 
+UNKNOWN_RUN_S = 3600.0
+"""Stands in for a run time that is not declared."""
+
 
 class Usage(NamedTuple):
     """What a workspace runs now, and its weight."""
@@ -28,7 +32,7 @@
         return self.accelerators / max(self.weight, MIN_WEIGHT)
 
 
-SERVICE_LEVELS_S = (1800.0, 7200.0)
+SERVICE_LEVELS_S = (600.0, 1800.0, 5400.0)
 """Run time at which a job comes into the next level of attained service."""
 
 
@@ -37,6 +41,7 @@
 
     class_rank: int
     level: int
+    hint_decade: int
     share: float
     submitted_at: datetime
 
@@ -48,7 +53,8 @@
 
     By class, where waiting makes a job more urgent step by step but never as urgent
     as an urgent one; then by least attained service, since run times are not known;
-    then the workspace that runs least for its weight; then age.
+    then by the order of magnitude of the declared run time; then the workspace that
+    runs least for its weight; then age.
     """
     idle = Usage(0, MIN_WEIGHT)
     return sorted(
@@ -56,12 +62,19 @@
         key=lambda job: Rank(
             aged_rank(job, now),
             service_level(job.saved_s),
+            _hint_decade(job.spec.run_time_hint_s),
             usage.get(job.workspace, idle).share,
             job.submitted_at,
         ),
     )
 
 
+def _hint_decade(run_time_hint_s: float) -> int:
+    """Return the order of magnitude of a hint; finer than that it says nothing."""
+    hint_s = run_time_hint_s or UNKNOWN_RUN_S
+    return int(math.log10(max(hint_s, 1.0)))
+
+
 def service_level(ran_s: float) -> int:
     """Return the level of attained service, 0 for the least."""
     return sum(ran_s >= bound_s for bound_s in SERVICE_LEVELS_S)
--- a/chiveledge/scheduler/_planner.py
+++ b/chiveledge/scheduler/_planner.py
@@ -37,10 +37,10 @@
 QueuedJob: TypeAlias = Job
 """A job that waits."""
 
-STARVES_AFTER_S = 600.0
+STARVES_AFTER_S = 300.0
 """Waiting time after which a gang may displace smaller ones."""
 
-LEAST_RUN_S = 600.0
+LEAST_RUN_S = 300.0
 """Run time of a borrower before a job that is not urgent may displace it."""
 
 
