--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,30 @@
+"""Runs all benchmarks, or those named: ``python -m benchmarks [NAME ...]``."""
+
+from __future__ import annotations
+
+import sys
+
+from benchmarks import capacity, configuration, control, placement, requests
+
+BENCHMARKS = {
+    "control": control.main,
+    "configuration": configuration.main,
+    "placement": placement.main,
+    "capacity": capacity.main,
+    "requests": requests.main,
+}
+
+
+def main(names: list[str]) -> int:
+    """Run benchmarks; return the exit code."""
+    unknown = [name for name in names if name not in BENCHMARKS]
+    if unknown:
+        print(f"unknown: {unknown}; use {', '.join(BENCHMARKS)}", file=sys.stderr)
+        return 2
+    for name in names or BENCHMARKS:
+        BENCHMARKS[name]()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/chiveledge/gateway/_queue.py
+++ b/chiveledge/gateway/_queue.py
@@ -18,6 +18,13 @@
 
 AGED_AFTER_S = 5.0
 
+QUEUE_SHARES = {
+    RequestClass.URGENT: 1.0,
+    RequestClass.STANDARD: 0.9,
+    RequestClass.BATCH: 0.6,
+}
+"""Part of the queue that may be filled when a request of a class joins."""
+
 PickMinion = Callable[[str, RequestClass], HostEntry | None]
 
 
@@ -92,10 +99,12 @@
         )
 
     def has_place(self, request_class: RequestClass) -> bool:
-        """Whether a request of this class may wait; a tenth is kept for urgent."""
-        if request_class is RequestClass.URGENT:
-            return self._size < self._limit
-        return self._size < self._limit * 0.9
+        """Whether a request of this class may wait.
+
+        Less urgent classes may fill only a part of the queue, so that they don't
+        have more urgent ones refused.
+        """
+        return self._size < self._limit * QUEUE_SHARES[request_class]
 
     async def wait_slot(
         self,
--- a/tests/gateway/test_routing.py
+++ b/tests/gateway/test_routing.py
@@ -255,6 +255,21 @@
         task.cancel()
 
 
+async def test_flood_of_batch_has_no_standard_request_refused():
+    service = Service()
+    gateway = service.make_gateway(limit=50)
+    flood = [
+        start(gateway, make_class(n, "blend", RequestClass.BATCH)) for n in range(200)
+    ]
+    await service.clock.advance(0.05)
+    assert any(task.done() for task in flood), "the flood does not fill the queue"
+    request = make_class(0, "forecast", RequestClass.STANDARD, 0.1)
+    outcome = await service.finish(start(gateway, request))
+    assert isinstance(outcome, Answered)
+    for task in flood:
+        await service.finish(task)
+
+
 async def test_full_queue_refuses_at_once():
     service = Service()
     gateway = service.make_gateway(limit=20)
