Deal minions' slots to gateways instead of two choices on reported load

Now: each slot belongs to one gateway of the minion's region by rendezvous hashing; a gateway goes beyond its own slots at hardly used minions only. Ruled out: ownership (as good here, but a hop with the body for five of six requests), a fixed share (nothing is left of 8 slots for nine gateways).

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -4,7 +4,14 @@
 
 import sys
 
-from benchmarks import capacity, configuration, control, placement, requests
+from benchmarks import (
+    capacity,
+    configuration,
+    control,
+    placement,
+    requests,
+    routing,
+)
 
 BENCHMARKS = {
     "control": control.main,
@@ -12,6 +19,7 @@
     "placement": placement.main,
     "capacity": capacity.main,
     "requests": requests.main,
+    "routing": routing.main,
 }
 
 
--- a/chiveledge/gateway/_dispatch.py
+++ b/chiveledge/gateway/_dispatch.py
@@ -290,7 +290,7 @@
     ) -> Outcome | None:
         match reply:
             case MinionAnswer() if reply.status < SERVER_ERROR:
-                self._pool.succeeded(minion.name, took_s, reply.running)
+                self._pool.succeeded(minion.name, took_s)
                 self._learn(took_s)
                 return Answered(reply.status, reply.body, reply.content_type)
             case MinionAnswer():
@@ -299,7 +299,7 @@
                     return None
                 return Answered(reply.status, reply.body, reply.content_type)
             case MinionDeclined():
-                self._pool.declined(minion.name, reply.running)
+                self._pool.declined(minion.name)
                 self._metrics.count("rejected_sends")
                 sends.declined(minion.name)
                 if sends.sends < MAX_SENDS:
--- a/chiveledge/gateway/_router.py
+++ b/chiveledge/gateway/_router.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import hashlib
 import random
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -14,12 +15,18 @@
 from chiveledge.platform import HostEntry, HostState
 from chiveledge.types import MinionName, ProcessName, RegionName
 
-KEPT_SLOTS = {
-    RequestClass.URGENT: 0,
-    RequestClass.STANDARD: 1,
-    RequestClass.BATCH: 2,
+CLASS_SHARES = {
+    RequestClass.URGENT: 1.0,
+    RequestClass.STANDARD: 0.875,
+    RequestClass.BATCH: 0.75,
 }
-"""Slots of a minion that a class leaves free for more urgent ones."""
+"""Part of a gateway's slots that may be in use when a request of a class is sent."""
+
+SPILL_SHARE = 0.5
+"""Load of a minion up to which a gateway goes beyond its own slots there."""
+
+SPILL_PAUSE_S = 1.0
+"""Time after a decline in which a gateway stays within its own slots there."""
 
 EJECT_AFTER_FAILURES = 5
 EJECT_BASE_S = 1.0
@@ -53,9 +60,9 @@
     """What this gateway knows of one minion."""
 
     entry: HostEntry
+    share: int = 0
     in_flight: int = 0
-    reported_running: int = 0
-    reported_s: float = float("-inf")
+    declined_s: float = float("-inf")
     failures: int = 0
     ejected_until_s: float = float("-inf")
     ejections: int = 0
@@ -67,8 +74,11 @@
 class MinionPool:
     """The minions of the services, as one gateway sees them.
 
-    Two minions are drawn at random and the one with less load is taken. Load is
-    this gateway's own requests in flight plus what the peers reported of theirs.
+    Each slot of a minion belongs to one gateway of its region, dealt by rendezvous
+    hashing, so that gateways that agree on the membership never ask for
+    more slots than there are. A gateway goes beyond its own slots only at minions
+    that it and its peers hardly use. Of two minions drawn at random the one with
+    less load is taken.
 
     Parameters
     ----------
@@ -99,6 +109,8 @@
         self._timeline = timeline
         self._random = random.Random(seed)
         self._minions: dict[MinionName, _MinionState] = {}
+        self._gateways: dict[ProcessName, RegionName] = {"": region}
+        self._own_name: ProcessName = ""
 
     @property
     def loads(self) -> tuple[MinionLoad, ...]:
@@ -113,7 +125,10 @@
         """Take in the listed minions; return those that are gone and idle."""
         listed = {entry.name: entry for entry in entries}
         for name, entry in listed.items():
-            state = self._minions.setdefault(name, _MinionState(entry))
+            state = self._minions.get(name)
+            if state is None:
+                state = _MinionState(entry, self._deal_slots(entry))
+                self._minions[name] = state
             state.entry = entry
         gone = []
         for name, state in list(self._minions.items()):
@@ -124,6 +139,15 @@
                     gone.append(name)
         return gone
 
+    def set_gateways(
+        self, own_name: ProcessName, gateways: Mapping[ProcessName, RegionName]
+    ) -> None:
+        """Take in which gateways share the minions, and where they are."""
+        self._own_name = own_name
+        self._gateways = {**gateways, own_name: self._region}
+        for state in self._minions.values():
+            state.share = self._deal_slots(state.entry)
+
     def hear(self, peer: ProcessName, loads: Sequence[MinionLoad]) -> None:
         """Take in a peer's requests in flight."""
         now_s = self._clock.monotonic()
@@ -149,12 +173,15 @@
             for state in self._minions.values()
             if state.entry.service == service
             and state.entry.name not in exclude
-            and self._has_room(state, request_class)
+            and self._is_open(state)
         ]
-        near = [state for state in room if state.entry.region == self._region]
+        near = self._with_room(
+            [state for state in room if state.entry.region == self._region],
+            request_class,
+        )
         # Only urgent work may pay for the way to another region.
         if not near and request_class is RequestClass.URGENT:
-            near = room
+            near = self._with_room(room, request_class)
         if not near:
             return None
         chosen = self._choose(near)
@@ -181,24 +208,21 @@
         ]
         return len(live) * self._policy.slots
 
-    def succeeded(self, name: MinionName, service_s: float, running: int) -> None:
+    def succeeded(self, name: MinionName, service_s: float) -> None:
         """Record an answer."""
         state = self._finish(name)
         if state is None:
             return
         state.failures = 0
         state.ejections = 0
-        state.reported_running = running
-        state.reported_s = self._clock.monotonic()
         weight = SERVICE_EWMA_WEIGHT if state.service_s else 1.0
         state.service_s += weight * (service_s - state.service_s)
 
-    def declined(self, name: MinionName, running: int) -> None:
+    def declined(self, name: MinionName) -> None:
         """Record that a minion did not run a request since it is full."""
         state = self._finish(name)
         if state is not None:
-            state.reported_running = max(running, self._policy.slots)
-            state.reported_s = self._clock.monotonic()
+            state.declined_s = self._clock.monotonic()
 
     def failed(self, name: MinionName) -> None:
         """Record a failure, and eject the minion after several in a row."""
@@ -225,15 +249,47 @@
             state.probing = False
         return state
 
-    def _has_room(self, state: _MinionState, request_class: RequestClass) -> bool:
-        if state.entry.state is not HostState.LIVE or state.probing:
-            return False
-        if state.ejected_until_s > self._clock.monotonic():
-            return False
-        if state.in_flight >= self._policy.connections:
-            return False
-        limit = self._policy.slots - KEPT_SLOTS[request_class]
-        return self._load(state) < limit
+    def _deal_slots(self, entry: HostEntry) -> int:
+        """Return this gateway's slots of a minion.
+
+        The gateways of the minion's region share all slots, dealt round and round;
+        all gateways do where the region has none.
+        """
+        near = [name for name, at in self._gateways.items() if at == entry.region]
+        sharing = near or list(self._gateways)
+        if self._own_name not in sharing:
+            return 0
+        order = sorted(sharing, key=lambda name: _weigh(name, entry.name))
+        position = order.index(self._own_name)
+        whole, rest = divmod(self._policy.slots, len(order))
+        return min(whole + (position < rest), self._policy.connections)
+
+    def _is_open(self, state: _MinionState) -> bool:
+        """Whether a minion may get requests at all now."""
+        return (
+            state.entry.state is HostState.LIVE
+            and not state.probing
+            and state.ejected_until_s <= self._clock.monotonic()
+            and state.in_flight < self._policy.connections
+        )
+
+    def _with_room(
+        self, states: Sequence[_MinionState], request_class: RequestClass
+    ) -> list[_MinionState]:
+        """Return minions at which this gateway may take a slot for a class."""
+        own = sum(state.share for state in states)
+        used = sum(min(state.in_flight, state.share) for state in states)
+        if used < own * CLASS_SHARES[request_class]:
+            free = [state for state in states if state.in_flight < state.share]
+            if free:
+                return free
+        spill = self._policy.slots * SPILL_SHARE * CLASS_SHARES[request_class]
+        now_s = self._clock.monotonic()
+        return [
+            state
+            for state in states
+            if self._load(state) < spill and state.declined_s + SPILL_PAUSE_S <= now_s
+        ]
 
     def _load(self, state: _MinionState) -> int:
         horizon = self._clock.monotonic() - PEER_REPORT_TTL_S
@@ -264,3 +320,7 @@
         state.ejections += 1
         state.ejected_until_s = now_s + pause_s
         self._timeline.add("gateway", "minion_ejected", state.entry.name)
+
+
+def _weigh(gateway: ProcessName, minion: MinionName) -> bytes:
+    return hashlib.sha256(f"{gateway}\n{minion}".encode()).digest()
--- a/chiveledge/gateway/_server.py
+++ b/chiveledge/gateway/_server.py
@@ -32,6 +32,9 @@
 from chiveledge.types import MinionName, RegionName
 
 REGRANT_S = 0.2
+SCHEDULER_ONLY = "scheduler"
+"""Service of a listed process that has no gateway role."""
+
 CLEAN_CLAIMS_S = 600.0
 
 
@@ -69,6 +72,7 @@
             limits.slots_per_minion,
             limits.connections_per_minion // limits.gateways_at_most,
         )
+        self._name = settings.name
         self._clock = clock
         self._connections = policy.connections
         self._sessions: dict[MinionName, aiohttp.ClientSession] = {}
@@ -152,6 +156,14 @@
         self._queue.set_document(versioned.document)
 
     def _on_entries(self, entries: Sequence[HostEntry]) -> None:
+        self._pool.set_gateways(
+            self._name,
+            {
+                entry.name: entry.region
+                for entry in entries
+                if entry.role is HostRole.CHIVELEDGE and entry.service != SCHEDULER_ONLY
+            },
+        )
         minions = [entry for entry in entries if entry.role is HostRole.MINION]
         for name in self._pool.set_entries(minions):
             session = self._sessions.pop(name, None)
