A new leader stops nobody before all its workers reported

Seen failing: scheduler/test_jobs.py::test_new_leader_stops_nobody_before_all_workers_ reported; and, after the first mend, ::test_worker_that_never_reports_does_not_block_a_ reclaim (a worker that never reports counted as late for ever). Ruled out: waiting with all placements, which would cost urgent starts up to 3 s.

--- a/chiveledge/cells/_allocator.py
+++ b/chiveledge/cells/_allocator.py
@@ -180,6 +180,8 @@
         workspace: WorkspaceName,
         shapes: Sequence[CellShape],
         loss: WorkLoss,
+        *,
+        may_stop: bool = True,
     ) -> GangCells | None:
         """Place a gang within its workspace's guarantee.
 
@@ -191,6 +193,8 @@
             Wanted cells.
         loss : callable
             Work that is lost by stopping a borrower, in accelerator seconds.
+        may_stop : bool, optional
+            Whether borrowers may be stopped for the gang.
 
         Returns
         -------
@@ -203,7 +207,7 @@
             return None
         search = _Search(workspace, loss, [], [], {})
         for shape in sorted(shapes, reverse=True):
-            if not self._choose_guaranteed(search, shape):
+            if not self._choose_guaranteed(search, shape, may_stop):
                 self._release_empty_places()
                 return None
         return self._add(
@@ -368,8 +372,10 @@
             if promise.workspace == workspace
         )
 
-    def _choose_guaranteed(self, search: _Search, shape: CellShape) -> bool:
-        for allow_stops in (False, True):
+    def _choose_guaranteed(
+        self, search: _Search, shape: CellShape, may_stop: bool
+    ) -> bool:
+        for allow_stops in (False, True) if may_stop else (False,):
             if self._choose_in_places(search, shape, allow_stops):
                 return True
             if self._choose_new_place(search, shape, allow_stops):
--- a/chiveledge/scheduler/_planner.py
+++ b/chiveledge/scheduler/_planner.py
@@ -305,6 +305,10 @@
         records = record_cells(gang, trees)
         return PlannedStart(job, attempt_id, members, records, gang.victims)
 
+    def _may_stop(self) -> bool:
+        """Whether gangs may be stopped: a worker that is silent may have free cells."""
+        return not self._avoided
+
     def _place_cells(
         self,
         job: Job,
@@ -313,6 +317,7 @@
         now: datetime,
     ) -> GangCells | None:
         borrowing = self._document.policy.borrowing
+        may_stop = self._may_stop()
         if borrowing:
             gang = self._cells.place_borrowed(attempt_id, job.workspace, list(shapes))
             if gang is not None:
@@ -322,8 +327,9 @@
             job.workspace,
             list(shapes),
             lambda name: self._lost_by(name, now),
+            may_stop=may_stop,
         )
-        if gang is not None or not borrowing:
+        if gang is not None or not borrowing or not may_stop:
             return gang
         if not self._displacements_left:
             return None
--- a/chiveledge/scheduler/_region.py
+++ b/chiveledge/scheduler/_region.py
@@ -443,7 +443,11 @@
         now_s = self._context.clock.monotonic()
         lost = {link.name for link in self._links.values() if link.lost or link.leaving}
         lost |= self._blame.quarantined(now_s)
-        silent = {link.name for link in self._links.values() if not link.synced}
+        silent = {
+            link.name
+            for link in self._links.values()
+            if not link.synced and not link.lost
+        }
         if silent != self._silent:
             self._silent = silent
             self._planner.set_avoided(silent)
--- a/tests/scheduler/test_jobs.py
+++ b/tests/scheduler/test_jobs.py
@@ -236,6 +236,60 @@
     run_region(work)
 
 
+def test_worker_that_never_reports_does_not_block_a_reclaim():
+    async def work(region):
+        region.workers["w04"].faults.set({"down": True})
+        region.start_leader("a")
+        borrowers = [
+            await region.submit(make_spec(), f"b{n}", "depots") for n in range(4)
+        ]
+        await region.run_until(
+            lambda: all(region.job(b).state is JobState.RUNNING for b in borrowers),
+            within_s=5.0,
+        )
+        owner = await region.submit(make_spec(), "g", "cafes")
+        silent_s = region.timing.task_lease_s / 2
+        bound_s = silent_s + URGENT_START_BOUND_S + region.timing.checkpoint_s
+        await region.run_until(
+            in_state(region, owner, JobState.RUNNING), within_s=bound_s
+        )
+
+    document = make_document({"cafes": [(8, 1)], "depots": []})
+    run_region(work, workers=5, document=document)
+
+
+def test_new_leader_stops_nobody_before_all_workers_reported():
+    class Late:
+        """A worker whose reports take a second."""
+
+        def __init__(self, worker, clock):
+            self._worker = worker
+            self._clock = clock
+
+        def __getattr__(self, name):
+            return getattr(self._worker, name)
+
+        async def sync(self, request):
+            await self._clock.sleep(1.0)
+            return await self._worker.sync(request)
+
+    async def work(region):
+        leader = region.start_leader("a")
+        first = await region.submit(make_spec(4), "first")
+        await region.run_until(in_state(region, first, JobState.RUNNING), within_s=5.0)
+        leader.cancel()
+        busy = region.job(first).attempt.workers
+        late = [w for name, w in region.workers.items() if name not in busy]
+        region.document = make_document({"cafes": [(8, 2)]}, borrowing=False)
+        region.start_leader("b", lambda s: Late(s, region.clock) if s in late else s)
+        second = await region.submit(make_spec(), "second")
+        await region.run_until(in_state(region, second, JobState.RUNNING), within_s=5.0)
+        assert region.job(first).state is JobState.RUNNING
+        assert region.job(first).attempts == 1
+
+    run_region(work, workers=8, document=make_document({"cafes": [(8, 2)]}))
+
+
 def test_large_gang_does_not_starve_behind_small_jobs():
     async def work(region):
         region.start_leader("a")
