--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -19,12 +19,12 @@
 from chiveledge.configuration import Document, RequestClass, hash_token
 from chiveledge.events import Timeline
 from chiveledge.jobs import Attempt, Job, JobSpec, JobState, encode_job, make_job_id
+from chiveledge.leadership import Leadership
 from chiveledge.metrics import Metrics
 from chiveledge.peers import MinionLoad, PeerEnvelope, PeerReport, encode_message
-from chiveledge.platform import Put, SyncRequest, Transaction
 from chiveledge.scheduler import Planner
-from chiveledge.scheduler._leadership import Leadership
 from chiveledge.scheduler._region import ListedWorker, RegionContext, RegionLeader
+from chiveledge.services import Put, SyncRequest, Transaction
 from chiveledge.settings import TimingSettings
 from standins.objects import MemoryObjects
 from standins.table import MemoryTable
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -20,7 +20,7 @@
 from chiveledge.gateway import MinionPool, RouterPolicy
 from chiveledge.gateway._router import CLASS_SHARES
 from chiveledge.peers import MinionLoad
-from chiveledge.platform import HostEntry, HostRole
+from chiveledge.services import HostEntry, HostRole
 
 SEEDS = (1, 2)
 GATEWAYS = 6
--- a/chiveledge/administration/_commands.py
+++ b/chiveledge/administration/_commands.py
@@ -24,7 +24,7 @@
 )
 from chiveledge.http_errors import make_refusal, make_unknown
 from chiveledge.outcomes import Reason
-from chiveledge.platform import TableService
+from chiveledge.services import TableService
 
 CONFLICT_STATUS = 409
 NOT_FITTING_STATUS = 422
--- a/chiveledge/clock.py
+++ b/chiveledge/clock.py
@@ -36,10 +36,14 @@
 
 
 class SystemClock:
-    """The clock of the machine."""
+    """The clock of the machine.
+
+    Monotonic time includes the time in which the machine was suspended, since
+    leases run on meanwhile.
+    """
 
     def monotonic(self) -> float:
-        return time.monotonic()
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def now(self) -> datetime:
         return datetime.now(UTC)
--- a/chiveledge/configuration/_change.py
+++ b/chiveledge/configuration/_change.py
@@ -11,7 +11,7 @@
 
 from chiveledge.clock import Clock
 from chiveledge.configuration._model import Document, Versioned
-from chiveledge.platform import (
+from chiveledge.services import (
     CallError,
     Check,
     Conflict,
--- a/chiveledge/configuration/_keeper.py
+++ b/chiveledge/configuration/_keeper.py
@@ -13,7 +13,7 @@
 from chiveledge.configuration._model import Versioned
 from chiveledge.events import Timeline
 from chiveledge.logs import PartLogger
-from chiveledge.platform import TableService
+from chiveledge.services import TableService
 from chiveledge.types import ProcessName
 
 log = PartLogger("configuration")
--- a/chiveledge/gateway/_claims.py
+++ b/chiveledge/gateway/_claims.py
@@ -17,7 +17,7 @@
 from chiveledge.logs import PartLogger
 from chiveledge.metrics import Metrics
 from chiveledge.outcomes import Answered
-from chiveledge.platform import (
+from chiveledge.services import (
     Check,
     Conflict,
     GroupCommit,
--- a/chiveledge/gateway/_dispatch.py
+++ b/chiveledge/gateway/_dispatch.py
@@ -31,7 +31,7 @@
     SendRecord,
     UnknownOutcome,
 )
-from chiveledge.platform import (
+from chiveledge.services import (
     HostEntry,
     Minion,
     MinionAnswer,
--- a/chiveledge/gateway/_jobs.py
+++ b/chiveledge/gateway/_jobs.py
@@ -26,7 +26,8 @@
 )
 from chiveledge.membership import Membership
 from chiveledge.metrics import Metrics
-from chiveledge.platform import (
+from chiveledge.scheduler import Planner, list_workers
+from chiveledge.services import (
     CallError,
     Check,
     Conflict,
@@ -36,7 +37,6 @@
     TableService,
     Unavailable,
 )
-from chiveledge.scheduler import Planner, list_workers
 from chiveledge.types import JobId, RegionName, WorkspaceName
 
 JOB_PATIENCE_S = 2.0
--- a/chiveledge/gateway/_queue.py
+++ b/chiveledge/gateway/_queue.py
@@ -10,7 +10,7 @@
 
 from chiveledge.clock import Clock, run_with_timeout
 from chiveledge.configuration import Document, RequestClass
-from chiveledge.platform import HostEntry
+from chiveledge.services import HostEntry
 from chiveledge.types import WorkspaceName
 
 AGED_EVERY = 16
--- a/chiveledge/gateway/_router.py
+++ b/chiveledge/gateway/_router.py
@@ -12,7 +12,7 @@
 from chiveledge.configuration import RequestClass
 from chiveledge.events import Timeline
 from chiveledge.peers import MinionLoad
-from chiveledge.platform import HostEntry, HostState
+from chiveledge.services import HostEntry, HostState
 from chiveledge.types import MinionName, ProcessName, RegionName
 
 CLASS_SHARES = {
--- a/chiveledge/gateway/_server.py
+++ b/chiveledge/gateway/_server.py
@@ -20,7 +20,7 @@
 from chiveledge.gateway._router import MinionPool, RouterPolicy
 from chiveledge.membership import Membership
 from chiveledge.metrics import Metrics
-from chiveledge.platform import (
+from chiveledge.services import (
     HostEntry,
     HostRole,
     HttpMinion,
--- /dev/null
+++ b/chiveledge/intake/__init__.py
@@ -0,0 +1,45 @@
+"""What callers ask of any process: hand jobs in, read, count and cancel them."""
+
+from __future__ import annotations
+
+from chiveledge.intake._board import (
+    BoardEntry,
+    JobBoard,
+    board_key,
+    decode_entry,
+    encode_entry,
+)
+from chiveledge.intake._desk import (
+    Accepted,
+    CancelOutcome,
+    JobDesk,
+    NotFound,
+    NotStored,
+    ReadOutcome,
+    SubmitOutcome,
+    UnknownOutcome,
+    cancel_key,
+    is_cancel_key,
+    job_key,
+)
+from chiveledge.intake._follower import TableFollower
+
+__all__ = [
+    "Accepted",
+    "BoardEntry",
+    "CancelOutcome",
+    "JobBoard",
+    "JobDesk",
+    "NotFound",
+    "NotStored",
+    "ReadOutcome",
+    "SubmitOutcome",
+    "TableFollower",
+    "UnknownOutcome",
+    "board_key",
+    "cancel_key",
+    "decode_entry",
+    "encode_entry",
+    "is_cancel_key",
+    "job_key",
+]
--- /dev/null
+++ b/chiveledge/intake/_desk.py
@@ -0,0 +1,203 @@
+"""Accepts, reads and cancels jobs through the table service.
+
+A job is accepted when its row is committed. A refusal says that the job surely does
+not run, so it is given only if no write of the job can take effect any more.
+"""
+
+from __future__ import annotations
+
+import uuid
+from typing import NamedTuple, TypeAlias
+
+from result import Err, Ok
+
+from chiveledge.clock import Clock
+from chiveledge.decision_log import DecisionLog
+from chiveledge.intake._board import (
+    BoardEntry,
+    JobBoard,
+    board_key,
+    decode_entry,
+    encode_entry,
+)
+from chiveledge.services import (
+    Check,
+    Conflict,
+    Put,
+    TableService,
+    Transaction,
+    Unavailable,
+    Unsettled,
+)
+from chiveledge.services.table import ABSENT
+from chiveledge.types import JobId
+from chiveledge.workload import JobRequest, JobState, encode_request
+
+INBOX_PREFIX = "inbox/"
+CANCEL_SUFFIX = "~cancel"
+RETRY_S = 0.1
+
+
+class Accepted(NamedTuple):
+    """The job is stored, by this call or an earlier one."""
+
+    repeated: bool = False
+
+
+class NotStored(NamedTuple):
+    """The job is surely not stored and will not be."""
+
+    reason: str
+
+
+class UnknownOutcome(NamedTuple):
+    """What was asked for may have been done, or may be done later."""
+
+    reason: str
+
+
+class NotFound(NamedTuple):
+    """There is no such job."""
+
+
+SubmitOutcome: TypeAlias = Accepted | NotStored | UnknownOutcome
+CancelOutcome: TypeAlias = Accepted | NotFound | UnknownOutcome
+ReadOutcome: TypeAlias = BoardEntry | NotFound | UnknownOutcome
+
+
+def job_key(job_id: JobId) -> str:
+    """Return the key of the row that keeps a job's request."""
+    return INBOX_PREFIX + job_id
+
+
+def cancel_key(job_id: JobId) -> str:
+    """Return the key of the row that asks for a job to be cancelled."""
+    return INBOX_PREFIX + job_id + CANCEL_SUFFIX
+
+
+def is_cancel_key(key: str) -> bool:
+    """Whether a row of the inbox asks for a cancel."""
+    return key.endswith(CANCEL_SUFFIX)
+
+
+class JobDesk:
+    """Serves callers of one process.
+
+    Parameters
+    ----------
+    table : TableService
+        Where jobs last.
+    board : JobBoard
+        This process's copy of the public rows.
+    clock : Clock
+        Source of time.
+    log : DecisionLog
+        One line for each outcome.
+    """
+
+    def __init__(
+        self, table: TableService, board: JobBoard, clock: Clock, log: DecisionLog
+    ) -> None:
+        self._table = table
+        self._board = board
+        self._clock = clock
+        self._log = log
+
+    async def submit(self, request: JobRequest, patience_s: float) -> SubmitOutcome:
+        """Store a job unless it is stored already.
+
+        Parameters
+        ----------
+        request : JobRequest
+            The job.
+        patience_s : float
+            How long the caller waits.
+        """
+        deadline = self._clock.monotonic() + patience_s
+        transaction = _make_submission(request)
+        may_be_stored = False
+        while True:
+            match await self._table.transact(transaction):
+                case Ok(_):
+                    return self._note_submit(request, Accepted())
+                case Err(Conflict()):
+                    return self._note_submit(request, Accepted(repeated=True))
+                case Err(Unsettled()):
+                    may_be_stored = True
+                case Err(Unavailable(reason)):
+                    if not may_be_stored:
+                        return self._note_submit(request, NotStored(reason))
+            if self._clock.monotonic() + RETRY_S >= deadline:
+                outcome = UnknownOutcome("the store did not confirm the write")
+                return self._note_submit(request, outcome)
+            await self._clock.sleep(RETRY_S)
+
+    async def read(self, job_id: JobId) -> ReadOutcome:
+        """Return a job's public entry from the copy, else from the store."""
+        entry = self._board.find(job_id)
+        if entry is not None:
+            return entry
+        match await self._table.read(board_key(job_id)):
+            case Ok(None):
+                return NotFound()
+            case Ok(row):
+                return decode_entry(row.value)
+            case Err(error):
+                return UnknownOutcome(str(error))
+        raise AssertionError("unreachable")
+
+    async def cancel(self, job_id: JobId, patience_s: float) -> CancelOutcome:
+        """Ask for a job to be cancelled; it is, once this is stored."""
+        deadline = self._clock.monotonic() + patience_s
+        transaction = Transaction(
+            write_id=uuid.uuid4().hex, puts=(Put(cancel_key(job_id), "{}"),)
+        )
+        while True:
+            match await self.read(job_id):
+                case NotFound():
+                    return self._note_cancel(job_id, NotFound())
+                case BoardEntry(state=state) if state.ended:
+                    return self._note_cancel(job_id, Accepted(repeated=True))
+                case BoardEntry():
+                    written = await self._table.transact(transaction)
+                    if written.is_ok():
+                        return self._note_cancel(job_id, Accepted())
+                case UnknownOutcome():
+                    pass
+            if self._clock.monotonic() + RETRY_S >= deadline:
+                outcome = UnknownOutcome("the store did not confirm the cancel")
+                return self._note_cancel(job_id, outcome)
+            await self._clock.sleep(RETRY_S)
+
+    def _note_submit(self, request: JobRequest, outcome: SubmitOutcome):
+        self._log.write(
+            "intake",
+            "submit",
+            id=request.job_id,
+            queue=request.queue,
+            workspace=request.workspace,
+            steps=[step.count for step in request.steps],
+            outcome=type(outcome).__name__,
+            detail=list(outcome),
+        )
+        return outcome
+
+    def _note_cancel(self, job_id: JobId, outcome: CancelOutcome):
+        self._log.write(
+            "intake", "cancel", id=job_id, outcome=type(outcome).__name__
+        )
+        return outcome
+
+
+def _make_submission(request: JobRequest) -> Transaction:
+    entry = BoardEntry(
+        request.queue, request.workspace, JobState.QUEUED, request.occurrences > 0
+    )
+    return Transaction(
+        write_id=uuid.uuid4().hex,
+        checks=(Check(job_key(request.job_id), ABSENT),),
+        puts=(
+            Put(job_key(request.job_id), encode_request(request)),
+            Put(board_key(request.job_id), encode_entry(entry)),
+        ),
+    )
--- a/chiveledge/jobs.py
+++ b/chiveledge/jobs.py
@@ -11,7 +11,7 @@
 from pydantic import Field
 
 from chiveledge.configuration import RequestClass
-from chiveledge.platform import MemberPlacement
+from chiveledge.services import MemberPlacement
 from chiveledge.settings import Strict
 from chiveledge.types import (
     AttemptId,
--- a/chiveledge/scheduler/_leadership.py
+++ b/chiveledge/leadership.py
@@ -11,14 +11,14 @@
 import json
 import uuid
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from result import Err, Ok
 
 from chiveledge.clock import Clock
 from chiveledge.events import Timeline
 from chiveledge.logs import PartLogger
-from chiveledge.platform import (
+from chiveledge.services import (
     Check,
     Conflict,
     Put,
@@ -27,7 +27,6 @@
     Transaction,
     commit_settled,
 )
-from chiveledge.settings import TimingSettings
 from chiveledge.types import Epoch, ProcessName, RegionName
 
 LEASE_MARGIN_SHARE = 0.2
@@ -37,6 +36,14 @@
 log = PartLogger("leadership")
 
 
+class LeaseTiming(Protocol):
+    """What leadership needs of the timing settings."""
+
+    @property
+    def leader_lease_s(self) -> float:
+        """How long a leadership lasts after its last renewal, in seconds."""
+
+
 class LeadershipRecord(NamedTuple):
     """Content of a leadership row."""
 
@@ -76,8 +83,8 @@
         Its monotonic time judges leases.
     timeline : Timeline
         Receives takeovers and losses.
-    timing : TimingSettings
-        Lease and renewal period.
+    timing : LeaseTiming
+        Length of the lease.
     standby_rank : int
         Place of this process among the region's challengers, 0 for the first.
     """
@@ -89,7 +96,7 @@
         table: TableService,
         clock: Clock,
         timeline: Timeline,
-        timing: TimingSettings,
+        timing: LeaseTiming,
         *,
         standby_rank: int = 0,
     ) -> None:
--- a/chiveledge/membership.py
+++ b/chiveledge/membership.py
@@ -11,7 +11,7 @@
 from chiveledge.clock import Clock
 from chiveledge.events import Timeline
 from chiveledge.logs import PartLogger
-from chiveledge.platform import HostEntry, HostList, HostRole, HostState
+from chiveledge.services import HostEntry, HostList, HostRole, HostState
 
 SUSPECT_SHARE = 0.5
 """Share of a role's entries that may vanish at once before the list is doubted."""
--- a/chiveledge/peers/_mesh.py
+++ b/chiveledge/peers/_mesh.py
@@ -20,7 +20,7 @@
     decode_message,
     encode_message,
 )
-from chiveledge.platform import HostEntry
+from chiveledge.services import HostEntry
 from chiveledge.settings import Endpoint
 from chiveledge.types import ProcessName
 
--- /dev/null
+++ b/chiveledge/placement/__init__.py
@@ -0,0 +1,30 @@
+"""Decisions on who waits, where tasks go and whose work makes room; no input or output."""
+
+from __future__ import annotations
+
+from chiveledge.placement._fleet import FleetView, RunView, WorkerView
+from chiveledge.placement._order import (
+    StepDemand,
+    find_guaranteed_jobs,
+    sort_demands,
+)
+from chiveledge.placement._packing import Placement, place_step
+from chiveledge.placement._plan import Claim, Plan, make_plan
+from chiveledge.placement._preemption import choose_victims
+from chiveledge.placement._suspicion import WorkerSuspicion
+
+__all__ = [
+    "Claim",
+    "FleetView",
+    "Placement",
+    "Plan",
+    "RunView",
+    "StepDemand",
+    "WorkerSuspicion",
+    "WorkerView",
+    "choose_victims",
+    "find_guaranteed_jobs",
+    "make_plan",
+    "place_step",
+    "sort_demands",
+]
--- /dev/null
+++ b/chiveledge/placement/_order.py
@@ -0,0 +1,102 @@
+"""Who goes first when more work waits than there is room for.
+
+Load answered: bursts of urgent jobs over a standing queue of long ones. Guaranteed
+work of priority 0 goes first, then by priority, then what can still be in time by
+due time; what is too late to be worth anything goes last, but goes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from chiveledge.types import Accelerators, WorkerName, WorkspaceName
+from chiveledge.workload import JobProgress, Step
+
+WORTHLESS_OBJECTIVES = 3.0
+"""A job is worth nothing after this many times its objective."""
+
+
+class StepDemand(NamedTuple):
+    """The tasks of a step in one occurrence that wait to be placed.
+
+    Attributes
+    ----------
+    indices : tuple of int
+        Tasks that wait; for a gang all of them.
+    guaranteed : bool
+        Whether its job is within the guarantee of its workspace.
+    due_s, hopeless_s : float
+        Seconds from now until the job is late, and until it is worth nothing.
+    waited_s : float
+        How long the tasks have waited for room.
+    near : frozenset of str
+        Racks on which tasks of the step run already.
+    allowed : frozenset of str, optional
+        Workers that the advice service allows; None for all.
+    """
+
+    job_id: str
+    occurrence: int
+    step_number: int
+    step: Step
+    service: str
+    priority: int
+    indices: tuple[int, ...]
+    guaranteed: bool = False
+    due_s: float = 0.0
+    hopeless_s: float = 0.0
+    waited_s: float = 0.0
+    near: frozenset[str] = frozenset()
+    allowed: frozenset[WorkerName] | None = None
+
+    @property
+    def step_name(self) -> str:
+        """Name of the step of one occurrence."""
+        return f"{self.job_id}.{self.occurrence}.{self.step_number}"
+
+
+def sort_demands(demands: Iterable[StepDemand]) -> list[StepDemand]:
+    """Return demands in the order in which they get room."""
+    return sorted(demands, key=_rank)
+
+
+def _rank(demand: StepDemand) -> tuple[bool, int, bool, float, str]:
+    return (
+        not demand.guaranteed,
+        demand.priority,
+        demand.hopeless_s < 0,
+        demand.due_s,
+        demand.step_name,
+    )
+
+
+def find_guaranteed_jobs(
+    jobs: Iterable[JobProgress],
+    guarantees: dict[WorkspaceName, Accelerators],
+    priorities: dict[str, int],
+) -> set[str]:
+    """Return the jobs of priority 0 that fit into their workspaces' guarantees.
+
+    Parameters
+    ----------
+    jobs : iterable of JobProgress
+        Jobs that have not ended.
+    guarantees : dict
+        Guaranteed accelerators of each workspace.
+    priorities : dict
+        Present priority of each job.
+    """
+    left = dict(guarantees)
+    found = set()
+    urgent = [job for job in jobs if priorities[job.job_id] == 0]
+    for job in sorted(urgent, key=lambda job: (job.request.accepted_ms, job.job_id)):
+        need = max(
+            (step.count * step.usage.accelerators for step in job.request.steps),
+            default=0,
+        )
+        workspace = job.request.workspace
+        if need <= left.get(workspace, 0):
+            left[workspace] -= need
+            found.add(job.job_id)
+    return found
--- a/chiveledge/process.py
+++ b/chiveledge/process.py
@@ -33,7 +33,8 @@
     PeerMesh,
     PeerReport,
 )
-from chiveledge.platform import (
+from chiveledge.scheduler import Scheduler, find_guarantee_misfits, list_workers
+from chiveledge.services import (
     HostEntry,
     HostRole,
     HttpCaller,
@@ -43,7 +44,6 @@
     HttpWorker,
     Worker,
 )
-from chiveledge.scheduler import Scheduler, find_guarantee_misfits, list_workers
 from chiveledge.settings import ProcessSettings, Role
 from chiveledge.types import RegionName
 
--- a/chiveledge/scheduler/__init__.py
+++ b/chiveledge/scheduler/__init__.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from chiveledge.scheduler._leadership import Leadership, LeadershipRecord
 from chiveledge.scheduler._planner import (
     PlannedStart,
     Planner,
@@ -11,8 +10,6 @@
 from chiveledge.scheduler._scheduler import Scheduler, list_workers
 
 __all__ = [
-    "Leadership",
-    "LeadershipRecord",
     "PlannedStart",
     "Planner",
     "Scheduler",
--- a/chiveledge/scheduler/_book.py
+++ b/chiveledge/scheduler/_book.py
@@ -17,15 +17,7 @@
     decode_job,
     encode_job,
 )
-from chiveledge.platform import (
-    CallError,
-    Check,
-    Conflict,
-    GroupCommit,
-    ObjectStore,
-    Put,
-    Row,
-)
+from chiveledge.leadership import Leadership
 from chiveledge.scheduler._blame import BlameLedger
 from chiveledge.scheduler._endings import (
     AllFinished,
@@ -36,7 +28,15 @@
     NeverStarted,
     Reclaimed,
 )
-from chiveledge.scheduler._leadership import Leadership
+from chiveledge.services import (
+    CallError,
+    Check,
+    Conflict,
+    GroupCommit,
+    ObjectStore,
+    Put,
+    Row,
+)
 from chiveledge.types import JobId, WorkerName
 
 INLINE_RESULT_CHARS = 16384
--- a/chiveledge/scheduler/_capacity.py
+++ b/chiveledge/scheduler/_capacity.py
@@ -8,7 +8,7 @@
 
 from chiveledge.cells import WorkerSize
 from chiveledge.jobs import JobSpec
-from chiveledge.platform import MemberPlacement
+from chiveledge.services import MemberPlacement
 from chiveledge.types import AttemptId, WorkerName
 
 ACCELERATOR_SHARE = 0.75
--- a/chiveledge/scheduler/_gang.py
+++ b/chiveledge/scheduler/_gang.py
@@ -11,7 +11,7 @@
 from chiveledge.clock import Clock, run_with_timeout
 from chiveledge.events import Timeline
 from chiveledge.jobs import Attempt, Job
-from chiveledge.platform import CallError, Conflict, Reservation, TaskState
+from chiveledge.leadership import Leadership
 from chiveledge.scheduler._endings import (
     AllFinished,
     Ending,
@@ -20,9 +20,9 @@
     NeverStarted,
     Reclaimed,
 )
-from chiveledge.scheduler._leadership import Leadership
 from chiveledge.scheduler._planner import PlannedStart
 from chiveledge.scheduler._worker_link import WorkerLink
+from chiveledge.services import CallError, Conflict, Reservation, TaskState
 from chiveledge.settings import TimingSettings
 from chiveledge.types import AttemptId, WorkerName
 
--- a/chiveledge/scheduler/_planner.py
+++ b/chiveledge/scheduler/_planner.py
@@ -19,7 +19,6 @@
 )
 from chiveledge.configuration import Document, RequestClass
 from chiveledge.jobs import Attempt, CellRecord, Job, JobSpec
-from chiveledge.platform import MemberPlacement
 from chiveledge.scheduler._capacity import FlatCapacity
 from chiveledge.scheduler._order import (
     Usage,
@@ -33,6 +32,7 @@
     record_cells,
     wanted_shapes,
 )
+from chiveledge.services import MemberPlacement
 from chiveledge.types import AttemptId, RegionName, WorkerName, WorkspaceName
 
 STARVES_AFTER_S = 300.0
--- a/chiveledge/scheduler/_pressure.py
+++ b/chiveledge/scheduler/_pressure.py
@@ -7,7 +7,7 @@
 from typing import TypeAlias
 
 from chiveledge.cells import WorkerSize
-from chiveledge.platform import MemberPlacement, TaskReport, TaskState
+from chiveledge.services import MemberPlacement, TaskReport, TaskState
 from chiveledge.types import AttemptId
 
 
--- a/chiveledge/scheduler/_region.py
+++ b/chiveledge/scheduler/_region.py
@@ -13,14 +13,13 @@
 from chiveledge.configuration import Document
 from chiveledge.events import Timeline
 from chiveledge.jobs import Attempt, Job, JobState
+from chiveledge.leadership import Leadership
 from chiveledge.logs import PartLogger
 from chiveledge.metrics import Metrics
-from chiveledge.platform import GroupCommit, ObjectStore, TableService, Worker
 from chiveledge.scheduler._blame import BlameLedger
 from chiveledge.scheduler._book import JobRows
 from chiveledge.scheduler._endings import Cancelled, Reclaimed
 from chiveledge.scheduler._gang import GangRun
-from chiveledge.scheduler._leadership import Leadership
 from chiveledge.scheduler._planner import PlannedStart, Planner
 from chiveledge.scheduler._pressure import (
     StopAttempt,
@@ -29,6 +28,7 @@
     is_short,
 )
 from chiveledge.scheduler._worker_link import WorkerLink
+from chiveledge.services import GroupCommit, ObjectStore, TableService, Worker
 from chiveledge.settings import TimingSettings
 from chiveledge.types import AttemptId, JobId, RegionName, WorkerName
 
--- a/chiveledge/scheduler/_scheduler.py
+++ b/chiveledge/scheduler/_scheduler.py
@@ -10,9 +10,11 @@
 from chiveledge.clock import Clock
 from chiveledge.configuration import ConfigurationKeeper, Versioned
 from chiveledge.events import Timeline
+from chiveledge.leadership import Leadership
 from chiveledge.membership import Membership
 from chiveledge.metrics import Metrics
-from chiveledge.platform import (
+from chiveledge.scheduler._region import ListedWorker, RegionContext, RegionLeader
+from chiveledge.services import (
     HostEntry,
     HostRole,
     HostState,
@@ -20,8 +22,6 @@
     TableService,
     Worker,
 )
-from chiveledge.scheduler._leadership import Leadership
-from chiveledge.scheduler._region import ListedWorker, RegionContext, RegionLeader
 from chiveledge.settings import ProcessSettings
 from chiveledge.types import RegionName
 
--- a/chiveledge/scheduler/_shapes.py
+++ b/chiveledge/scheduler/_shapes.py
@@ -6,7 +6,7 @@
 
 from chiveledge.cells import Cell, CellShape, GangCells, Tree, round_up_to_cell
 from chiveledge.jobs import Attempt, CellRecord, JobSpec
-from chiveledge.platform import MemberPlacement
+from chiveledge.services import MemberPlacement
 from chiveledge.types import WorkerName
 
 
--- a/chiveledge/scheduler/_worker_link.py
+++ b/chiveledge/scheduler/_worker_link.py
@@ -8,7 +8,8 @@
 
 from chiveledge.cells import WorkerSize
 from chiveledge.clock import Clock
-from chiveledge.platform import (
+from chiveledge.leadership import Leadership
+from chiveledge.services import (
     AttemptOrder,
     Conflict,
     SyncRequest,
@@ -17,7 +18,6 @@
     Worker,
     WorkerReport,
 )
-from chiveledge.scheduler._leadership import Leadership
 from chiveledge.settings import TimingSettings
 from chiveledge.types import AttemptId, RegionName
 
--- a/chiveledge/platform/__init__.py
+++ b/chiveledge/services/__init__.py
@@ -1,22 +1,28 @@
 """The platform's services: one protocol class each, and an HTTP client for each.
 
 The HTTP clients keep the URL layout and the field names of the platform in
-`chiveledge.platform._wire`.
+`chiveledge.services._wire`.
 """
 
 from __future__ import annotations
 
-from chiveledge.platform._http import HttpCaller
-from chiveledge.platform.errors import CallError, Conflict, Unavailable, Unsettled
-from chiveledge.platform.group_commit import GroupCommit
-from chiveledge.platform.hosts import (
+from chiveledge.services._http import HttpCaller
+from chiveledge.services.errors import (
+    CallError,
+    Conflict,
+    HistoryGone,
+    Unavailable,
+    Unsettled,
+)
+from chiveledge.services.group_commit import GroupCommit
+from chiveledge.services.hosts import (
     HostEntry,
     HostList,
     HostRole,
     HostState,
     HttpHostList,
 )
-from chiveledge.platform.minion import (
+from chiveledge.services.minion import (
     HttpMinion,
     Minion,
     MinionAnswer,
@@ -26,17 +32,20 @@
     MinionReply,
     MinionRequest,
 )
-from chiveledge.platform.objects import HttpObjectStore, ObjectStore
-from chiveledge.platform.table import (
+from chiveledge.services.objects import HttpObjectStore, ObjectStore
+from chiveledge.services.table import (
+    Changes,
     Check,
     HttpTable,
     Put,
     Row,
+    Snapshot,
     TableService,
     Transaction,
+    WatchedTable,
     commit_settled,
 )
-from chiveledge.platform.worker import (
+from chiveledge.services.worker import (
     AttemptOrder,
     HttpWorker,
     MemberPlacement,
@@ -51,9 +60,11 @@
 __all__ = [
     "AttemptOrder",
     "CallError",
+    "Changes",
     "Check",
     "Conflict",
     "GroupCommit",
+    "HistoryGone",
     "HostEntry",
     "HostList",
     "HostRole",
@@ -76,6 +87,7 @@
     "Put",
     "Reservation",
     "Row",
+    "Snapshot",
     "SyncRequest",
     "TableService",
     "TaskReport",
@@ -83,6 +95,7 @@
     "Transaction",
     "Unavailable",
     "Unsettled",
+    "WatchedTable",
     "Worker",
     "WorkerReport",
     "commit_settled",
--- a/chiveledge/platform/_http.py
+++ b/chiveledge/services/_http.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from chiveledge.metrics import Metrics
-from chiveledge.platform.errors import Unavailable, Unsettled
+from chiveledge.services.errors import Unavailable, Unsettled
 
 SERVICE_UNAVAILABLE = 503
 
--- a/chiveledge/platform/errors.py
+++ b/chiveledge/services/errors.py
@@ -28,4 +28,11 @@
     reason: str = ""
 
 
+@dataclass(frozen=True)
+class HistoryGone:
+    """Changes after the asked version are not kept any more; take a snapshot."""
+
+    version: int
+
+
 CallError: TypeAlias = Unavailable | Unsettled | Conflict
--- a/chiveledge/platform/group_commit.py
+++ b/chiveledge/services/group_commit.py
@@ -10,8 +10,8 @@
 
 from chiveledge.clock import Clock
 from chiveledge.metrics import Metrics
-from chiveledge.platform.errors import CallError, Conflict, Unavailable, Unsettled
-from chiveledge.platform.table import (
+from chiveledge.services.errors import CallError, Conflict, Unavailable, Unsettled
+from chiveledge.services.table import (
     MAX_OPERATIONS,
     SETTLE_PAUSE_S,
     Check,
--- a/chiveledge/platform/minion.py
+++ b/chiveledge/services/minion.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from chiveledge.platform import _wire
+from chiveledge.services import _wire
 from chiveledge.types import KindName, RequestId
 
 
--- a/chiveledge/platform/objects.py
+++ b/chiveledge/services/objects.py
@@ -7,9 +7,9 @@
 
 from result import Err, Ok, Result
 
-from chiveledge.platform import _wire
-from chiveledge.platform._http import HttpCaller
-from chiveledge.platform.errors import CallError, Unavailable
+from chiveledge.services import _wire
+from chiveledge.services._http import HttpCaller
+from chiveledge.services.errors import CallError, Unavailable
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
--- a/chiveledge/platform/table.py
+++ b/chiveledge/services/table.py
@@ -7,9 +7,15 @@
 from result import Err, Ok, Result
 
 from chiveledge.clock import Clock
-from chiveledge.platform import _wire
-from chiveledge.platform._http import HttpCaller
-from chiveledge.platform.errors import CallError, Conflict, Unavailable, Unsettled
+from chiveledge.services import _wire
+from chiveledge.services._http import HttpCaller
+from chiveledge.services.errors import (
+    CallError,
+    Conflict,
+    HistoryGone,
+    Unavailable,
+    Unsettled,
+)
 
 ABSENT = 0
 HTTP_OK = 200
@@ -70,6 +76,33 @@
         """Commit a transaction and return the version of the rows it wrote."""
 
 
+class Snapshot(NamedTuple):
+    """Rows of one prefix, and the version from which to watch for later changes."""
+
+    rows: tuple[Row, ...]
+    version: int
+
+
+class Changes(NamedTuple):
+    """What changed after a version: rows as they are now and keys that are gone."""
+
+    rows: tuple[Row, ...]
+    deleted: tuple[str, ...]
+    version: int
+
+
+class WatchedTable(TableService, Protocol):
+    """A table service that also tells of changes."""
+
+    async def snapshot(self, prefix: str) -> Result[Snapshot, CallError]:
+        """Return all rows whose keys start with `prefix`, and their version."""
+
+    async def watch(
+        self, prefix: str, version: int, wait_s: float
+    ) -> Result[Changes, CallError | HistoryGone]:
+        """Wait up to `wait_s` for changes after `version`; return at the first."""
+
+
 class HttpTable:
     """Client of the table service over HTTP.
 
--- /dev/null
+++ b/chiveledge/workload/__init__.py
@@ -0,0 +1,57 @@
+"""Jobs of steps and tasks: what callers submit, and how far each job has come."""
+
+from __future__ import annotations
+
+from chiveledge.workload._catalogue import (
+    AdvicePolicy,
+    Catalogue,
+    EntryLimits,
+    Queue,
+    Service,
+    Workspace,
+)
+from chiveledge.workload._codec import (
+    decode_progress,
+    decode_request,
+    encode_progress,
+    encode_request,
+)
+from chiveledge.workload._model import (
+    JobRequest,
+    JobState,
+    Step,
+    TaskName,
+    Usage,
+)
+from chiveledge.workload._progress import (
+    JobProgress,
+    OpenRun,
+    RunEnd,
+    RunState,
+    StepProgress,
+    TaskProgress,
+)
+
+__all__ = [
+    "AdvicePolicy",
+    "Catalogue",
+    "EntryLimits",
+    "JobProgress",
+    "JobRequest",
+    "JobState",
+    "OpenRun",
+    "Queue",
+    "RunEnd",
+    "RunState",
+    "Service",
+    "Step",
+    "StepProgress",
+    "TaskName",
+    "TaskProgress",
+    "Usage",
+    "Workspace",
+    "decode_progress",
+    "decode_request",
+    "encode_progress",
+    "encode_request",
+]
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -12,7 +12,7 @@
 import pyjson5
 from aiohttp import web
 
-from chiveledge.platform import HostEntry, HostRole
+from chiveledge.services import HostEntry, HostRole
 from standins.faults import serve_app
 from standins.hosts import MemoryHosts, make_hosts_app
 from standins.minion import MemoryMinion, make_minion_app
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -10,7 +10,7 @@
 from result import Err, Result
 
 from chiveledge.clock import Clock, SystemClock
-from chiveledge.platform import CallError, Unavailable, Unsettled
+from chiveledge.services import CallError, Unavailable, Unsettled
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 T = TypeVar("T")
--- a/standins/hosts.py
+++ b/standins/hosts.py
@@ -6,7 +6,7 @@
 from result import Ok, Result
 
 from chiveledge.clock import Clock
-from chiveledge.platform import CallError, HostEntry, HostState
+from chiveledge.services import CallError, HostEntry, HostState
 from standins.faults import Faults, make_app
 
 
--- a/standins/minion.py
+++ b/standins/minion.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from chiveledge.clock import Clock, SystemClock
-from chiveledge.platform import (
+from chiveledge.services import (
     MinionAnswer,
     MinionDeclined,
     MinionLost,
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -6,7 +6,7 @@
 from result import Ok, Result
 
 from chiveledge.clock import Clock
-from chiveledge.platform import CallError
+from chiveledge.services import CallError
 from standins.faults import Faults, make_app
 
 
--- a/standins/table.py
+++ b/standins/table.py
@@ -2,13 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
 import bisect
 
 from aiohttp import web
 from result import Err, Ok, Result
 
-from chiveledge.clock import Clock
-from chiveledge.platform import CallError, Check, Conflict, Put, Row, Transaction
+from chiveledge.clock import Clock, SystemClock, run_with_timeout
+from chiveledge.services import (
+    CallError,
+    Changes,
+    Check,
+    Conflict,
+    HistoryGone,
+    Put,
+    Row,
+    Snapshot,
+    Transaction,
+)
 from standins.faults import Faults, make_app
 
 
@@ -22,6 +33,9 @@
         self.version = 0
         self.transactions = 0
         self.reads = 0
+        self._history: list[tuple[int, str]] = []
+        self._changed = asyncio.Event()
+        self._clock = clock or SystemClock()
 
     async def read(self, key: str) -> Result[Row | None, CallError]:
         return await self.faults.call(lambda: Ok(self.find(key)), writes=False)
@@ -32,6 +46,43 @@
     async def transact(self, transaction: Transaction) -> Result[int, CallError]:
         return await self.faults.call(lambda: self.commit(transaction), writes=True)
 
+    async def snapshot(self, prefix: str) -> Result[Snapshot, CallError]:
+        return await self.faults.call(
+            lambda: Ok(Snapshot(tuple(self.find_all(prefix)), self.version)),
+            writes=False,
+        )
+
+    async def watch(
+        self, prefix: str, version: int, wait_s: float
+    ) -> Result[Changes, CallError | HistoryGone]:
+        deadline = self._clock.monotonic() + wait_s
+        while True:
+            reached = await self.faults.call(lambda: Ok(None), writes=False)
+            if reached.is_err():
+                return reached
+            if self._history and version + 1 < self._history[0][0]:
+                return Err(HistoryGone(version))
+            keys = {
+                key: None
+                for changed, key in self._history
+                if changed > version and key.startswith(prefix)
+            }
+            left_s = deadline - self._clock.monotonic()
+            if keys or left_s <= 0:
+                return Ok(self._changes(list(keys)))
+            await run_with_timeout(self._clock, self._changed.wait(), left_s)
+
+    def forget_history(self) -> None:
+        """Drop all changes that were kept for watchers."""
+        self._history = [(self.version + 1, "")]
+
+    def _changes(self, keys: list[str]) -> Changes:
+        return Changes(
+            rows=tuple(self.rows[key] for key in keys if key in self.rows),
+            deleted=tuple(key for key in keys if key not in self.rows),
+            version=self.version,
+        )
+
     def find(self, key: str) -> Row | None:
         self.reads += 1
         return self.rows.get(key)
@@ -63,6 +114,10 @@
         for key in transaction.deletes:
             if self.rows.pop(key, None):
                 self.keys.remove(key)
+        touched = [key for key, _ in transaction.puts] + list(transaction.deletes)
+        self._history += [(self.version, key) for key in touched]
+        self._changed.set()
+        self._changed = asyncio.Event()
         return Ok(self.version)
 
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from chiveledge.clock import Clock, SystemClock, run_with_timeout
-from chiveledge.platform import (
+from chiveledge.services import (
     AttemptOrder,
     CallError,
     Conflict,
--- a/tests/gateway/test_at_most_once.py
+++ b/tests/gateway/test_at_most_once.py
@@ -17,7 +17,7 @@
 from chiveledge.gateway._queue import SlotQueue
 from chiveledge.metrics import Metrics
 from chiveledge.outcomes import Answered, Reason, Refused, UnknownOutcome
-from chiveledge.platform import HostEntry, HostRole, Unsettled
+from chiveledge.services import HostEntry, HostRole, Unsettled
 from standins.minion import MemoryMinion
 from standins.objects import MemoryObjects
 from standins.table import MemoryTable
--- a/tests/gateway/test_routing.py
+++ b/tests/gateway/test_routing.py
@@ -14,7 +14,7 @@
 from chiveledge.gateway._budget import RetryBudget
 from chiveledge.outcomes import Answered, Refused, UnknownOutcome
 from chiveledge.peers import MinionLoad
-from chiveledge.platform import HostEntry, HostRole, HostState
+from chiveledge.services import HostEntry, HostRole, HostState
 from tests.gateway.test_at_most_once import Service, make_order, start
 
 STORM_BOUND = 1.2
--- a/tests/process/conftest.py
+++ b/tests/process/conftest.py
@@ -9,8 +9,8 @@
 import aiohttp
 import pytest
 
-from chiveledge.platform import HostEntry, HostRole
 from chiveledge.process import Process
+from chiveledge.services import HostEntry, HostRole
 from chiveledge.settings import ProcessSettings
 from standins.faults import serve_app
 from standins.hosts import MemoryHosts, make_hosts_app
--- a/tests/scheduler/test_gang_failures.py
+++ b/tests/scheduler/test_gang_failures.py
@@ -9,7 +9,10 @@
 
 from chiveledge.jobs import Attempt, JobSpec, JobState
 from chiveledge.metrics import Metrics
-from chiveledge.platform import (
+from chiveledge.leadership import Leadership
+from chiveledge.scheduler._blame import BlameLedger
+from chiveledge.scheduler._book import JobRows
+from chiveledge.services import (
     Conflict,
     GroupCommit,
     MemberPlacement,
@@ -17,9 +20,6 @@
     TaskState,
     Unsettled,
 )
-from chiveledge.scheduler import Leadership
-from chiveledge.scheduler._blame import BlameLedger
-from chiveledge.scheduler._book import JobRows
 from tests.support import (
     REGION,
     STEP_S,
--- a/tests/scheduler/test_jobs.py
+++ b/tests/scheduler/test_jobs.py
@@ -6,7 +6,7 @@
 
 from chiveledge.configuration import RequestClass
 from chiveledge.jobs import JobSpec, JobState, cancel_key
-from chiveledge.platform import Put, TaskState, Transaction
+from chiveledge.services import Put, TaskState, Transaction
 from tests.support import (
     REGION,
     Region,
--- a/tests/platform/conftest.py
+++ b/tests/services/conftest.py
@@ -8,7 +8,7 @@
 import aiohttp
 import pytest
 
-from chiveledge.platform import (
+from chiveledge.services import (
     HostEntry,
     HostRole,
     HttpCaller,
--- a/tests/platform/test_minion.py
+++ b/tests/services/test_minion.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from chiveledge.platform import (
+from chiveledge.services import (
     HttpMinion,
     MinionAnswer,
     MinionDeclined,
--- a/tests/platform/test_objects_and_hosts.py
+++ b/tests/services/test_objects_and_hosts.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from chiveledge.platform import HostState, Unavailable, Unsettled
+from chiveledge.services import HostState, Unavailable, Unsettled
 
 
 async def test_whole_objects(objects):
--- a/tests/platform/test_table.py
+++ b/tests/services/test_table.py
@@ -8,7 +8,7 @@
 
 from chiveledge.clock import SystemClock
 from chiveledge.metrics import Metrics
-from chiveledge.platform import (
+from chiveledge.services import (
     Check,
     Conflict,
     GroupCommit,
--- a/tests/platform/test_worker.py
+++ b/tests/services/test_worker.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from chiveledge.platform import (
+from chiveledge.services import (
     AttemptOrder,
     Conflict,
     MemberPlacement,
--- a/tests/support.py
+++ b/tests/support.py
@@ -11,10 +11,10 @@
 from chiveledge.configuration import Document, hash_token
 from chiveledge.events import Timeline
 from chiveledge.jobs import Job, JobSpec, decode_job, encode_job, inbox_key, make_job_id
+from chiveledge.leadership import Leadership
 from chiveledge.metrics import Metrics
-from chiveledge.platform import Put, TaskState, Transaction
-from chiveledge.scheduler._leadership import Leadership
 from chiveledge.scheduler._region import ListedWorker, RegionContext, RegionLeader
+from chiveledge.services import Put, TaskState, Transaction
 from chiveledge.settings import TimingSettings
 from standins.objects import MemoryObjects
 from standins.table import MemoryTable
--- a/tests/scheduler/test_leadership.py
+++ b/tests/test_leadership.py
@@ -9,8 +9,8 @@
 
 from chiveledge.clock import ManualClock
 from chiveledge.events import Timeline
-from chiveledge.platform import Conflict, Put, Transaction, Unsettled
-from chiveledge.scheduler import Leadership
+from chiveledge.leadership import Leadership
+from chiveledge.services import Conflict, Put, Transaction, Unsettled
 from chiveledge.settings import TimingSettings
 from standins.table import MemoryTable
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,7 +7,7 @@
 from chiveledge.clock import ManualClock
 from chiveledge.events import Timeline
 from chiveledge.membership import Membership
-from chiveledge.platform import HostEntry, HostRole, HostState
+from chiveledge.services import HostEntry, HostRole, HostState
 from standins.hosts import MemoryHosts
 
 
