--- /dev/null
+++ b/chiveledge/coordinator/__init__.py
@@ -0,0 +1,9 @@
+"""Places the tasks of jobs on workers while this process leads."""
+
+from __future__ import annotations
+
+from chiveledge.coordinator._coordinator import Coordinator
+from chiveledge.coordinator._reign import Reign, ReignContext
+from chiveledge.coordinator._timing import CoordinatorTiming
+
+__all__ = ["Coordinator", "CoordinatorTiming", "Reign", "ReignContext"]
--- /dev/null
+++ b/chiveledge/coordinator/_demands.py
@@ -0,0 +1,245 @@
+"""Turns jobs and worker links into the view that placement decides on."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+from chiveledge.coordinator._runtimes import RunTimes
+from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
+from chiveledge.placement import (
+    FleetView,
+    RunView,
+    StepDemand,
+    WorkerSuspicion,
+    WorkerView,
+    find_guaranteed_jobs,
+)
+from chiveledge.placement._order import WORTHLESS_OBJECTIVES
+from chiveledge.workload import (
+    Catalogue,
+    JobProgress,
+    RunState,
+    StepProgress,
+    TaskName,
+    Usage,
+)
+
+
+class JobPolicy(NamedTuple):
+    """Policy of a job's queue now, or as it was if the queue is gone."""
+
+    service: str
+    priority: int
+    max_attempts: int
+    stretch: float
+    target_s: float
+
+
+def find_policy(job: JobProgress, catalogue: Catalogue) -> JobPolicy:
+    """Return the policy in force for a job."""
+    queue = catalogue.queues.get(job.request.queue) or job.request
+    return JobPolicy(
+        queue.service,
+        queue.priority,
+        queue.max_attempts,
+        queue.stretch,
+        queue.target_s,
+    )
+
+
+def view_fleet(
+    links: Iterable[WorkerLink],
+    jobs: dict[str, JobProgress],
+    catalogue: Catalogue,
+    suspicion: WorkerSuspicion,
+    promised: dict[str, Usage],
+    now_s: float,
+) -> FleetView:
+    """Return the workers with their free room and what runs there.
+
+    Parameters
+    ----------
+    promised : dict
+        Room on each worker that is promised to tasks that wait for stops.
+    """
+    links = list(links)
+    avoided = suspicion.avoided(now_s, len(links))
+    probing = suspicion.probing(now_s)
+    return FleetView(
+        _view_worker(
+            link,
+            jobs,
+            catalogue,
+            promised.get(link.name, Usage()),
+            _is_accepting(link, now_s) and link.name not in avoided,
+            link.name in probing,
+            now_s,
+        )
+        for link in links
+    )
+
+
+def _is_accepting(link: WorkerLink, now_s: float) -> bool:
+    return (
+        link.listed
+        and not link.entry.draining
+        and not link.leaving
+        and link.fence_raised
+        and link.failing_since_s is None
+        and now_s >= link.avoid_until_s
+    )
+
+
+def _view_worker(
+    link: WorkerLink,
+    jobs: dict[str, JobProgress],
+    catalogue: Catalogue,
+    promised: Usage,
+    accepting: bool,
+    probing: bool,
+    now_s: float,
+) -> WorkerView:
+    runs = []
+    serving = filling = False
+    for tracked in link.runs.values():
+        job = jobs[tracked.name.job_id]
+        step = job.request.steps[tracked.name.step]
+        serving |= bool(step.latency_target_ms)
+        filling |= step.filler
+        runs.append(_view_run(link, tracked, job, catalogue, now_s))
+    return WorkerView(
+        name=link.name,
+        service=link.entry.service,
+        rack=link.entry.rack,
+        labels=link.entry.labels,
+        capacity=link.entry.capacity,
+        free=link.entry.capacity.minus(link.used).minus(promised),
+        accepting=accepting,
+        probing=probing,
+        serving=serving,
+        filling=filling,
+        runs=runs,
+    )
+
+
+def _view_run(
+    link: WorkerLink,
+    tracked: TrackedRun,
+    job: JobProgress,
+    catalogue: Catalogue,
+    now_s: float,
+) -> RunView:
+    name = tracked.name
+    step = job.request.steps[name.step]
+    group = f"{name.step_name}#" if step.gang else str(name)
+    run = tracked.run
+    ran_s = now_s - run.began_s if run.state is RunState.RUNNING else 0.0
+    return RunView(
+        task=name,
+        worker=link.name,
+        usage=tracked.usage,
+        group=group,
+        priority=find_policy(job, catalogue).priority,
+        unsaved_s=min(ran_s, 1.0) if step.checkpoints else ran_s,
+        movable=(
+            not tracked.stopping
+            and not run.stop_wanted
+            and run.state is RunState.RUNNING
+            and not step.lasting
+        ),
+    )
+
+
+def list_demands(
+    jobs: dict[str, JobProgress],
+    catalogue: Catalogue,
+    run_times: RunTimes,
+    racks: dict[str, str],
+    claimed: set[TaskName],
+    now_s: float,
+    now_ms: float,
+) -> Iterator[StepDemand]:
+    """Yield all tasks that could start now, by step.
+
+    Parameters
+    ----------
+    racks : dict
+        Rack of each worker.
+    claimed : set of TaskName
+        Tasks whose room is promised already.
+    now_s, now_ms : float
+        Monotonic time in seconds and wall time in milliseconds since 1970.
+    """
+    open_jobs = [job for job in jobs.values() if not job.state.ended]
+    policies = {job.job_id: find_policy(job, catalogue) for job in open_jobs}
+    guaranteed = find_guaranteed_jobs(
+        open_jobs,
+        {name: space.guaranteed for name, space in catalogue.workspaces.items()},
+        {job_id: policy.priority for job_id, policy in policies.items()},
+    )
+    for job in open_jobs:
+        policy = policies[job.job_id]
+        chain_s = run_times.expect_chain_s(job.request)
+        objective_s = policy.stretch * chain_s + policy.target_s
+        for occurrence in job.due_occurrences(now_ms):
+            began_ms = job.request.due_ms(occurrence) or job.request.accepted_ms
+            age_s = (now_ms - began_ms) / 1000
+            for number, step in enumerate(job.request.steps):
+                if not job.step_ready(occurrence, number):
+                    continue
+                progress = job.open_occurrence(occurrence)[number]
+                indices = _waiting_indices(
+                    job.job_id, occurrence, number, progress, step.gang, claimed
+                )
+                if not indices:
+                    continue
+                yield StepDemand(
+                    job_id=job.job_id,
+                    occurrence=occurrence,
+                    step_number=number,
+                    step=step,
+                    service=policy.service,
+                    priority=policy.priority,
+                    indices=indices,
+                    guaranteed=job.job_id in guaranteed,
+                    due_s=objective_s - age_s,
+                    hopeless_s=WORTHLESS_OBJECTIVES * objective_s - age_s,
+                    waited_s=_longest_wait_s(progress, indices, now_s),
+                    near=frozenset(
+                        racks.get(task.run.worker, "")
+                        for task in progress.tasks
+                        if task.run
+                    ),
+                )
+
+
+def _waiting_indices(
+    job_id: str,
+    occurrence: int,
+    number: int,
+    progress: StepProgress,
+    gang: bool,
+    claimed: set[TaskName],
+) -> tuple[int, ...]:
+    if gang and any(task.run for task in progress.tasks):
+        return ()
+    return tuple(
+        index
+        for index, task in enumerate(progress.tasks)
+        if not task.done
+        and task.run is None
+        and TaskName(job_id, occurrence, number, index) not in claimed
+    )
+
+
+def _longest_wait_s(
+    progress: StepProgress, indices: tuple[int, ...], now_s: float
+) -> float:
+    longest = 0.0
+    for index in indices:
+        task = progress.tasks[index]
+        if not task.ready_s:
+            task.ready_s = now_s
+        longest = max(longest, now_s - task.ready_s)
+    return longest
--- /dev/null
+++ b/chiveledge/coordinator/_timing.py
@@ -0,0 +1,42 @@
+"""Bounds that the coordinator keeps to; a deployment sets them."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class CoordinatorTiming(NamedTuple):
+    """Times in seconds.
+
+    Attributes
+    ----------
+    leader_lease_s : float
+        How long a leadership lasts after its last renewal.
+    renew_s : float
+        Period of renewals.
+    challenge_s : float
+        Period at which a standby looks at the lease.
+    work_lease_s : float
+        How long running work outlives its last extension.
+    hold_busy_s, hold_idle_s : float
+        Longest wait of one look at a worker with and without work.
+    order_timeout_s : float
+        Bound on one order.
+    stop_s : float
+        Time that a stop takes at the most.
+    keep_ended_s : float
+        How long the state of ended jobs can be read.
+    stall_s : float
+        Time without any progress after which a run is taken for stalled.
+    """
+
+    leader_lease_s: float = 1.5
+    renew_s: float = 0.4
+    challenge_s: float = 0.4
+    work_lease_s: float = 6.0
+    hold_busy_s: float = 1.0
+    hold_idle_s: float = 2.0
+    order_timeout_s: float = 0.8
+    stop_s: float = 0.9
+    keep_ended_s: float = 180.0
+    stall_s: float = 3.0
--- /dev/null
+++ b/chiveledge/coordinator/_worker_link.py
@@ -0,0 +1,130 @@
+"""One worker as the leader knows it: its life, its clock, its lease and its runs."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from chiveledge.services.task_worker import HoldReport, TaskWorker, WorkerEntry
+from chiveledge.types import WorkerName
+from chiveledge.workload import OpenRun, TaskName, TaskProgress, Usage
+
+CLOCK_RATE = 0.98
+"""A worker's clock may run this much slower than ours."""
+
+
+@dataclass(eq=False)
+class TrackedRun:
+    """An open run and what decides when it is gone.
+
+    Attributes
+    ----------
+    settled_s : float, optional
+        From this monotonic time on, a look that does not show the run proves that
+        it is gone. None while the start order may still be carried out.
+    """
+
+    name: TaskName
+    task: TaskProgress
+    run: OpenRun
+    usage: Usage
+    settled_s: float | None = None
+    stopping: bool = False
+    stop_sent_s: float = 0.0
+
+
+@dataclass(eq=False)
+class WorkerLink:
+    """State of one worker within one reign.
+
+    Attributes
+    ----------
+    entry : WorkerEntry
+        As the platform listed it last.
+    listed : bool
+        Whether the platform lists it now.
+    fence_raised : bool
+        Whether it has answered to our fence in this life.
+    lease_until_ms : int
+        Latest end of lease that any order of ours carried, on its clock.
+    last_seen : int
+        Number of the last end that is stored.
+    last_settled : int
+        Number of the last end that was taken over.
+    storing : asyncio.Task, optional
+        Stores the ends that were taken over.
+    """
+
+    entry: WorkerEntry
+    worker: TaskWorker
+    listed: bool = True
+    fence_raised: bool = False
+    last_seen: int = 0
+    last_settled: int = 0
+    storing: asyncio.Task | None = None
+    lease_until_ms: int = 0
+    runs: dict[tuple[str, int], TrackedRun] = field(default_factory=dict)
+    answered_s: float | None = None
+    failing_since_s: float | None = None
+    avoid_until_s: float = 0.0
+    leaving: bool = False
+    clock_ms: int = 0
+    clock_read_s: float = 0.0
+    born_ms: int = 0
+    loads: dict[tuple[str, int], float] = field(default_factory=dict)
+
+    @property
+    def name(self) -> WorkerName:
+        """Name of the worker."""
+        return self.entry.name
+
+    @property
+    def used(self) -> Usage:
+        """What all open runs take, those that are being stopped too."""
+        total = Usage()
+        for tracked in self.runs.values():
+            total = total.plus(tracked.usage)
+        return total
+
+    def note_answer(self, clock_ms: int, now_s: float) -> None:
+        """Take over the worker's clock from an answer."""
+        self.answered_s = now_s
+        self.failing_since_s = None
+        if clock_ms >= self.clock_ms:
+            self.clock_ms = clock_ms
+            self.clock_read_s = now_s
+
+    def note_failure(self, now_s: float) -> None:
+        """A look got no answer."""
+        if self.failing_since_s is None:
+            self.failing_since_s = now_s
+
+    def lease_end_ms(self, now_s: float, lease_s: float) -> int | None:
+        """Return the end of a lease from now on the worker's clock, once known."""
+        if self.answered_s is None:
+            return None
+        clock_ms = self.clock_ms + (now_s - self.clock_read_s) * 1000
+        self.lease_until_ms = max(self.lease_until_ms, int(clock_ms + lease_s * 1000))
+        return self.lease_until_ms
+
+    def lease_is_over(self, now_s: float) -> bool:
+        """Whether all that ran there has surely lapsed, even on a slow clock."""
+        if self.answered_s is None:
+            return False
+        passed_ms = (now_s - self.clock_read_s) * 1000 * CLOCK_RATE
+        return self.clock_ms + passed_ms > self.lease_until_ms
+
+    def begin_life(self, born_ms: int) -> None:
+        """The worker started anew: it knows nothing of before."""
+        self.born_ms = born_ms
+        self.fence_raised = False
+        self.last_seen = 0
+        self.last_settled = 0
+        self.lease_until_ms = 0
+        self.answered_s = None
+        self.clock_ms = 0
+        self.loads.clear()
+
+    def note_loads(self, report: HoldReport) -> None:
+        """Remember the load that each run shows."""
+        self.loads = {(row.task, row.run): row.load for row in report.running}
--- a/chiveledge/intake/_board.py
+++ b/chiveledge/intake/_board.py
@@ -50,9 +50,7 @@
     def __init__(self) -> None:
         self._entries: dict[JobId, BoardEntry] = {}
 
-    def on_rows(
-        self, rows: Iterable[Row], deleted: Iterable[str], whole: bool
-    ) -> None:
+    def on_rows(self, rows: Iterable[Row], deleted: Iterable[str], whole: bool) -> None:
         """Take changes in."""
         if whole:
             self._entries.clear()
@@ -68,8 +66,6 @@
     def count_waiting(self, queue: str) -> int:
         """Return how many jobs of a queue have not begun."""
         return sum(
-            entry.queue == queue
-            and entry.state is JobState.QUEUED
-            and not entry.timed
+            entry.queue == queue and entry.state is JobState.QUEUED and not entry.timed
             for entry in self._entries.values()
         )
--- a/chiveledge/intake/_desk.py
+++ b/chiveledge/intake/_desk.py
@@ -183,9 +183,7 @@
         return outcome
 
     def _note_cancel(self, job_id: JobId, outcome: CancelOutcome):
-        self._log.write(
-            "intake", "cancel", id=job_id, outcome=type(outcome).__name__
-        )
+        self._log.write("intake", "cancel", id=job_id, outcome=type(outcome).__name__)
         return outcome
 
 
--- a/chiveledge/placement/__init__.py
+++ b/chiveledge/placement/__init__.py
@@ -1,4 +1,4 @@
-"""Decisions on who waits, where tasks go and whose work makes room; no input or output."""
+"""Decisions on who waits, where tasks go and whose work makes room for them."""
 
 from __future__ import annotations
 
--- a/chiveledge/placement/_preemption.py
+++ b/chiveledge/placement/_preemption.py
@@ -138,9 +138,7 @@
 ) -> Eviction | None:
     trial = _Trial(fleet, demand)
     for _ in demand.indices:
-        priced = [
-            (price, worker) for worker in pool if (price := trial.price(worker))
-        ]
+        priced = [(price, worker) for worker in pool if (price := trial.price(worker))]
         if not priced:
             return None
         (loss, groups), worker = min(
--- /dev/null
+++ b/chiveledge/platform/_catalogue.py
@@ -0,0 +1,195 @@
+"""Decodes the operators' configuration and the jobs that callers submit."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, NamedTuple
+
+from result import Err, Ok, Result
+
+from chiveledge.workload import (
+    AdvicePolicy,
+    Catalogue,
+    EntryLimits,
+    JobRequest,
+    Queue,
+    Service,
+    Step,
+    Usage,
+    Workspace,
+)
+
+CONFIGURATION_PREFIX = "op/"
+CONFIGURATION_KEY = "op/config"
+MAX_PAYLOAD_BYTES = 4000
+MAX_STEPS = 100
+MAX_TASKS = 10_000
+
+
+class BadJob(NamedTuple):
+    """A job that can't be taken: which field, and what it should be."""
+
+    field: str
+    remedy: str
+
+
+def decode_catalogue(text: str) -> Result[Catalogue, str]:
+    """Return the configuration of the operators' row, or why it can't be read."""
+    try:
+        fields = json.loads(text)
+        queues = [_decode_queue(route) for route in fields.get("routes", ())]
+        services = [
+            Service(
+                service["name"],
+                # Where it is left out the workers are taken to have no guard.
+                guarded=bool(service.get("enforces_capacity", False)),
+                standby=bool(service.get("standby", False)),
+            )
+            for service in fields.get("services", ())
+        ]
+        workspaces = [
+            Workspace(
+                tenant["name"],
+                tuple(tenant.get("api_keys", ())),
+                int((tenant.get("guaranteed") or {}).get("gpu", 0)),
+            )
+            for tenant in fields.get("tenants", ())
+        ]
+        return Ok(
+            Catalogue(
+                revision=int(fields["version"]),
+                queues={queue.key: queue for queue in queues},
+                services={service.name: service for service in services},
+                workspaces={space.name: space for space in workspaces},
+                owners={key: space.name for space in workspaces for key in space.keys},
+                limits=_decode_limits(fields.get("limits") or {}),
+            )
+        )
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        return Err(repr(error))
+
+
+def _decode_queue(route: dict[str, Any]) -> Queue:
+    advice = route.get("advice")
+    return Queue(
+        key=route["host"] + route["path_prefix"],
+        host=route["host"],
+        path_prefix=route["path_prefix"],
+        service=route["service"],
+        priority=int(route.get("priority", 0)),
+        max_attempts=int(route.get("max_attempts", 1)),
+        stretch=float(route.get("stretch", 1.0)),
+        target_s=float(route.get("target_runtime_ms", 0)) / 1000,
+        open=bool(route.get("no_auth", False)),
+        advice=AdvicePolicy(
+            float(advice.get("decide_ms", 0)) / 1000,
+            float(advice.get("each_ms", 0)) / 1000,
+            float(advice.get("valid_ms", 0)) / 1000,
+        )
+        if advice
+        else None,
+    )
+
+
+def _decode_limits(fields: dict[str, Any]) -> EntryLimits:
+    default = EntryLimits()
+    return EntryLimits(
+        header_bytes=int(fields.get("max_header_bytes", default.header_bytes)),
+        body_bytes=int(fields.get("max_body_bytes", default.body_bytes)),
+        header_s=float(fields.get("header_timeout_ms", 3000)) / 1000,
+        idle_s=float(fields.get("idle_timeout_ms", 15000)) / 1000,
+    )
+
+
+def decode_job(
+    body: bytes, job_id: str, queue: Queue, workspace: str, accepted_ms: int
+) -> Result[JobRequest, BadJob]:
+    """Return the job of a caller's body, or what is wrong with it."""
+    try:
+        fields = json.loads(body)
+    except ValueError:
+        return Err(BadJob("body", "send JSON"))
+    if not isinstance(fields, dict):
+        return Err(BadJob("body", "send an object"))
+    payload = fields.get("spec", "")
+    if not isinstance(payload, str) or len(payload.encode()) > MAX_PAYLOAD_BYTES:
+        return Err(BadJob("spec", f"send a text of up to {MAX_PAYLOAD_BYTES} bytes"))
+    rows = fields.get("steps")
+    if not isinstance(rows, list) or not 0 < len(rows) <= MAX_STEPS:
+        return Err(BadJob("steps", f"send a list of 1 to {MAX_STEPS} steps"))
+    steps = []
+    for number, row in enumerate(rows):
+        try:
+            steps.append(_decode_step(row, number))
+        except (ValueError, TypeError, KeyError, AttributeError) as error:
+            return Err(BadJob(f"steps.{number}", str(error)))
+    times = {name: fields.get(name, 0) for name in _TIMES}
+    for name, value in times.items():
+        if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+            return Err(BadJob(name, "send a whole number of 0 or more"))
+    if sum(step.count for step in steps) > MAX_TASKS:
+        return Err(BadJob("steps", f"send up to {MAX_TASKS} tasks"))
+    return Ok(
+        JobRequest(
+            job_id=job_id,
+            queue=queue.key,
+            workspace=workspace,
+            payload=payload,
+            steps=tuple(steps),
+            accepted_ms=accepted_ms,
+            occurrences=times["repeat_count"],
+            first_due_ms=times["first_ms"],
+            interval_ms=times["interval_ms"],
+            service=queue.service,
+            priority=queue.priority,
+            max_attempts=queue.max_attempts,
+            stretch=queue.stretch,
+            target_s=queue.target_s,
+        )
+    )
+
+
+_TIMES = ("repeat_count", "first_ms", "interval_ms")
+
+
+def _decode_step(row: dict[str, Any], number: int) -> Step:
+    after = tuple(_whole(earlier, "after") for earlier in row.get("after", ()))
+    if any(not 0 <= earlier < number for earlier in after):
+        raise ValueError("after: name earlier steps only")
+    count = _whole(row.get("count", 0), "count")
+    if count < 1:
+        raise ValueError("count: ask for at least one task")
+    return Step(
+        count=count,
+        usage=Usage(
+            _whole(row.get("cpu", 0), "cpu"),
+            _whole(row.get("mem_mb", 0), "mem_mb"),
+            _whole(row.get("gpu", 0), "gpu"),
+        ),
+        estimate_s=float(row.get("estimate_ms", 0)) / 1000,
+        after=after,
+        checkpoints=bool(row.get("checkpoint", False)),
+        gang=bool(row.get("gang", False)),
+        same_rack=bool(row.get("same_rack", False)),
+        speculative=bool(row.get("speculative", False)),
+        lasting=bool(row.get("long_running", False)),
+        filler=bool(row.get("fills", False)),
+        required_label=_word(row.get("requires", ""), "requires"),
+        data_rack=_word(row.get("affinity", ""), "affinity"),
+        max_per_worker=_whole(row.get("anti_affinity", 0), "anti_affinity"),
+        may_be_away=_whole(row.get("may_miss", 0), "may_miss"),
+        image=_word(row.get("image", ""), "image"),
+        latency_target_ms=_whole(row.get("target_ms", 0), "target_ms"),
+    )
+
+
+def _whole(value: object, field: str) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise ValueError(f"{field}: send a whole number of 0 or more")
+    return value
+
+
+def _word(value: object, field: str) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{field}: send a text")
+    return value
--- /dev/null
+++ b/chiveledge/platform/_front.py
@@ -0,0 +1,188 @@
+"""Callers' HTTP interface in the platform's words."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Callable
+
+from aiohttp import web
+from result import Err, Ok
+
+from chiveledge.clock import Clock
+from chiveledge.intake import (
+    Accepted,
+    BoardEntry,
+    JobBoard,
+    JobDesk,
+    NotFound,
+    NotStored,
+    UnknownOutcome,
+)
+from chiveledge.metrics import Metrics
+from chiveledge.platform._catalogue import decode_job
+from chiveledge.workload import Catalogue, Queue
+
+JOB_ID = re.compile(r"[0-9a-f]{16}")
+DEADLINE_HEADER = "X-Deadline-Ms"
+DEFAULT_PATIENCE_S = 3.0
+ANSWER_MARGIN_S = 0.15
+"""Time that an answer needs on its way back to the caller."""
+
+RETRY_AFTER_S = 1
+
+
+class FrontHandler:
+    """Answers callers.
+
+    Parameters
+    ----------
+    catalogue : callable
+        Returns the configuration in force.
+    is_current : callable
+        Whether the configuration was confirmed lately.
+    is_closing : callable
+        Whether connections are to end after the present answer.
+    desk, board
+        Accepts and reads jobs; counts waiting ones.
+    clock, metrics
+        Time and counters.
+    """
+
+    def __init__(
+        self,
+        catalogue: Callable[[], Catalogue],
+        is_current: Callable[[], bool],
+        is_closing: Callable[[], bool],
+        desk: JobDesk,
+        board: JobBoard,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.in_progress = 0
+        self._catalogue = catalogue
+        self._is_current = is_current
+        self._is_closing = is_closing
+        self._desk = desk
+        self._board = board
+        self._clock = clock
+        self._metrics = metrics
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        self.in_progress += 1
+        began_s = self._clock.monotonic()
+        try:
+            response = await self._route(request)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            # The caller is gone; nobody can be answered.
+            response = web.Response(status=400)
+        except web.HTTPException as error:
+            response = _plain(error.status, error.reason)
+        finally:
+            self.in_progress -= 1
+        if self._is_closing():
+            response.force_close()
+        self._metrics.count(f"answers_{request.method}_{response.status}")
+        self._metrics.observe("answer_s", self._clock.monotonic() - began_s)
+        return response
+
+    async def _route(self, request: web.BaseRequest) -> web.Response:
+        catalogue = self._catalogue()
+        if catalogue.revision == 0:
+            return _refuse("no configuration was read yet")
+        host = request.headers.get("Host", "").rpartition(":")
+        queue = catalogue.find_queue(host[0] or host[2], request.path)
+        if queue is None:
+            return _plain(404, "no such queue")
+        workspace = "" if queue.open else _find_owner(request, catalogue)
+        if workspace is None:
+            return _plain(401, "unknown key")
+        rest = request.path.removeprefix(queue.path_prefix)
+        if not rest:
+            return self._count(request, queue)
+        if not JOB_ID.fullmatch(rest):
+            return _plain(404, "a job's ID is 16 hexadecimal digits")
+        match request.method:
+            case "POST":
+                return await self._submit(request, queue, workspace, rest)
+            case "GET":
+                return await self._read(rest, workspace)
+            case "DELETE":
+                return await self._cancel(request, rest)
+        return _plain(405, "use POST, GET or DELETE")
+
+    async def _submit(
+        self, request: web.BaseRequest, queue: Queue, workspace: str, job_id: str
+    ) -> web.Response:
+        began_s = self._clock.monotonic()
+        limit = self._catalogue().limits.body_bytes
+        if (request.content_length or 0) > limit:
+            return _plain(413, f"send at most {limit} bytes")
+        body = await request.read()
+        if len(body) > limit:
+            return _plain(413, f"send at most {limit} bytes")
+        if not self._is_current():
+            return _refuse("the configuration is not confirmed")
+        accepted_ms = int(self._clock.now().timestamp() * 1000)
+        match decode_job(body, job_id, queue, workspace, accepted_ms):
+            case Ok(job):
+                pass
+            case Err(bad):
+                return _plain(400, f"{bad.field}: {bad.remedy}")
+        patience_s = _patience_s(request) - (self._clock.monotonic() - began_s)
+        match await self._desk.submit(job, patience_s):
+            case Accepted():
+                return web.json_response({})
+            case NotStored(reason):
+                return _refuse(reason)
+            case UnknownOutcome(reason):
+                return _plain(504, reason)
+        raise AssertionError("unreachable")
+
+    async def _read(self, job_id: str, workspace: str) -> web.Response:
+        match await self._desk.read(job_id):
+            case BoardEntry(workspace=owner, state=state) if owner == workspace:
+                return web.json_response({"state": state})
+            case BoardEntry() | NotFound():
+                return _plain(410, "no such job")
+            case UnknownOutcome(reason):
+                return _refuse(reason)
+        raise AssertionError("unreachable")
+
+    async def _cancel(self, request: web.BaseRequest, job_id: str) -> web.Response:
+        match await self._desk.cancel(job_id, _patience_s(request)):
+            case Accepted():
+                return web.json_response({})
+            case NotFound():
+                return _plain(410, "no such job")
+            case UnknownOutcome(reason):
+                return _plain(504, reason)
+        raise AssertionError("unreachable")
+
+    def _count(self, request: web.BaseRequest, queue: Queue) -> web.Response:
+        if request.method != "GET":
+            return _plain(405, "use GET")
+        return web.json_response({"waiting": self._board.count_waiting(queue.key)})
+
+
+def _find_owner(request: web.BaseRequest, catalogue: Catalogue) -> str | None:
+    scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+    return catalogue.owners.get(key.strip()) if scheme == "Bearer" else None
+
+
+def _patience_s(request: web.BaseRequest) -> float:
+    text = request.headers.get(DEADLINE_HEADER, "")
+    if not text.isdecimal():
+        return DEFAULT_PATIENCE_S - ANSWER_MARGIN_S
+    return int(text) / 1000 - ANSWER_MARGIN_S
+
+
+def _plain(status: int, reason: str) -> web.Response:
+    return web.json_response({"error": reason}, status=status)
+
+
+def _refuse(reason: str) -> web.Response:
+    response = _plain(503, reason)
+    response.headers["Retry-After"] = str(RETRY_AFTER_S)
+    return response
--- /dev/null
+++ b/chiveledge/platform/_node.py
@@ -0,0 +1,275 @@
+"""Puts a process together: followers, callers' interface and coordinator."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Iterable
+
+from aiohttp import web
+from result import Err, Ok
+
+from chiveledge.clock import SystemClock
+from chiveledge.coordinator import Coordinator, CoordinatorTiming, ReignContext
+from chiveledge.decision_log import JsonLog
+from chiveledge.events import Timeline
+from chiveledge.intake import JobBoard, JobDesk, TableFollower
+from chiveledge.intake._board import BOARD_PREFIX
+from chiveledge.leadership import Leadership
+from chiveledge.metrics import Metrics
+from chiveledge.platform._catalogue import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_PREFIX,
+    decode_catalogue,
+)
+from chiveledge.platform._front import FrontHandler
+from chiveledge.platform._settings import (
+    SETTINGS_VARIABLE,
+    Endpoint,
+    NodeSettings,
+    load_settings,
+)
+from chiveledge.platform._store import PlatformStore
+from chiveledge.platform._workers import (
+    WORKER_PREFIX,
+    PlatformWorker,
+    WorkerDecoder,
+)
+from chiveledge.services import HttpCaller, Row, SessionPool
+from chiveledge.workload import Catalogue
+
+EXIT_BAD_SETTINGS = 2
+SHARD = "all"
+
+CURRENT_SHARE = 0.85
+"""Part of the bound on applying configurations up to which a copy is trusted."""
+
+BOARD_PAUSE_S = 0.1
+STORE_NEAR_S = 0.02
+"""Round trip to the store that is one step further away for a standby."""
+
+STOP_LISTENING_S = 3.0
+"""Time until the balancer has surely seen that this process is not ready."""
+
+EXIT_MARGIN_S = 1.0
+POLL_S = 0.05
+
+
+class Node:
+    """One process.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Checked settings.
+    """
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self._clock = SystemClock()
+        self._log = JsonLog(settings.node, self._clock)
+        self._metrics = Metrics()
+        self._catalogue = Catalogue()
+        self._board = JobBoard()
+        self._draining = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, finish what is in progress, and return."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._draining.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._log.write("node", "start", zone=self._settings.zone, pid=os.getpid())
+        store = self._make_store()
+        self._follow(store)
+        handler = FrontHandler(
+            lambda: self._catalogue,
+            self._is_current,
+            self._draining.is_set,
+            JobDesk(store, self._board, self._clock, self._log),
+            self._board,
+            self._clock,
+            self._metrics,
+        )
+        runners = [
+            await _listen(handler.handle, self._settings.front),
+            await _listen(self._answer_ready, self._settings.ready),
+            await _listen(self._answer_metrics, self._settings.metrics),
+        ]
+        rank = await self._await_configuration()
+        coordinator = self._make_coordinator(store, rank)
+        tasks = [
+            asyncio.create_task(self._configuration.run()),
+            asyncio.create_task(self._jobs.run()),
+            asyncio.create_task(coordinator.run()),
+        ]
+        draining = asyncio.create_task(self._draining.wait())
+        await asyncio.wait([*tasks, draining], return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            if task.done():
+                self._log.write("node", "broken", error=repr(task.exception()))
+                task.result()
+        await self._finish(coordinator, handler)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for runner in runners:
+            if runner is not None:
+                await runner.cleanup()
+        self._log.write("node", "stop")
+
+    def _make_store(self) -> PlatformStore:
+        url = f"http://{self._settings.store}"
+        self._pools = (SessionPool(limit=32), SessionPool(limit=32))
+        return PlatformStore(
+            *(HttpCaller(pool, url, metrics=self._metrics) for pool in self._pools)
+        )
+
+    def _follow(self, store: PlatformStore) -> None:
+        self._configuration = TableFollower(
+            store,
+            CONFIGURATION_PREFIX,
+            self._clock,
+            self._log,
+            self._on_configuration,
+        )
+        self._jobs = TableFollower(
+            store,
+            BOARD_PREFIX,
+            self._clock,
+            self._log,
+            self._board.on_rows,
+            pause_s=BOARD_PAUSE_S,
+        )
+
+    async def _await_configuration(self) -> int:
+        """Read the first configuration; return how far away the store is."""
+        while True:
+            sent_s = self._clock.monotonic()
+            if await self._configuration.step():
+                break
+            await self._clock.sleep(POLL_S)
+        return int((self._clock.monotonic() - sent_s) / STORE_NEAR_S)
+
+    def _make_coordinator(self, store: PlatformStore, rank: int) -> Coordinator:
+        bounds = self._settings.bounds
+        timing = CoordinatorTiming(
+            work_lease_s=min(6.0, bounds.longest_lease_s),
+            stop_s=bounds.stop_s,
+            keep_ended_s=bounds.keep_status_s * 1.5,
+        )
+        context = ReignContext(
+            table=store,
+            worker_prefix=WORKER_PREFIX,
+            decode_worker=WorkerDecoder(self._log).decode,
+            make_worker=lambda entry: PlatformWorker(entry, self._metrics),
+            catalogue=lambda: self._catalogue,
+            clock=self._clock,
+            log=self._log,
+            metrics=self._metrics,
+            timing=timing,
+        )
+        leadership = Leadership(
+            SHARD,
+            self._settings.node,
+            store,
+            self._clock,
+            Timeline(self._settings.node, self._clock),
+            timing,
+            standby_rank=rank,
+        )
+        return Coordinator(context, leadership)
+
+    def _on_configuration(
+        self, rows: Iterable[Row], deleted: Iterable[str], whole: bool
+    ) -> None:
+        for row in rows:
+            if row.key != CONFIGURATION_KEY:
+                continue
+            match decode_catalogue(row.value):
+                case Ok(catalogue):
+                    self._apply(catalogue)
+                case Err(reason):
+                    self._log.write("configuration", "unreadable", reason=reason)
+
+    def _apply(self, catalogue: Catalogue) -> None:
+        if catalogue.revision <= self._catalogue.revision:
+            return
+        self._log.write(
+            "configuration",
+            "applied",
+            revision=catalogue.revision,
+            before=self._catalogue.revision,
+            queues=len(catalogue.queues),
+            workspaces=len(catalogue.workspaces),
+        )
+        self._catalogue = catalogue
+
+    def _is_current(self) -> bool:
+        limit_s = self._settings.bounds.config_apply_s * CURRENT_SHARE
+        return self._configuration.age_s < limit_s
+
+    async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
+        ready = (
+            not self._draining.is_set()
+            and self._catalogue.revision > 0
+            and self._is_current()
+        )
+        return web.Response(status=200 if ready else 503)
+
+    async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(text=_render_metrics(self._metrics))
+
+    def _reload(self) -> None:
+        match load_settings(os.environ.get(SETTINGS_VARIABLE)):
+            case Ok(settings):
+                self._settings = settings
+                self._log.write("node", "reloaded")
+            case Err(error):
+                self._log.write("node", "reload_refused", error=str(error))
+
+    async def _finish(self, coordinator: Coordinator, handler: FrontHandler) -> None:
+        began_s = self._clock.monotonic()
+        self._log.write("node", "draining", in_progress=handler.in_progress)
+        await coordinator.stop()
+        latest_s = began_s + self._settings.bounds.grace_s - EXIT_MARGIN_S
+        await self._clock.sleep(STOP_LISTENING_S)
+        while handler.in_progress and self._clock.monotonic() < latest_s:
+            await self._clock.sleep(POLL_S)
+
+
+def _render_metrics(metrics: Metrics) -> str:
+    record = metrics.to_record()
+    lines = [f"chiveledge_{name} {n}" for name, n in record["counters"].items()]
+    for name, summary in record["histograms"].items():
+        lines += [f"chiveledge_{name}_{key} {value}" for key, value in summary.items()]
+    lines.append(f"chiveledge_resident_mb {record['resident_mb']}")
+    lines.append(f"chiveledge_processor_s {record['processor_s']}")
+    return "\n".join(lines) + "\n"
+
+
+async def _listen(handle, endpoint: Endpoint | None) -> web.ServerRunner | None:
+    if endpoint is None:
+        return None
+    runner = web.ServerRunner(
+        web.Server(handle, access_log=None, keepalive_timeout=75), shutdown_timeout=0.5
+    )
+    await runner.setup()
+    await web.TCPSite(
+        runner, endpoint.address, endpoint.port, reuse_address=True, backlog=512
+    ).start()
+    return runner
+
+
+def main() -> int:
+    """Run a node; return the exit code."""
+    match load_settings(os.environ.get(SETTINGS_VARIABLE)):
+        case Ok(settings):
+            asyncio.run(Node(settings).run())
+            return 0
+        case Err(error):
+            print(error, file=sys.stderr, flush=True)
+            return EXIT_BAD_SETTINGS
+    raise AssertionError("unreachable")
--- /dev/null
+++ b/chiveledge/platform/_settings.py
@@ -0,0 +1,174 @@
+"""Decodes the platform's settings file into the node's own types."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, NamedTuple, TypeVar
+
+from result import Err, Ok, Result
+
+SETTINGS_VARIABLE = "CHIVELEDGE_BOOT"
+
+T = TypeVar("T")
+
+
+class Endpoint(NamedTuple):
+    """An IP address and a port."""
+
+    address: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.address}:{self.port}"
+
+
+class PlatformBounds(NamedTuple):
+    """Bounds that the platform states, in seconds.
+
+    Attributes
+    ----------
+    grace_s : float
+        Time between the two signals of a stop.
+    config_apply_s : float
+        Time in which a configuration has to be in force.
+    longest_lease_s : float
+        Longest lease that a worker grants.
+    stop_s : float
+        Time that a stop takes at the most.
+    keep_status_s : float
+        How long an ended job's state can be read.
+    machine_lease_s : float
+        Least time between orders of two holders for one machine.
+    """
+
+    grace_s: float = 6.0
+    config_apply_s: float = 2.5
+    longest_lease_s: float = 6.0
+    stop_s: float = 0.9
+    keep_status_s: float = 120.0
+    machine_lease_s: float = 3.0
+
+
+class NodeSettings(NamedTuple):
+    """What a process learns at its start."""
+
+    node: str
+    zone: str
+    region: str
+    front: Endpoint | None
+    ready: Endpoint | None
+    metrics: Endpoint | None
+    store: Endpoint
+    advice: Endpoint | None
+    bounds: PlatformBounds
+
+
+class SettingsError(NamedTuple):
+    """A settings file that can't be used."""
+
+    field: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f"settings: {self.field}: {self.remedy}"
+
+
+class _FieldError(Exception):
+    def __init__(self, field: str, remedy: str) -> None:
+        super().__init__(field)
+        self.error = SettingsError(field, remedy)
+
+
+def load_settings(path: str | None) -> Result[NodeSettings, SettingsError]:
+    """Read and check the settings file.
+
+    Parameters
+    ----------
+    path : str or None
+        Value of the variable that names the file.
+    """
+    if not path:
+        return Err(SettingsError(SETTINGS_VARIABLE, "set it to the settings file"))
+    try:
+        fields = json.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        return Err(SettingsError(path, f"make the file readable ({error.strerror})"))
+    except ValueError as error:
+        return Err(SettingsError(path, f"write valid JSON ({error})"))
+    try:
+        return Ok(_decode(_table(fields, "(top level)")))
+    except _FieldError as error:
+        return Err(error.error)
+
+
+def _decode(fields: Mapping[str, Any]) -> NodeSettings:
+    orders = fields.get("orders", "call")
+    if orders != "call":
+        raise _FieldError("orders", f"only 'call' is supported, got {orders!r}")
+    listen = _table(fields.get("listen", {}), "listen")
+    store = _table(fields.get("platform"), "platform")
+    form = store.get("form", "table")
+    if form != "table":
+        raise _FieldError("platform.form", f"only 'table' is supported, got {form!r}")
+    ip = _text(fields, "ip")
+    ports = fields.get("port_range") or []
+    return NodeSettings(
+        node=_text(fields, "node"),
+        zone=_text(fields, "zone"),
+        region=str(fields.get("region", "")),
+        front=_optional_endpoint(listen, "front", "listen.front"),
+        ready=_optional_endpoint(listen, "ready", "listen.ready"),
+        metrics=Endpoint(ip, int(ports[-1])) if ports else None,
+        store=_endpoint(store.get("address"), "platform.address"),
+        advice=_optional_endpoint(fields, "advice", "advice"),
+        bounds=_decode_bounds(_table(fields.get("bounds", {}), "bounds")),
+    )
+
+
+def _decode_bounds(fields: Mapping[str, Any]) -> PlatformBounds:
+    default = PlatformBounds()
+    return PlatformBounds(
+        grace_s=_number(fields, "grace_s", default.grace_s),
+        config_apply_s=_number(fields, "config_apply_ms", 2500) / 1000,
+        longest_lease_s=_number(fields, "hold_max_ms", 6000) / 1000,
+        stop_s=_number(fields, "stop_ms", 900) / 1000,
+        keep_status_s=_number(fields, "status_s", default.keep_status_s),
+        machine_lease_s=_number(fields, "lease_ms", 3000) / 1000,
+    )
+
+
+def _table(value: object, field: str) -> Mapping[str, Any]:
+    if not isinstance(value, dict):
+        raise _FieldError(field, "give an object")
+    return value
+
+
+def _text(fields: Mapping[str, Any], name: str) -> str:
+    value = fields.get(name)
+    if not isinstance(value, str) or not value:
+        raise _FieldError(name, f"give a text, got {value!r}")
+    return value
+
+
+def _number(fields: Mapping[str, Any], name: str, default: float) -> float:
+    value = fields.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise _FieldError(f"bounds.{name}", f"give a number, got {value!r}")
+    return float(value)
+
+
+def _optional_endpoint(
+    fields: Mapping[str, Any], name: str, field: str
+) -> Endpoint | None:
+    value = fields.get(name)
+    return _endpoint(value, field) if value else None
+
+
+def _endpoint(value: object, field: str) -> Endpoint:
+    if isinstance(value, str):
+        address, _, port = value.rpartition(":")
+        if address and port.isdecimal():
+            return Endpoint(address, int(port))
+    raise _FieldError(field, f"give ADDRESS:PORT, got {value!r}")
--- a/chiveledge/services/__init__.py
+++ b/chiveledge/services/__init__.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from chiveledge.services._http import HttpCaller
+from chiveledge.services._http import HttpCaller, SessionPool
 from chiveledge.services.errors import (
     CallError,
     Conflict,
@@ -87,6 +87,7 @@
     "Put",
     "Reservation",
     "Row",
+    "SessionPool",
     "Snapshot",
     "SyncRequest",
     "TableService",
