--- a/chiveledge/intake/__init__.py
+++ b/chiveledge/intake/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from chiveledge.intake._backoff import choose_retry_after_s
 from chiveledge.intake._board import (
     BoardEntry,
     JobBoard,
@@ -38,6 +39,7 @@
     "UnknownOutcome",
     "board_key",
     "cancel_key",
+    "choose_retry_after_s",
     "decode_entry",
     "encode_entry",
     "is_cancel_key",
--- a/chiveledge/platform/_front.py
+++ b/chiveledge/platform/_front.py
@@ -18,6 +18,7 @@
     NotFound,
     NotStored,
     UnknownOutcome,
+    choose_retry_after_s,
 )
 from chiveledge.metrics import Metrics
 from chiveledge.platform._catalogue import decode_job
@@ -29,8 +30,6 @@
 ANSWER_MARGIN_S = 0.15
 """Time that an answer needs on its way back to the caller."""
 
-RETRY_AFTER_S = 1
-
 
 class FrontHandler:
     """Answers callers.
@@ -39,8 +38,10 @@
     ----------
     catalogue : callable
         Returns the configuration in force.
-    is_current : callable
-        Whether the configuration was confirmed lately.
+    configuration_age_s : callable
+        Time since the configuration in force was confirmed.
+    trusted_age_s : float
+        Age up to which jobs are taken under it.
     is_closing : callable
         Whether connections are to end after the present answer.
     desk, board
@@ -52,7 +53,8 @@
     def __init__(
         self,
         catalogue: Callable[[], Catalogue],
-        is_current: Callable[[], bool],
+        configuration_age_s: Callable[[], float],
+        trusted_age_s: float,
         is_closing: Callable[[], bool],
         desk: JobDesk,
         board: JobBoard,
@@ -61,7 +63,8 @@
     ) -> None:
         self.in_progress = 0
         self._catalogue = catalogue
-        self._is_current = is_current
+        self._configuration_age_s = configuration_age_s
+        self._trusted_age_s = trusted_age_s
         self._is_closing = is_closing
         self._desk = desk
         self._board = board
@@ -90,7 +93,7 @@
     async def _route(self, request: web.BaseRequest) -> web.Response:
         catalogue = self._catalogue()
         if catalogue.revision == 0:
-            return _refuse("no configuration was read yet")
+            return self._refuse("no configuration was read yet")
         host = request.headers.get("Host", "").rpartition(":")
         queue = catalogue.find_queue(host[0] or host[2], request.path)
         if queue is None:
@@ -122,8 +125,8 @@
         body = await request.read()
         if len(body) > limit:
             return _plain(413, f"send at most {limit} bytes")
-        if not self._is_current():
-            return _refuse("the configuration is not confirmed")
+        if self._configuration_age_s() > self._trusted_age_s:
+            return self._refuse("the configuration is not confirmed")
         accepted_ms = int(self._clock.now().timestamp() * 1000)
         match decode_job(body, job_id, queue, workspace, accepted_ms):
             case Ok(job):
@@ -135,7 +138,7 @@
             case Accepted():
                 return web.json_response({})
             case NotStored(reason):
-                return _refuse(reason)
+                return self._refuse(reason)
             case UnknownOutcome(reason):
                 return _plain(504, reason)
         raise AssertionError("unreachable")
@@ -147,7 +150,7 @@
             case BoardEntry() | NotFound():
                 return _plain(410, "no such job")
             case UnknownOutcome(reason):
-                return _refuse(reason)
+                return self._refuse(reason)
         raise AssertionError("unreachable")
 
     async def _cancel(self, request: web.BaseRequest, job_id: str) -> web.Response:
@@ -160,6 +163,12 @@
                 return _plain(504, reason)
         raise AssertionError("unreachable")
 
+    def _refuse(self, reason: str) -> web.Response:
+        response = _plain(503, reason)
+        pause_s = choose_retry_after_s(self._configuration_age_s())
+        response.headers["Retry-After"] = str(pause_s)
+        return response
+
     def _count(self, request: web.BaseRequest, queue: Queue) -> web.Response:
         if request.method != "GET":
             return _plain(405, "use GET")
@@ -180,9 +189,3 @@
 
 def _plain(status: int, reason: str) -> web.Response:
     return web.json_response({"error": reason}, status=status)
-
-
-def _refuse(reason: str) -> web.Response:
-    response = _plain(503, reason)
-    response.headers["Retry-After"] = str(RETRY_AFTER_S)
-    return response
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -86,7 +86,8 @@
         self._follow(store)
         handler = FrontHandler(
             lambda: self._catalogue,
-            self._is_current,
+            lambda: self._configuration.age_s,
+            self._trusted_age_s,
             self._draining.is_set,
             JobDesk(store, self._board, self._clock, self._log),
             self._board,
@@ -207,15 +208,15 @@
         )
         self._catalogue = catalogue
 
-    def _is_current(self) -> bool:
-        limit_s = self._settings.bounds.config_apply_s * CURRENT_SHARE
-        return self._configuration.age_s < limit_s
+    @property
+    def _trusted_age_s(self) -> float:
+        return self._settings.bounds.config_apply_s * CURRENT_SHARE
 
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
         ready = (
             not self._draining.is_set()
             and self._catalogue.revision > 0
-            and self._is_current()
+            and self._configuration.age_s < self._trusted_age_s
         )
         return web.Response(status=200 if ready else 503)
 
--- a/tests/coordinator/cluster.py
+++ b/tests/coordinator/cluster.py
@@ -32,6 +32,7 @@
 STEP_S = 0.05
 WORKER_PREFIX = "servers/"
 SMALL = Usage(1000, 100, 1)
+CAPACITY = Usage(8000, 8000, 8)
 
 CATALOGUE = Catalogue(
     revision=1,
@@ -104,7 +105,7 @@
         workers: int = 2,
         nodes: int = 1,
         *,
-        capacity: Usage = Usage(8000, 8000, 8),
+        capacity: Usage = CAPACITY,
         timing: CoordinatorTiming | None = None,
     ) -> None:
         self.clock = ManualClock()
--- /dev/null
+++ b/tests/placement/test_preemption.py
@@ -0,0 +1,142 @@
+"""Whose work is stopped, compared with an exhaustive search on small fleets."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+
+from chiveledge.placement import choose_victims, make_plan
+from chiveledge.placement._fleet import charged_usage
+from chiveledge.placement._preemption import STOP_LOSS
+from chiveledge.workload import Usage
+from tests.placement.fleets import make_demand, make_fleet, make_run, make_worker
+
+
+def test_work_that_loses_least_is_stopped():
+    fleet = make_fleet(
+        make_worker("w1", runs=[make_run("old", "w1", 8, unsaved_s=9.0)]),
+        make_worker("w2", runs=[make_run("new", "w2", 8, unsaved_s=0.5)]),
+    )
+    found = choose_victims(fleet, make_demand(priority=0, accelerators=8))
+    assert found.groups == {"new.0.0.0"}
+
+
+def test_members_of_a_gang_count_together():
+    gang = [
+        make_run("g", f"w{i}", 8, index=i, unsaved_s=1.0, gang=True) for i in (1, 2)
+    ]
+    fleet = make_fleet(
+        make_worker("w1", runs=gang[:1]),
+        make_worker("w2", runs=gang[1:]),
+        make_worker("w3", runs=[make_run("one", "w3", 8, unsaved_s=1.5)]),
+    )
+    found = choose_victims(fleet, make_demand(priority=0, accelerators=8))
+    assert found.groups == {"one.0.0.0"}
+
+
+@pytest.mark.parametrize("options", [{"priority": 0}, {"movable": False}])
+def test_equal_or_fixed_work_is_never_stopped(options):
+    run = make_run("a", "w1", 8, **options)
+    fleet = make_fleet(make_worker("w1", runs=[run]))
+    assert choose_victims(fleet, make_demand(priority=0, accelerators=8)) is None
+
+
+def test_plan_promises_room_only_once():
+    fleet = make_fleet(make_worker("w1", runs=[make_run("a", "w1", 8)]))
+    demands = [
+        make_demand(f"u{i}", priority=0, accelerators=8, due_s=float(i))
+        for i in range(2)
+    ]
+    plan = make_plan(fleet, demands)
+    assert [claim.demand.job_id for claim in plan.claims] == ["u0"]
+
+
+def test_less_urgent_work_stops_nobody():
+    fleet = make_fleet(make_worker("w1", runs=[make_run("a", "w1", 8)]))
+    plan = make_plan(fleet, [make_demand(priority=1, accelerators=8)])
+    assert plan.claims == []
+    assert plan.starts == []
+
+
+def search_exhaustively(fleet, demand) -> float | None:
+    """Return the least loss over all sets of groups, or None if none is enough."""
+    groups = [
+        name
+        for name, runs in fleet.groups.items()
+        if all(run.movable and run.priority > demand.priority for run in runs)
+    ]
+    best = None
+    for size in range(len(groups) + 1):
+        for chosen in itertools.combinations(groups, size):
+            free = {worker.name: worker.free for worker in fleet.workers.values()}
+            for run in itertools.chain(*(fleet.groups[name] for name in chosen)):
+                free[run.worker] = free[run.worker].plus(run.usage)
+            usage = charged_usage(demand.step)
+            room = sum(usage.count_in(left) for left in free.values())
+            if room >= len(demand.indices):
+                loss = sum(
+                    STOP_LOSS + sum(run.loss for run in fleet.groups[name])
+                    for name in chosen
+                )
+                best = loss if best is None else min(best, loss)
+    return best
+
+
+def make_random_fleet(rng: random.Random):
+    workers = []
+    for number in range(3):
+        runs = []
+        left = Usage(32000, 64000, 8)
+        for index in range(rng.randint(0, 4)):
+            usage = Usage(
+                rng.choice([1000, 4000, 13000]),
+                rng.choice([2000, 6000, 34000]),
+                rng.choice([0, 1, 2, 4]),
+            )
+            if usage.fits(left):
+                left = left.minus(usage)
+                job = f"j{number}{index}"
+                runs.append(
+                    make_run(
+                        job,
+                        f"w{number}",
+                        usage=usage,
+                        priority=rng.choice([0, 1, 2, 2]),
+                        unsaved_s=rng.uniform(0, 10),
+                    )
+                )
+        workers.append(make_worker(f"w{number}", runs=runs))
+    return make_fleet(*workers)
+
+
+LOSS_RATIO = 2.0
+"""The greedy choice may lose this many times what the best one loses."""
+
+
+@pytest.mark.parametrize("seed", range(150))
+def test_choice_is_feasible_and_close_to_the_best(seed):
+    rng = random.Random(seed)
+    fleet = make_random_fleet(rng)
+    demand = make_demand(
+        count=rng.randint(1, 3),
+        priority=0,
+        usage=Usage(3700, 5500, rng.choice([1, 2, 4, 8])),
+        gang=True,
+    )
+    best = search_exhaustively(fleet, demand)
+    found = choose_victims(fleet, demand)
+    assert (found is None) == (best is None)
+    if found is None:
+        return
+    assert len(found.placements) == len(demand.indices)
+    free = {worker.name: worker.free for worker in fleet.workers.values()}
+    for name in found.groups:
+        for run in fleet.groups[name]:
+            assert run.priority > demand.priority
+            free[run.worker] = free[run.worker].plus(run.usage)
+    for placement in found.placements:
+        assert demand.step.usage.fits(free[placement.worker])
+        free[placement.worker] = free[placement.worker].minus(demand.step.usage)
+    assert found.loss <= LOSS_RATIO * best + 1e-6
--- /dev/null
+++ b/tests/placement/test_suspicion.py
@@ -0,0 +1,40 @@
+"""Workers that fail everything are avoided; jobs that fail everywhere blame nobody."""
+
+from __future__ import annotations
+
+from chiveledge.placement import WorkerSuspicion
+from chiveledge.placement._suspicion import AVOID_S
+
+
+def test_worker_that_fails_different_jobs_is_avoided_then_probed():
+    suspicion = WorkerSuspicion()
+    suspicion.note_failure("w1", "a", 0.0)
+    assert suspicion.avoided(0.0, 24) == set()
+    suspicion.note_failure("w1", "b", 1.0)
+    assert suspicion.avoided(1.0, 24) == {"w1"}
+    assert suspicion.probing(1.0 + AVOID_S) == {"w1"}
+    suspicion.note_success("w1")
+    assert suspicion.probing(1.0 + AVOID_S) == set()
+
+
+def test_job_that_fails_everywhere_blames_no_worker():
+    suspicion = WorkerSuspicion()
+    for number in range(6):
+        suspicion.note_failure(f"w{number}", "poison", 0.0)
+        suspicion.note_failure(f"w{number}", "poison", 0.0)
+    assert suspicion.avoided(0.0, 24) == set()
+
+
+def test_success_between_failures_clears_a_worker():
+    suspicion = WorkerSuspicion()
+    suspicion.note_failure("w1", "a", 0.0)
+    suspicion.note_success("w1")
+    suspicion.note_failure("w1", "b", 1.0)
+    assert suspicion.avoided(1.0, 24) == set()
+
+
+def test_never_all_workers_are_avoided():
+    suspicion = WorkerSuspicion()
+    for number in range(24):
+        suspicion.note_stall(f"w{number}", 0.0)
+    assert len(suspicion.avoided(0.0, 24)) == 8
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -59,7 +59,7 @@
 
     def __init__(self) -> None:
         self.catalogue = decode_catalogue(json.dumps(CONFIGURATION)).unwrap()
-        self.current = True
+        self.age_s = 0.0
         clock = SystemClock()
         self.table = MemoryTable(clock)
         self.board = JobBoard()
@@ -68,7 +68,8 @@
         )
         self.handler = FrontHandler(
             lambda: self.catalogue,
-            lambda: self.current,
+            lambda: self.age_s,
+            2.0,
             lambda: False,
             JobDesk(self.table, self.board, clock, SilentLog()),
             self.board,
@@ -176,7 +177,7 @@
 
 
 async def test_node_with_an_unconfirmed_configuration_takes_no_job(front):
-    front.current = False
+    front.age_s = 2.5
     assert (await front.call("POST", f"/q/{ID}", JOB))[0] == 503
     assert not front.table.rows
 
@@ -186,3 +187,11 @@
         limits=front.catalogue.limits._replace(body_bytes=100)
     )
     assert (await front.call("POST", f"/q/{ID}", JOB))[0] == 413
+
+
+@pytest.mark.parametrize("age_s,pause", [(0.1, "1"), (3.4, "3"), (60.0, "5")])
+async def test_pause_grows_with_the_outage(front, age_s, pause):
+    front.age_s = age_s
+    front.table.faults.down = True
+    status, _, headers = await front.call("POST", f"/q/{ID}", JOB)
+    assert (status, headers["Retry-After"]) == (503, pause)
--- /dev/null
+++ b/tests/test_decision_log.py
@@ -0,0 +1,40 @@
+"""Lines are JSON, bounded, and never block the process."""
+
+from __future__ import annotations
+
+import json
+import os
+
+from chiveledge.clock import ManualClock
+from chiveledge.decision_log import JsonLog
+
+
+def read_lines(descriptor: int) -> list[dict]:
+    return [json.loads(line) for line in os.read(descriptor, 1 << 20).splitlines()]
+
+
+def test_budget_drops_and_counts_lines():
+    reader, writer = os.pipe()
+    clock = ManualClock()
+    log = JsonLog("n1", clock, descriptor=writer, lines_per_second=3)
+    for number in range(10):
+        log.write("part", "event", id=f"j{number}")
+    clock.jump(1.0)
+    log.write("part", "event", id="later")
+    lines = read_lines(reader)
+    assert [line["event"] for line in lines] == ["event"] * 3 + [
+        "lines_dropped",
+        "event",
+    ]
+    assert lines[3]["count"] == 7
+    assert lines[0]["node"] == "n1"
+    assert lines[0]["id"] == "j0"
+
+
+def test_full_pipe_does_not_block():
+    reader, writer = os.pipe()
+    log = JsonLog("n1", ManualClock(), descriptor=writer, lines_per_second=10**9)
+    for number in range(5000):
+        log.write("part", "event", id=f"j{number}", filler="x" * 100)
+    os.close(reader)
+    log.write("part", "event")
