A worker that fails a wide job's tasks is doubted; tasks that failed avoid it

Now tasks count, jobs that fail on two workers without any success clear the blame, workers in doubt come last and tasks that failed before wait up to 2.5 s for another. Tests seen failing before the change: test_suspicion.py (wide job), test_job_path.py (attempts).

--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -26,6 +26,10 @@
 )
 
 
+DOUBT_PATIENCE_S = 2.5
+"""How long a task that failed before waits for a worker that is in no doubt."""
+
+
 class JobPolicy(NamedTuple):
     """Policy of a job's queue now, or as it was if the queue is gone."""
 
@@ -66,6 +70,7 @@
     links = list(links)
     avoided = suspicion.avoided(now_s, len(links))
     probing = suspicion.probing(now_s)
+    doubted = suspicion.doubted()
     return FleetView(
         _view_worker(
             link,
@@ -74,6 +79,7 @@
             promised.get(link.name, Usage()),
             _is_accepting(link, now_s) and link.name not in avoided,
             link.name in probing,
+            link.name in doubted,
             now_s,
         )
         for link in links
@@ -98,6 +104,7 @@
     promised: Usage,
     accepting: bool,
     probing: bool,
+    doubted: bool,
     now_s: float,
 ) -> WorkerView:
     runs = []
@@ -117,6 +124,7 @@
         free=link.entry.capacity.minus(link.used).minus(promised),
         accepting=accepting,
         probing=probing,
+        doubted=doubted,
         serving=serving,
         filling=filling,
         runs=runs,
@@ -189,29 +197,43 @@
                 if not job.step_ready(occurrence, number):
                     continue
                 progress = job.open_occurrence(occurrence)[number]
-                indices = _waiting_indices(
+                waiting = _waiting_indices(
                     job.job_id, occurrence, number, progress, step.gang, claimed
                 )
-                if not indices:
-                    continue
-                yield StepDemand(
-                    job_id=job.job_id,
-                    occurrence=occurrence,
-                    step_number=number,
-                    step=step,
-                    service=policy.service,
-                    priority=policy.priority,
-                    indices=indices,
-                    guaranteed=job.job_id in guaranteed,
-                    due_s=objective_s - age_s,
-                    hopeless_s=WORTHLESS_OBJECTIVES * objective_s - age_s,
-                    waited_s=_longest_wait_s(progress, indices, now_s),
-                    near=frozenset(
-                        racks.get(task.run.worker, "")
-                        for task in progress.tasks
-                        if task.run
-                    ),
-                )
+                for indices, failed in _split_failed(progress, waiting, step.gang):
+                    waited_s = _longest_wait_s(progress, indices, now_s)
+                    yield StepDemand(
+                        job_id=job.job_id,
+                        occurrence=occurrence,
+                        step_number=number,
+                        step=step,
+                        service=policy.service,
+                        priority=policy.priority,
+                        indices=indices,
+                        guaranteed=job.job_id in guaranteed,
+                        due_s=objective_s - age_s,
+                        hopeless_s=WORTHLESS_OBJECTIVES * objective_s - age_s,
+                        waited_s=waited_s,
+                        near=frozenset(
+                            racks.get(task.run.worker, "")
+                            for task in progress.tasks
+                            if task.run
+                        ),
+                        careful=failed and waited_s < DOUBT_PATIENCE_S,
+                    )
+
+
+def _split_failed(
+    progress: StepProgress, waiting: tuple[int, ...], gang: bool
+) -> Iterator[tuple[tuple[int, ...], bool]]:
+    """Yield tasks without and with earlier failures apart; a gang stays whole."""
+    failed = {index for index in waiting if progress.tasks[index].failures}
+    if gang:
+        groups = [(waiting, bool(failed))]
+    else:
+        fresh = tuple(index for index in waiting if index not in failed)
+        groups = [(fresh, False), (tuple(sorted(failed)), True)]
+    yield from ((indices, careful) for indices, careful in groups if indices)
 
 
 def _waiting_indices(
--- a/chiveledge/coordinator/_settlement.py
+++ b/chiveledge/coordinator/_settlement.py
@@ -199,7 +199,7 @@
         self._metrics.count(f"runs_{how}")
         match how:
             case RunEnd.DONE:
-                self._suspicion.note_success(link.name)
+                self._suspicion.note_success(link.name, tracked.name)
                 if not tracked.adopted:
                     took_s = now_s - tracked.run.began_s
                     self._run_times.note(job.request, step, took_s)
@@ -208,7 +208,8 @@
                     for each in finished:
                         each.done = True
             case RunEnd.FAILED:
-                self._suspicion.note_failure(link.name, job.job_id, now_s)
+                self._suspicion.note_failure(link.name, tracked.name, now_s)
+                task.failed_on = (*task.failed_on, link.name)
                 self._count_failure(job, tracked)
         if step.gang and how is not RunEnd.DONE and not task.done:
             self._stop_members(job, tracked, how)
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -56,6 +56,8 @@
         Whether new work may go there.
     probing : bool
         Whether it is under suspicion and gets one task at a time.
+    doubted : bool
+        Whether something failed there since its last success.
     """
 
     name: WorkerName
@@ -66,6 +68,7 @@
     free: Usage
     accepting: bool = True
     probing: bool = False
+    doubted: bool = False
     serving: bool = False
     filling: bool = False
     runs: list[RunView] = field(default_factory=list)
@@ -90,14 +93,28 @@
                 self.groups[run.group].append(run)
 
     def candidates(
-        self, service: str, step: Step, allowed: frozenset[WorkerName] | None
+        self,
+        service: str,
+        step: Step,
+        *,
+        allowed: frozenset[WorkerName] | None = None,
+        careful: bool = False,
     ) -> list[WorkerView]:
-        """Return the workers on which a step's tasks may run, full or not."""
+        """Return the workers on which a step's tasks may run, full or not.
+
+        Parameters
+        ----------
+        allowed : frozenset of str, optional
+            The only workers that may be chosen.
+        careful : bool, optional
+            Whether workers that are doubted are left out.
+        """
         return [
             worker
             for worker in self.workers.values()
             if worker.service == service
             and worker.accepting
+            and not (careful and worker.doubted)
             and (not step.required_label or step.required_label in worker.labels)
             and (allowed is None or worker.name in allowed)
             and not (step.filler and worker.serving)
--- a/chiveledge/placement/_order.py
+++ b/chiveledge/placement/_order.py
@@ -34,6 +34,9 @@
         Racks on which tasks of the step run already.
     allowed : frozenset of str, optional
         Workers that the advice service allows; None for all.
+    careful : bool
+        Whether the tasks have failed before, so that a worker in doubt could
+        cost them their last attempt.
     """
 
     job_id: str
@@ -49,6 +52,7 @@
     waited_s: float = 0.0
     near: frozenset[str] = frozenset()
     allowed: frozenset[WorkerName] | None = None
+    careful: bool = False
 
     @property
     def step_name(self) -> str:
--- a/chiveledge/placement/_packing.py
+++ b/chiveledge/placement/_packing.py
@@ -33,7 +33,9 @@
     list of Placement
         For a gang all tasks or none; else as many as there is room for.
     """
-    candidates = fleet.candidates(demand.service, demand.step, demand.allowed)
+    candidates = fleet.candidates(
+        demand.service, demand.step, allowed=demand.allowed, careful=demand.careful
+    )
     free = {worker.name: worker.free for worker in candidates}
     pools = list_pools(candidates, demand)
     if demand.step.gang:
@@ -117,7 +119,7 @@
 ) -> tuple[bool, int, int, int, str]:
     left = free.minus(usage)
     return (
-        worker.probing,
+        worker.doubted,
         left.accelerators,
         left.memory_mb,
         left.millicores,
--- a/chiveledge/placement/_preemption.py
+++ b/chiveledge/placement/_preemption.py
@@ -124,7 +124,9 @@
         The choice with the least loss found, or None if stopping everything
         weaker would not be enough.
     """
-    candidates = fleet.candidates(demand.service, demand.step, demand.allowed)
+    candidates = fleet.candidates(
+        demand.service, demand.step, allowed=demand.allowed, careful=demand.careful
+    )
     best: Eviction | None = None
     for pool in list_pools(candidates, demand):
         found = _try_pool(fleet, demand, pool)
--- a/chiveledge/placement/_suspicion.py
+++ b/chiveledge/placement/_suspicion.py
@@ -1,9 +1,9 @@
-"""Which workers are avoided: those that fail what other workers do well.
+"""Which workers are doubted: those that fail what other workers do well.
 
 Load answered: a worker that fails or stalls all that it starts while it looks
-healthy. A job that fails everywhere must not put blame on the workers, so failures
-of one job count once for a worker, and a job with failures on other workers counts
-for nothing.
+healthy. Every task that failed there since its last success counts, whatever its
+job, so that one wide job is enough to find it. A job that fails on several workers
+and ends well on none is at fault itself and puts blame on nobody.
 """
 
 from __future__ import annotations
@@ -11,9 +11,10 @@
 from dataclasses import dataclass, field
 
 from chiveledge.types import JobId, WorkerName
+from chiveledge.workload import TaskName
 
-FAILED_JOBS_LIMIT = 2
-"""Different jobs that must fail on a worker in a row before it is avoided."""
+FAILED_TASKS_LIMIT = 2
+"""Different tasks that must fail on a worker in a row before it is avoided."""
 
 AVOID_S = 6.0
 """How long a worker is avoided before it gets one task as a probe."""
@@ -23,50 +24,66 @@
 
 
 @dataclass
-class _Record:
-    failed_jobs: set[JobId] = field(default_factory=set)
+class _WorkerRecord:
+    failed: set[TaskName] = field(default_factory=set)
     avoided_since_s: float | None = None
 
 
+@dataclass
+class _JobRecord:
+    failed_on: set[WorkerName] = field(default_factory=set)
+    ended_well: bool = False
+
+    @property
+    def at_fault(self) -> bool:
+        return len(self.failed_on) > 1 and not self.ended_well
+
+
 class WorkerSuspicion:
     """Counts how runs end on each worker."""
 
     def __init__(self) -> None:
-        self._records: dict[WorkerName, _Record] = {}
-        self._job_failures: dict[JobId, set[WorkerName]] = {}
+        self._workers: dict[WorkerName, _WorkerRecord] = {}
+        self._jobs: dict[JobId, _JobRecord] = {}
 
-    def note_success(self, worker: WorkerName) -> None:
+    def note_success(self, worker: WorkerName, task: TaskName) -> None:
         """A run ended well: the worker is sound."""
-        self._records.pop(worker, None)
+        self._workers.pop(worker, None)
+        self._jobs.setdefault(task.job_id, _JobRecord()).ended_well = True
 
-    def note_failure(self, worker: WorkerName, job_id: JobId, now_s: float) -> None:
+    def note_failure(self, worker: WorkerName, task: TaskName, now_s: float) -> None:
         """A run failed by its own fault or the worker's."""
-        workers = self._job_failures.setdefault(job_id, set())
-        workers.add(worker)
-        if len(workers) > 1:
+        job = self._jobs.setdefault(task.job_id, _JobRecord())
+        job.failed_on.add(worker)
+        if job.at_fault:
+            self._clear_blame(task.job_id)
             return
-        record = self._records.setdefault(worker, _Record())
-        record.failed_jobs.add(job_id)
-        if len(record.failed_jobs) >= FAILED_JOBS_LIMIT:
+        record = self._workers.setdefault(worker, _WorkerRecord())
+        record.failed.add(task)
+        if len(record.failed) >= FAILED_TASKS_LIMIT:
             record.avoided_since_s = now_s
 
     def note_stall(self, worker: WorkerName, now_s: float) -> None:
         """A run made no progress at all."""
-        self._records.setdefault(worker, _Record()).avoided_since_s = now_s
+        self._workers.setdefault(worker, _WorkerRecord()).avoided_since_s = now_s
 
     def forget_worker(self, worker: WorkerName) -> None:
         """The worker started anew."""
-        self._records.pop(worker, None)
+        self._workers.pop(worker, None)
 
     def forget_job(self, job_id: JobId) -> None:
         """The job has ended."""
-        self._job_failures.pop(job_id, None)
+        self._jobs.pop(job_id, None)
+
+    def doubted(self) -> set[WorkerName]:
+        """Return the workers that failed something since their last success."""
+        return set(self._workers)
 
     def avoided(self, now_s: float, total: int) -> set[WorkerName]:
         """Return the workers that get nothing now, the latest suspects first."""
         rows = [
             (record.avoided_since_s, name)
-            for name, record in self._records.items()
+            for name, record in self._workers.items()
             if record.avoided_since_s is not None
             and now_s < record.avoided_since_s + AVOID_S
         ]
@@ -77,7 +94,19 @@
         """Return the workers that were avoided and have not succeeded since."""
         return {
             name
-            for name, record in self._records.items()
+            for name, record in self._workers.items()
             if record.avoided_since_s is not None
             and now_s >= record.avoided_since_s + AVOID_S
         }
+
+    def _clear_blame(self, job_id: JobId) -> None:
+        """Take back what a job at fault has put on workers."""
+        for name, record in list(self._workers.items()):
+            blamed = {task for task in record.failed if task.job_id == job_id}
+            if not blamed:
+                continue
+            record.failed -= blamed
+            if not record.failed:
+                del self._workers[name]
+            elif len(record.failed) < FAILED_TASKS_LIMIT:
+                record.avoided_since_s = None
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -217,3 +217,13 @@
     await cluster.advance(4)
     assert cluster.state("j1") is JobState.COMPLETED
     assert not cluster.workers["w0"].faults.started
+
+
+async def test_worker_that_fails_everything_does_not_use_up_the_attempts(make_cluster):
+    cluster = make_cluster(workers=3)
+    await cluster.advance(0.5)
+    cluster.workers["w0"].faults.fails = True
+    await cluster.submit("j1", Step(count=12, usage=SMALL), work_s=0.5)
+    await cluster.advance(8)
+    assert cluster.state("j1") is JobState.COMPLETED
+    assert len(cluster.workers["w0"].faults.started) <= 8
--- a/tests/placement/test_packing.py
+++ b/tests/placement/test_packing.py
@@ -91,3 +91,17 @@
     fleet = make_fleet(make_worker("w1"), make_worker("w2"))
     demand = make_demand(count=2, allowed=frozenset({"w2"}))
     assert places(fleet, demand) == ["w2", "w2"]
+
+
+def test_task_that_failed_before_avoids_workers_in_doubt():
+    fleet = make_fleet(make_worker("w1", doubted=True))
+    assert places(fleet, make_demand(careful=True)) == []
+    assert places(fleet, make_demand()) == ["w1"]
+
+
+def test_workers_in_doubt_come_last():
+    fleet = make_fleet(
+        make_worker("w1", doubted=True, runs=[make_run("a", "w1", 7)]),
+        make_worker("w2"),
+    )
+    assert places(fleet, make_demand(count=2)) == ["w2", "w2"]
--- a/tests/placement/test_suspicion.py
+++ b/tests/placement/test_suspicion.py
@@ -4,32 +4,48 @@
 
 from chiveledge.placement import WorkerSuspicion
 from chiveledge.placement._suspicion import AVOID_S
+from chiveledge.workload import TaskName
+
+
+def task(job: str, index: int = 0) -> TaskName:
+    return TaskName(job, 0, 0, index)
 
 
 def test_worker_that_fails_different_jobs_is_avoided_then_probed():
     suspicion = WorkerSuspicion()
-    suspicion.note_failure("w1", "a", 0.0)
+    suspicion.note_failure("w1", task("a"), 0.0)
     assert suspicion.avoided(0.0, 24) == set()
-    suspicion.note_failure("w1", "b", 1.0)
+    assert suspicion.doubted() == {"w1"}
+    suspicion.note_failure("w1", task("b"), 1.0)
     assert suspicion.avoided(1.0, 24) == {"w1"}
     assert suspicion.probing(1.0 + AVOID_S) == {"w1"}
-    suspicion.note_success("w1")
+    suspicion.note_success("w1", task("c"))
     assert suspicion.probing(1.0 + AVOID_S) == set()
+    assert suspicion.doubted() == set()
+
+
+def test_worker_that_fails_many_tasks_of_one_job_is_avoided():
+    suspicion = WorkerSuspicion()
+    suspicion.note_success("w2", task("wide", 9))
+    for index in range(4):
+        suspicion.note_failure("w1", task("wide", index), 0.0)
+    assert suspicion.avoided(0.0, 24) == {"w1"}
 
 
 def test_job_that_fails_everywhere_blames_no_worker():
     suspicion = WorkerSuspicion()
     for number in range(6):
-        suspicion.note_failure(f"w{number}", "poison", 0.0)
-        suspicion.note_failure(f"w{number}", "poison", 0.0)
+        suspicion.note_failure(f"w{number}", task("poison", 0), 0.0)
+        suspicion.note_failure(f"w{number}", task("poison", 1), 0.0)
     assert suspicion.avoided(0.0, 24) == set()
+    assert suspicion.doubted() == set()
 
 
 def test_success_between_failures_clears_a_worker():
     suspicion = WorkerSuspicion()
-    suspicion.note_failure("w1", "a", 0.0)
-    suspicion.note_success("w1")
-    suspicion.note_failure("w1", "b", 1.0)
+    suspicion.note_failure("w1", task("a"), 0.0)
+    suspicion.note_success("w1", task("c"))
+    suspicion.note_failure("w1", task("b"), 1.0)
     assert suspicion.avoided(1.0, 24) == set()
 
 
