A leader that starts again takes its own leadership back at once

The row names the holder's process; a new incarnation of the same process shows that the earlier one has ended. Fences hold what a wrong name would do. Test: test_leadership.py, seen failing.

--- a/chiveledge/leadership.py
+++ b/chiveledge/leadership.py
@@ -108,6 +108,7 @@
         self._timeline = timeline
         self._timing = timing
         self._rank = standby_rank
+        self._knows_holder = False
         self._epoch = 0
         self._fence: Check | None = None
         self._renewal_version = 0
@@ -161,11 +162,15 @@
                 # The counter can't be seen, so its standing still proves nothing.
                 self._sighting = None
                 return False
-        if not self._has_lapsed(renewal, asked_s):
+        lapsed = self._has_lapsed(renewal, asked_s)
+        if not lapsed and self._knows_holder:
             return False
         match await self._table.read(leadership_key(self._region)):
             case Ok(holder):
-                return await self._take_over(holder, renewal)
+                self._knows_holder = True
+                if lapsed or self._was_own(holder):
+                    return await self._take_over(holder, renewal)
+                return False
             case Err(_):
                 return False
         raise AssertionError("unreachable")
@@ -212,6 +217,13 @@
             wait_s += self._timing.leader_lease_s
         return wait_s == 0.0 or asked_s - self._sighting.since_s >= wait_s
 
+    def _was_own(self, holder: Row | None) -> bool:
+        """Whether an earlier life of this process held the lease; it is gone."""
+        record = _decode(holder)
+        return (
+            record.holder == self._process and record.incarnation != self._incarnation
+        )
+
     async def _take_over(self, holder: Row | None, renewal: Row | None) -> bool:
         before = _decode(holder)
         record = LeadershipRecord(before.epoch + 1, self._process, self._incarnation)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -50,6 +50,11 @@
                     await leadership.challenge()
             await self.clock.sleep(self.timing.leader_renew_s)
 
+    async def clock_advance(self, work):
+        task = asyncio.ensure_future(work)
+        await self.clock.advance(STEP_S)
+        return task.result()
+
     async def step_until(self, done, within_s):
         started_s = self.clock.monotonic()
         while not done():
@@ -189,3 +194,16 @@
         assert (await commit_fenced(race, first, "job")).is_ok()
 
     run_race(work)
+
+
+def test_holder_that_starts_again_takes_over_without_waiting():
+    async def work(race, start):
+        first = race.make("a")
+        assert await race.clock_advance(first.challenge())
+        again = race.make("a", rank=3)
+        assert await race.clock_advance(again.challenge())
+        assert again.epoch == first.epoch + 1
+        other = race.make("b")
+        assert not await race.clock_advance(other.challenge())
+
+    run_race(work)
