Workers that become slow are found from progress and come last

Members' percents differ at the first look. Ruled out: waiting for the others of the gang (they stood at 100). A run is compared with its siblings on other workers, else with the queue's usual time.

--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -25,7 +25,6 @@
     Usage,
 )
 
-
 DOUBT_PATIENCE_S = 2.5
 """How long a task that failed before waits for a worker that is in no doubt."""
 
@@ -57,6 +56,7 @@
     jobs: dict[str, JobProgress],
     catalogue: Catalogue,
     suspicion: WorkerSuspicion,
+    slow: set[str],
     promised: dict[str, Usage],
     now_s: float,
 ) -> FleetView:
@@ -64,6 +64,8 @@
 
     Parameters
     ----------
+    slow : set of str
+        Workers that run slowly now.
     promised : dict
         Room on each worker that is promised to tasks that wait for stops.
     """
@@ -80,6 +82,7 @@
             _is_accepting(link, now_s) and link.name not in avoided,
             link.name in probing,
             link.name in doubted,
+            link.name in slow,
             now_s,
         )
         for link in links
@@ -105,6 +108,7 @@
     accepting: bool,
     probing: bool,
     doubted: bool,
+    slow: bool,
     now_s: float,
 ) -> WorkerView:
     runs = []
@@ -125,6 +129,7 @@
         accepting=accepting,
         probing=probing,
         doubted=doubted,
+        slow=slow,
         serving=serving,
         filling=filling,
         runs=runs,
--- a/chiveledge/coordinator/_reign.py
+++ b/chiveledge/coordinator/_reign.py
@@ -21,7 +21,13 @@
 from chiveledge.intake._desk import CANCEL_SUFFIX, INBOX_PREFIX
 from chiveledge.leadership import Leadership
 from chiveledge.metrics import Metrics
-from chiveledge.placement import Claim, StepDemand, WorkerSuspicion, make_plan
+from chiveledge.placement import (
+    Claim,
+    StepDemand,
+    WorkerSpeeds,
+    WorkerSuspicion,
+    make_plan,
+)
 from chiveledge.placement._fleet import charged_usage
 from chiveledge.services import Row, WatchedTable
 from chiveledge.services.task_worker import (
@@ -120,6 +126,7 @@
         self.jobs: dict[str, JobProgress] = {}
         self.links: dict[str, WorkerLink] = {}
         self.suspicion = WorkerSuspicion()
+        self.speeds = WorkerSpeeds()
         self.run_times = RunTimes()
         self._ledger = Ledger(
             context.table,
@@ -449,12 +456,15 @@
     def _plan(self) -> None:
         now_s = self._clock.monotonic()
         self._settlement.stop_stalled(self.links, now_s)
+        for name in self.speeds.update(self._settlement.list_paces(self.links), now_s):
+            self._log.write("workers", "slow", worker=name)
         promised, claimed = self._review_claims(now_s)
         fleet = view_fleet(
             self.links.values(),
             self.jobs,
             self._context.catalogue(),
             self.suspicion,
+            self.speeds.slow(now_s, len(self.links)),
             promised,
             now_s,
         )
--- a/chiveledge/coordinator/_settlement.py
+++ b/chiveledge/coordinator/_settlement.py
@@ -11,7 +11,7 @@
 from chiveledge.coordinator._orders import OrderDesk
 from chiveledge.coordinator._runtimes import RunTimes
 from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
-from chiveledge.placement import WorkerSuspicion
+from chiveledge.placement import RunPace, WorkerSuspicion
 from chiveledge.services.task_worker import EndedTask, HoldReport, RunningTask
 from chiveledge.workload import JobProgress, JobState, RunEnd, RunState
 
@@ -125,6 +125,23 @@
                     self._suspicion.note_stall(link.name, now_s)
                     self._orders.stop(link, tracked, "it makes no progress")
 
+    def list_paces(self, links: dict[str, WorkerLink]) -> list[RunPace]:
+        """Return the pace of all runs that work and have not come to their end."""
+        paces = []
+        for link in links.values():
+            for tracked in link.runs.values():
+                rate = tracked.percent_per_s
+                percent = tracked.run.percent
+                if rate is None or tracked.stopping or percent >= ALL_DONE_PERCENT:
+                    continue
+                request = self._jobs[tracked.name.job_id].request
+                if request.steps[tracked.name.step].lasting:
+                    continue
+                usual_s = self._run_times.usual_s(request)
+                usual = ALL_DONE_PERCENT / usual_s if usual_s else 0.0
+                paces.append(RunPace(link.name, tracked.name.step_name, rate, usual))
+        return paces
+
     def _is_stalled(self, tracked: TrackedRun, now_s: float) -> bool:
         run = tracked.run
         step = self._jobs[tracked.name.job_id].request.steps[tracked.name.step]
@@ -151,6 +168,7 @@
             if tracked.settled_s is None:
                 tracked.settled_s = now_s
             self._orders.note_begun(tracked)
+        tracked.note_percent(row.percent, now_s)
         if row.percent != run.percent:
             run.percent = row.percent
             run.last_gain_s = now_s
--- a/chiveledge/coordinator/_timing.py
+++ b/chiveledge/coordinator/_timing.py
@@ -34,7 +34,7 @@
     renew_s: float = 0.4
     challenge_s: float = 0.4
     work_lease_s: float = 6.0
-    hold_busy_s: float = 1.0
+    hold_busy_s: float = 0.5
     hold_idle_s: float = 2.0
     order_timeout_s: float = 0.8
     stop_s: float = 0.9
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from dataclasses import dataclass, field
 
 from chiveledge.services.task_worker import HoldReport, TaskWorker, WorkerEntry
@@ -13,6 +14,11 @@
 """A worker's clock may run this much slower than ours."""
 
 
+MARKS_KEPT = 8
+RATE_SPAN_S = 0.4
+"""Least time over which a rate is taken, as percents are whole numbers."""
+
+
 @dataclass(eq=False)
 class TrackedRun:
     """An open run and what decides when it is gone.
@@ -35,6 +41,24 @@
     settled_s: float | None = None
     stopping: bool = False
     adopted: bool = False
+    marks: deque[tuple[float, int]] = field(
+        default_factory=lambda: deque(maxlen=MARKS_KEPT)
+    )
+
+    def note_percent(self, percent: int, now_s: float) -> None:
+        """Remember how far the run has come."""
+        self.marks.append((now_s, percent))
+
+    @property
+    def percent_per_s(self) -> float | None:
+        """Rate over the last looks; None if they span too little time."""
+        if len(self.marks) < 2:
+            return None
+        newest_s, newest = self.marks[-1]
+        for began_s, percent in reversed(self.marks):
+            if newest_s - began_s >= RATE_SPAN_S:
+                return (newest - percent) / (newest_s - began_s)
+        return None
 
 
 @dataclass(eq=False)
--- a/chiveledge/placement/__init__.py
+++ b/chiveledge/placement/__init__.py
@@ -11,6 +11,7 @@
 from chiveledge.placement._packing import Placement, place_step
 from chiveledge.placement._plan import Claim, Plan, make_plan
 from chiveledge.placement._preemption import choose_victims
+from chiveledge.placement._speed import RunPace, WorkerSpeeds, estimate_speeds
 from chiveledge.placement._suspicion import WorkerSuspicion
 
 __all__ = [
@@ -18,11 +19,14 @@
     "FleetView",
     "Placement",
     "Plan",
+    "RunPace",
     "RunView",
     "StepDemand",
+    "WorkerSpeeds",
     "WorkerSuspicion",
     "WorkerView",
     "choose_victims",
+    "estimate_speeds",
     "find_guaranteed_jobs",
     "make_plan",
     "place_step",
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -58,6 +58,8 @@
         Whether it is under suspicion and gets one task at a time.
     doubted : bool
         Whether something failed there since its last success.
+    slow : bool
+        Whether its runs come forward slowly now.
     """
 
     name: WorkerName
@@ -69,6 +71,7 @@
     accepting: bool = True
     probing: bool = False
     doubted: bool = False
+    slow: bool = False
     serving: bool = False
     filling: bool = False
     runs: list[RunView] = field(default_factory=list)
--- a/chiveledge/placement/_packing.py
+++ b/chiveledge/placement/_packing.py
@@ -119,7 +119,7 @@
 ) -> tuple[bool, int, int, int, str]:
     left = free.minus(usage)
     return (
-        worker.doubted,
+        worker.doubted or worker.slow,
         left.accelerators,
         left.memory_mb,
         left.millicores,
--- /dev/null
+++ b/tests/placement/test_speed.py
@@ -0,0 +1,59 @@
+"""Workers that become slow are found within a look or two, and only they."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from chiveledge.placement import RunPace, WorkerSpeeds, place_step
+from tests.placement.fleets import make_demand, make_fleet, make_run, make_worker
+
+
+def test_member_that_falls_behind_its_gang_marks_its_worker():
+    paces = [RunPace(f"w{i}", "g.0.0", rate, 0.0) for i, rate in enumerate([30, 28, 6])]
+    speeds = WorkerSpeeds()
+    assert speeds.update(paces, 0.0) == ["w2"]
+    assert speeds.slow(1.0, 24) == {"w2"}
+    assert speeds.slow(3.5, 24) == set()
+
+
+def test_worker_that_recovers_is_clear_at_once():
+    speeds = WorkerSpeeds()
+    speeds.update([RunPace("w1", "j.0.0", 2.0, 20.0)], 0.0)
+    assert speeds.slow(0.1, 24) == {"w1"}
+    speeds.update([RunPace("w1", "j.0.0", 19.0, 20.0)], 0.2)
+    assert speeds.slow(0.3, 24) == set()
+
+
+def test_everything_slow_means_nothing():
+    speeds = WorkerSpeeds()
+    speeds.update([RunPace(f"w{i}", f"j{i}.0.0", 1.0, 20.0) for i in range(24)], 0.0)
+    assert speeds.slow(0.1, 24) == set()
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_uneven_steps_on_sound_workers_mark_few(seed):
+    rng = random.Random(seed)
+    slow = {"w0", "w1", "w2", "w3"}
+    paces = [
+        RunPace(
+            worker,
+            f"j{job}.0.0",
+            10.0 * rng.uniform(0.75, 1.3) * (0.2 if worker in slow else 1.0),
+            10.0,
+        )
+        for job in range(12)
+        for worker in rng.sample([f"w{i}" for i in range(24)], 5)
+    ]
+    found = set(WorkerSpeeds().update(paces, 0.0))
+    assert len(found - slow) <= 1
+    assert len(found & slow) >= 3
+
+
+def test_slow_workers_come_last():
+    fleet = make_fleet(
+        make_worker("w1", slow=True, runs=[make_run("a", "w1", 7)]), make_worker("w2")
+    )
+    placed = place_step(fleet, make_demand(count=9))
+    assert [p.worker for p in placed] == ["w2"] * 8 + ["w1"]
