Refuse at once while the store is silent; confirm at once when it is back

(2) into a silent store every new job was sent and held to its deadline. Now the first call after a loss does not wait, a store that leaves calls unanswered is taken as silent until anything is answered, new jobs are then refused unsent, and jobs already sent are answered 504 after two sends. Tests: intake/test_desk.py, test_follower.py.

--- a/chiveledge/intake/_desk.py
+++ b/chiveledge/intake/_desk.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import uuid
+from collections.abc import Callable
 from typing import NamedTuple, TypeAlias
 
 from result import Err, Ok
@@ -37,6 +38,9 @@
 CANCEL_SUFFIX = "~cancel"
 RETRY_S = 0.1
 
+SENDS_INTO_SILENCE = 2
+"""After this many sends without an answer the caller is told so at once."""
+
 
 class Accepted(NamedTuple):
     """The job is stored, by this call or an earlier one."""
@@ -93,15 +97,23 @@
         Source of time.
     log : DecisionLog
         One line for each outcome.
+    is_silent : callable, optional
+        Whether the service answers nothing at present.
     """
 
     def __init__(
-        self, table: TableService, board: JobBoard, clock: Clock, log: DecisionLog
+        self,
+        table: TableService,
+        board: JobBoard,
+        clock: Clock,
+        log: DecisionLog,
+        is_silent: Callable[[], bool] = lambda: False,
     ) -> None:
         self._table = table
         self._board = board
         self._clock = clock
         self._log = log
+        self._is_silent = is_silent
 
     async def submit(self, request: JobRequest, patience_s: float) -> SubmitOutcome:
         """Store a job unless it is stored already.
@@ -113,9 +125,12 @@
         patience_s : float
             How long the caller waits.
         """
+        if self._is_silent():
+            return self._note_submit(request, NotStored("the store does not answer"))
         deadline = self._clock.monotonic() + patience_s
         transaction = _make_submission(request)
         may_be_stored = False
+        sends = 0
         while True:
             match await self._table.transact(transaction):
                 case Ok(_):
@@ -127,7 +142,9 @@
                 case Err(Unavailable(reason)):
                     if not may_be_stored:
                         return self._note_submit(request, NotStored(reason))
-            if self._clock.monotonic() + RETRY_S >= deadline:
+            sends += 1
+            hopeless = sends >= SENDS_INTO_SILENCE and self._is_silent()
+            if hopeless or self._clock.monotonic() + RETRY_S >= deadline:
                 outcome = UnknownOutcome("the store did not confirm the write")
                 return self._note_submit(request, outcome)
             await self._clock.sleep(RETRY_S)
--- a/chiveledge/intake/_follower.py
+++ b/chiveledge/intake/_follower.py
@@ -76,7 +76,9 @@
         if self._version is None:
             return await self._take_snapshot()
         sent_s = self._clock.monotonic()
-        match await self._table.watch(self._prefix, self._version, self._wait_s):
+        # After a loss the first answer counts, not the first change.
+        wait_s = 0.0 if self._lost else self._wait_s
+        match await self._table.watch(self._prefix, self._version, wait_s):
             case Ok(changes):
                 self._version = max(self._version, changes.version)
                 self._confirm(sent_s)
--- a/chiveledge/platform/_front.py
+++ b/chiveledge/platform/_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import re
 from collections.abc import Callable
 
@@ -10,6 +11,7 @@
 from result import Err, Ok
 
 from chiveledge.clock import Clock
+from chiveledge.decision_log import DecisionLog
 from chiveledge.intake import (
     Accepted,
     BoardEntry,
@@ -31,6 +33,29 @@
 """Time that an answer needs on its way back to the caller."""
 
 
+FIRST_ERROR_STATUS = 400
+
+
+class ErrorAnswer(web.Response):
+    """An answer that is no success, and why.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    reason_text : str
+        What the caller is told.
+    """
+
+    def __init__(self, status: int, reason_text: str) -> None:
+        super().__init__(
+            status=status,
+            text=json.dumps({"error": reason_text}),
+            content_type="application/json",
+        )
+        self.reason_text = reason_text
+
+
 class FrontHandler:
     """Answers callers.
 
@@ -46,8 +71,8 @@
         Whether connections are to end after the present answer.
     desk, board
         Accepts and reads jobs; counts waiting ones.
-    clock, metrics
-        Time and counters.
+    clock, log, metrics
+        Time, lines and counters.
     """
 
     def __init__(
@@ -59,6 +84,7 @@
         desk: JobDesk,
         board: JobBoard,
         clock: Clock,
+        log: DecisionLog,
         metrics: Metrics,
     ) -> None:
         self.in_progress = 0
@@ -69,6 +95,7 @@
         self._desk = desk
         self._board = board
         self._clock = clock
+        self._log = log
         self._metrics = metrics
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -86,10 +113,28 @@
             self.in_progress -= 1
         if self._is_closing():
             response.force_close()
+        if response.status >= FIRST_ERROR_STATUS:
+            self._note_error(request, response)
         self._metrics.count(f"answers_{request.method}_{response.status}")
         self._metrics.observe("answer_s", self._clock.monotonic() - began_s)
         return response
 
+    def _note_error(
+        self, request: web.BaseRequest, response: web.StreamResponse
+    ) -> None:
+        self._log.write(
+            "front",
+            "not_served",
+            id=request.path.rpartition("/")[2],
+            method=request.method,
+            path=request.path,
+            status=response.status,
+            retry_after=response.headers.get("Retry-After"),
+            reason=response.reason_text if isinstance(response, ErrorAnswer) else "",
+            revision=self._catalogue().revision,
+            age_s=round(self._configuration_age_s(), 3),
+        )
+
     async def _route(self, request: web.BaseRequest) -> web.Response:
         catalogue = self._catalogue()
         if catalogue.revision == 0:
@@ -187,5 +232,5 @@
     return int(text) / 1000 - ANSWER_MARGIN_S
 
 
-def _plain(status: int, reason: str) -> web.Response:
-    return web.json_response({"error": reason}, status=status)
+def _plain(status: int, reason: str) -> ErrorAnswer:
+    return ErrorAnswer(status, reason)
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -89,9 +89,10 @@
             lambda: self._configuration.age_s,
             self._trusted_age_s,
             self._draining.is_set,
-            JobDesk(store, self._board, self._clock, self._log),
+            JobDesk(store, self._board, self._clock, self._log, lambda: store.silent),
             self._board,
             self._clock,
+            self._log,
             self._metrics,
         )
         runners = [
@@ -124,9 +125,8 @@
     def _make_store(self) -> PlatformStore:
         url = f"http://{self._settings.store}"
         self._pools = (SessionPool(limit=32), SessionPool(limit=32))
-        return PlatformStore(
-            *(HttpCaller(pool, url, metrics=self._metrics) for pool in self._pools)
-        )
+        callers = [HttpCaller(pool, url, metrics=self._metrics) for pool in self._pools]
+        return PlatformStore(*callers, self._clock)
 
     def _follow(self, store: PlatformStore) -> None:
         self._configuration = TableFollower(
--- a/chiveledge/platform/_store.py
+++ b/chiveledge/platform/_store.py
@@ -14,6 +14,7 @@
 
 from result import Err, Ok, Result
 
+from chiveledge.clock import Clock
 from chiveledge.services import (
     CallError,
     Changes,
@@ -25,8 +26,10 @@
     Snapshot,
     Transaction,
     Unavailable,
+    Unsettled,
 )
 from chiveledge.services._http import HttpReply
+from chiveledge.services.health import ServiceHealth
 
 HTTP_OK = 200
 HTTP_GONE = 410
@@ -35,7 +38,7 @@
 PAGE_ROWS = 500
 """Most rows that a reading returns."""
 
-CALL_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 0.8
 WATCH_MARGIN_S = 0.7
 """Time beyond its wait after which a watch counts as silent."""
 
@@ -49,11 +52,20 @@
         Connections to the store.
     watcher : HttpCaller
         Connections for watches, which stay busy for long.
+    clock : Clock
+        Source of time.
     """
 
-    def __init__(self, caller: HttpCaller, watcher: HttpCaller) -> None:
+    def __init__(self, caller: HttpCaller, watcher: HttpCaller, clock: Clock) -> None:
         self._caller = caller
         self._watcher = watcher
+        self._clock = clock
+        self._health = ServiceHealth(clock)
+
+    @property
+    def silent(self) -> bool:
+        """Whether calls get no answer now."""
+        return self._health.silent
 
     async def read(self, key: str) -> Result[Row | None, CallError]:
         """Return a row, or None where there is none."""
@@ -103,8 +115,8 @@
             "after": str(version),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        reply = await self._watcher.call(
-            "GET", "/rows-feed", params=params, timeout_s=wait_s + WATCH_MARGIN_S
+        reply = await self._call(
+            self._watcher, "GET", "/rows-feed", wait_s + WATCH_MARGIN_S, params=params
         )
         match reply:
             case Ok(HttpReply(status=status, body=body)) if status == HTTP_OK:
@@ -130,8 +142,8 @@
             ],
             "remove": [_address(key) for key in transaction.deletes],
         }
-        reply = await self._caller.call(
-            "POST", "/rows-tx", body, timeout_s=CALL_TIMEOUT_S
+        reply = await self._call(
+            self._caller, "POST", "/rows-tx", CALL_TIMEOUT_S, body=body
         )
         match reply:
             case Ok(HttpReply(status=status, body=answer)) if status == HTTP_OK:
@@ -144,9 +156,30 @@
                 return Err(error)
         raise AssertionError("unreachable")
 
+    async def _call(
+        self,
+        caller: HttpCaller,
+        method: str,
+        path: str,
+        timeout_s: float,
+        *,
+        body: dict | None = None,
+        params: dict[str, str] | None = None,
+    ) -> Result[HttpReply, Unavailable | Unsettled]:
+        sent_s = self._clock.monotonic()
+        reply = await caller.call(
+            method, path, body, params=params, timeout_s=timeout_s
+        )
+        match reply:
+            case Err(Unsettled()):
+                self._health.note_silence(sent_s)
+            case _:
+                self._health.note_answer()
+        return reply
+
     async def _page(self, params: dict[str, str]) -> Result[dict, CallError]:
-        reply = await self._caller.call(
-            "GET", "/rows-get", params=params, timeout_s=CALL_TIMEOUT_S
+        reply = await self._call(
+            self._caller, "GET", "/rows-get", CALL_TIMEOUT_S, params=params
         )
         match reply:
             case Ok(HttpReply(status=status, body=body)) if status == HTTP_OK:
--- /dev/null
+++ b/tests/intake/test_desk.py
@@ -0,0 +1,88 @@
+"""What callers are told while the store fails."""
+
+from __future__ import annotations
+
+import asyncio
+
+from chiveledge.clock import ManualClock
+from chiveledge.decision_log import SilentLog
+from chiveledge.intake import Accepted, JobBoard, JobDesk, NotStored, UnknownOutcome
+from chiveledge.services.health import ServiceHealth
+from chiveledge.workload import JobRequest, Step
+from standins.table import MemoryTable
+
+REQUEST = JobRequest("j", "q", "team", "text", (Step(),), 0)
+
+
+class Desk:
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.table = MemoryTable(self.clock)
+        self.silent = False
+        self.desk = JobDesk(
+            self.table, JobBoard(), self.clock, SilentLog(), lambda: self.silent
+        )
+
+    async def submit(self, patience_s=3.0):
+        began_s = self.clock.monotonic()
+        task = asyncio.ensure_future(self.desk.submit(REQUEST, patience_s))
+        while not task.done():
+            await self.clock.advance(0.05)
+        return task.result(), self.clock.monotonic() - began_s
+
+
+async def test_silent_store_is_sent_nothing():
+    desk = Desk()
+    desk.silent = True
+    outcome, _ = await desk.submit()
+    assert isinstance(outcome, NotStored)
+    assert not desk.table.rows
+
+
+async def test_caller_is_told_soon_that_the_store_fell_silent():
+    desk = Desk()
+    desk.table.faults.set({"lose_replies": 100, "delay_s": 0.8})
+
+    async def fall_silent():
+        await desk.clock.sleep(0.9)
+        desk.silent = True
+
+    task = asyncio.ensure_future(fall_silent())
+    outcome, took_s = await desk.submit()
+    assert isinstance(outcome, UnknownOutcome)
+    assert took_s < 2.0
+    await task
+
+
+async def test_job_that_is_stored_already_is_accepted():
+    desk = Desk()
+    assert (await desk.submit())[0] == Accepted()
+    assert (await desk.submit())[0] == Accepted(repeated=True)
+
+
+async def test_down_store_refuses_truly_and_lost_replies_do_not():
+    desk = Desk()
+    desk.table.faults.down = True
+    assert isinstance((await desk.submit())[0], NotStored)
+    desk.table.faults.set({"lose_replies": 2})
+    outcome, _ = await desk.submit()
+    assert outcome == Accepted(repeated=True)
+
+
+def test_service_is_silent_only_while_nothing_answers():
+    clock = ManualClock()
+    health = ServiceHealth(clock)
+    assert not health.silent
+    clock.jump(1.0)
+    health.note_silence(sent_s=0.0)
+    assert health.silent
+    clock.jump(0.5)
+    health.note_answer()
+    assert not health.silent
+    health.note_silence(sent_s=1.0)
+    assert not health.silent
+    clock.jump(0.1)
+    health.note_silence(sent_s=1.55)
+    assert health.silent
+    clock.jump(1.6)
+    assert not health.silent
--- a/tests/intake/test_follower.py
+++ b/tests/intake/test_follower.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from chiveledge.clock import ManualClock
 from chiveledge.decision_log import SilentLog
 from chiveledge.intake import TableFollower
@@ -62,3 +64,15 @@
     copy.table.faults.down = False
     assert await copy.follower.step()
     assert copy.follower.age_s == 0.0
+
+
+async def test_copy_is_confirmed_at_once_when_the_store_is_back():
+    copy = Copy()
+    copy.follower._wait_s = 1.0
+    await copy.follower.step()
+    copy.table.faults.down = True
+    await copy.follower.step()
+    copy.table.faults.down = False
+    task = asyncio.ensure_future(copy.follower.step())
+    await copy.clock.advance(0.01)
+    assert task.done()
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -36,6 +36,7 @@
     """The adapter's client of the stand-in."""
     pools = (SessionPool(), SessionPool())
     url = f"http://{stand_in.address}"
-    yield PlatformStore(*(HttpCaller(p, url, metrics=Metrics()) for p in pools))
+    callers = [HttpCaller(pool, url, metrics=Metrics()) for pool in pools]
+    yield PlatformStore(*callers, SystemClock())
     for pool in pools:
         await pool.close()
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -74,6 +74,7 @@
             JobDesk(self.table, self.board, clock, SilentLog()),
             self.board,
             clock,
+            SilentLog(),
             Metrics(),
         )
 
