Lasting tasks make room for guaranteed jobs within their bound

Now a step's bound on tasks that are away decides; without one they are like any other. Tasks on their own also get what room can be made, if not all. Tests seen failing: test_job_path.py (lasting), test_preemption.py.

--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
@@ -29,6 +30,10 @@
 """How long a task that failed before waits for a worker that is in no doubt."""
 
 
+AT_WORK_PERCENT = 100
+"""Percent at which a lasting task serves."""
+
+
 class JobPolicy(NamedTuple):
     """Policy of a job's queue now, or as it was if the queue is gone."""
 
@@ -70,6 +75,7 @@
         Room on each worker that is promised to tasks that wait for stops.
     """
     links = list(links)
+    kept = find_kept_runs(links, jobs)
     avoided = suspicion.avoided(now_s, len(links))
     probing = suspicion.probing(now_s)
     doubted = suspicion.doubted()
@@ -79,6 +85,7 @@
             jobs,
             catalogue,
             promised.get(link.name, Usage()),
+            kept,
             _is_accepting(link, now_s) and link.name not in avoided,
             link.name in probing,
             link.name in doubted,
@@ -105,6 +112,7 @@
     jobs: dict[str, JobProgress],
     catalogue: Catalogue,
     promised: Usage,
+    kept: set[TaskName],
     accepting: bool,
     probing: bool,
     doubted: bool,
@@ -118,7 +126,8 @@
         step = job.request.steps[tracked.name.step]
         serving |= bool(step.latency_target_ms)
         filling |= step.filler
-        runs.append(_view_run(link, tracked, job, catalogue, now_s))
+        movable = tracked.name not in kept
+        runs.append(_view_run(link, tracked, job, catalogue, movable, now_s))
     return WorkerView(
         name=link.name,
         service=link.entry.service,
@@ -141,6 +150,7 @@
     tracked: TrackedRun,
     job: JobProgress,
     catalogue: Catalogue,
+    movable: bool,
     now_s: float,
 ) -> RunView:
     name = tracked.name
@@ -156,14 +166,40 @@
         priority=find_policy(job, catalogue).priority,
         unsaved_s=min(ran_s, 1.0) if step.checkpoints else ran_s,
         movable=(
-            not tracked.stopping
+            movable
+            and not tracked.stopping
             and not run.stop_wanted
             and run.state is RunState.RUNNING
-            and not step.lasting
         ),
     )
 
 
+def find_kept_runs(
+    links: list[WorkerLink], jobs: dict[str, JobProgress]
+) -> set[TaskName]:
+    """Return the lasting tasks that must not be interrupted now.
+
+    A step may allow a number of its tasks to be away at the same time. Those that
+    are not at work already count, and only as many others as are left may be
+    stopped; the rest is kept.
+    """
+    at_work: dict[str, list[TaskName]] = defaultdict(list)
+    for link in links:
+        for tracked in link.runs.values():
+            step = jobs[tracked.name.job_id].request.steps[tracked.name.step]
+            if not step.lasting or not step.may_be_away:
+                continue
+            if tracked.run.percent >= AT_WORK_PERCENT and not tracked.stopping:
+                at_work[tracked.name.step_name].append(tracked.name)
+    kept: set[TaskName] = set()
+    for names in at_work.values():
+        step = jobs[names[0].job_id].request.steps[names[0].step]
+        away = step.count - len(names)
+        stoppable = max(0, step.may_be_away - away)
+        kept.update(sorted(names)[stoppable:])
+    return kept
+
+
 def list_demands(
     jobs: dict[str, JobProgress],
     catalogue: Catalogue,
--- a/chiveledge/placement/_preemption.py
+++ b/chiveledge/placement/_preemption.py
@@ -116,13 +116,14 @@
 
 
 def choose_victims(fleet: FleetView, demand: StepDemand) -> Eviction | None:
-    """Choose workers for all waiting tasks of a demand, and what to stop there.
+    """Choose workers for the waiting tasks of a demand, and what to stop there.
 
     Returns
     -------
     Eviction or None
-        The choice with the least loss found, or None if stopping everything
-        weaker would not be enough.
+        The choice that places most tasks (for a gang all of them) and of these the
+        one with the least loss found; None if stopping everything weaker would
+        not be enough.
     """
     candidates = fleet.candidates(
         demand.service, demand.step, allowed=demand.allowed, careful=demand.careful
@@ -130,11 +131,15 @@
     best: Eviction | None = None
     for pool in list_pools(candidates, demand):
         found = _try_pool(fleet, demand, pool)
-        if found and (best is None or found.loss < best.loss):
+        if found and (best is None or _rank(found) < _rank(best)):
             best = found
     return best or _try_pool(fleet, demand, candidates)
 
 
+def _rank(eviction: Eviction) -> tuple[int, float]:
+    return -len(eviction.placements), eviction.loss
+
+
 def _try_pool(
     fleet: FleetView, demand: StepDemand, pool: list[WorkerView]
 ) -> Eviction | None:
@@ -142,9 +147,12 @@
     for _ in demand.indices:
         priced = [(price, worker) for worker in pool if (price := trial.price(worker))]
         if not priced:
-            return None
+            break
         (loss, groups), worker = min(
             priced, key=lambda row: (row[0][0], trial.room(row[1]), row[1].name)
         )
         trial.give(worker, groups, loss)
+    missing = len(demand.indices) - len(trial.placements)
+    if not trial.placements or (missing and demand.step.gang):
+        return None
     return Eviction(trial.placements, frozenset(trial.groups), trial.loss)
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -44,12 +44,15 @@
         Whether it ends as failed.
     gang : int
         Members that must be present before any works; 1 for none.
+    ready_at_once : bool
+        Whether it shows full progress while it runs, as a serving task does.
     """
 
     work_s: float = 1.0
     usage: Usage = Usage(1000, 100, 0)
     fails: bool = False
     gang: int = 1
+    ready_at_once: bool = False
 
 
 @dataclass
@@ -253,7 +256,9 @@
                 run.order.task,
                 run.order.run,
                 f"{run.done_s:08.2f}" if run.done_s else run.order.checkpoint,
-                int(100 * run.done_s / run.task.work_s),
+                100
+                if run.task.ready_at_once
+                else int(100 * run.done_s / run.task.work_s),
             )
             for run in self.runs.values()
         )
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -227,3 +227,36 @@
     await cluster.advance(8)
     assert cluster.state("j1") is JobState.COMPLETED
     assert len(cluster.workers["w0"].faults.started) <= 8
+
+
+LASTING = Step(count=16, usage=SMALL, lasting=True)
+
+
+@pytest.mark.parametrize("may_be_away,stopped", [(0, 8), (2, 2)])
+async def test_urgent_job_interrupts_lasting_tasks_within_their_bound(
+    make_cluster, may_be_away, stopped
+):
+    cluster = make_cluster()
+    await cluster.advance(0.5)
+    step = LASTING._replace(may_be_away=may_be_away)
+    await cluster.submit("l1", step, queue="batch", work_s=1e9)
+    cluster.tasks["l1"].ready_at_once = True
+    await cluster.advance(1.5)
+    urgent = Step(count=8, usage=SMALL)
+    await cluster.submit("u1", urgent, queue="urgent", work_s=3.0)
+    await cluster.advance(2.0)
+    assert len(cluster.starts("u1")) == stopped
+    await cluster.advance(14.0)
+    assert cluster.state("u1") is JobState.COMPLETED
+    assert cluster.state("l1") is JobState.RUNNING
+    assert sum(len(w.runs) for w in cluster.workers.values()) == 16
+
+
+async def test_lasting_task_starts_again_however_it_ends(make_cluster):
+    cluster = make_cluster()
+    await cluster.advance(0.5)
+    step = LASTING._replace(count=1)
+    await cluster.submit("l1", step, work_s=0.5, fails=True)
+    await cluster.advance(6.0)
+    assert len(cluster.starts("l1")) > 5
+    assert cluster.state("l1") is JobState.RUNNING
--- a/tests/placement/test_preemption.py
+++ b/tests/placement/test_preemption.py
@@ -43,6 +43,17 @@
     assert choose_victims(fleet, make_demand(priority=0, accelerators=8)) is None
 
 
+def test_tasks_on_their_own_get_what_room_can_be_made():
+    fleet = make_fleet(
+        make_worker("w1", runs=[make_run("a", "w1", 8)]),
+        make_worker("w2", runs=[make_run("b", "w2", 8, priority=0)]),
+    )
+    demand = make_demand(count=3, priority=0, accelerators=4)
+    assert len(choose_victims(fleet, demand).placements) == 2
+    gang = make_demand(count=3, priority=0, accelerators=4, gang=True)
+    assert choose_victims(fleet, gang) is None
+
+
 def test_plan_promises_room_only_once():
     fleet = make_fleet(make_worker("w1", runs=[make_run("a", "w1", 8)]))
     demands = [
