--- a/chiveledge/coordinator/_reign.py
+++ b/chiveledge/coordinator/_reign.py
@@ -189,11 +189,15 @@
         self.end(f"a task failed: {error!r}")
 
     async def _renew_loop(self) -> None:
+        """Renew at a steady pace; a renewal without an answer delays no other."""
         while True:
             await self._clock.sleep(self._context.timing.renew_s)
-            await self._leadership.renew()
-            if self._leadership.epoch == 0:
-                self.end("another process took over")
+            self._spawn(self._renew())
+
+    async def _renew(self) -> None:
+        await self._leadership.renew()
+        if self._leadership.epoch == 0:
+            self.end("another process took over")
 
     async def _lead(self) -> None:
         await self._load_progress()
--- a/chiveledge/leadership.py
+++ b/chiveledge/leadership.py
@@ -186,7 +186,8 @@
         )
         match await self._table.transact(transaction):
             case Ok(_):
-                self._valid_until_s = sent_s + self._usable_lease_s()
+                until_s = sent_s + self._usable_lease_s()
+                self._valid_until_s = max(self._valid_until_s, until_s)
             case Err(Conflict()):
                 self.lose("another process took over")
             case Err(_):
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import pytest
+from result import Err
 
 from chiveledge.intake import Accepted
+from chiveledge.services import Unsettled
 from chiveledge.workload import JobState, Step
 from tests.coordinator.cluster import SMALL, Cluster
 
@@ -260,3 +262,23 @@
     await cluster.advance(6.0)
     assert len(cluster.starts("l1")) > 5
     assert cluster.state("l1") is JobState.RUNNING
+
+
+async def test_renewal_without_an_answer_delays_no_other(make_cluster):
+    cluster = make_cluster(nodes=2)
+    await cluster.advance(0.5)
+    transact = cluster.table.transact
+    sent = []
+
+    async def lose_two_of_three(transaction):
+        if any("renewal" in put.key for put in transaction.puts):
+            sent.append(transaction)
+            if len(sent) % 3:
+                await cluster.clock.sleep(0.8)
+                return Err(Unsettled("no answer"))
+        return await transact(transaction)
+
+    cluster.table.transact = lose_two_of_three
+    await cluster.advance(10.0)
+    assert cluster.nodes[0].leads
+    assert cluster.table.rows["leadership/all/holder"].version < 10
