--- a/chiveledge/coordinator/_reign.py
+++ b/chiveledge/coordinator/_reign.py
@@ -369,7 +369,7 @@
         A report is compared with the open runs, so all jobs are loaded first.
         """
         await self._loaded.wait()
-        while True:
+        while not self._ended.is_set():
             if link.entry.address:
                 await self._look(link)
             else:
@@ -406,6 +406,8 @@
                 if report.born_ms > link.born_ms:
                     self._rebirth(link, report.born_ms)
                 if report.born_ms < link.born_ms:
+                    # An answer of the life before; the next look meets the new one.
+                    await self._clock.sleep(LOOK_RETRY_S)
                     return
                 self._settle(link, report, now_s)
             case Err(Declined(DeclineReason.FENCE)):
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -8,6 +8,7 @@
 import sys
 from collections.abc import Iterable
 
+from absl import logging
 from aiohttp import web
 from result import Err, Ok
 
@@ -77,6 +78,8 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM, finish what is in progress, and return."""
+        # The decision log has a line for all that the parts' own loggers say.
+        logging.set_verbosity(logging.ERROR)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._draining.set)
