--- a/chiveledge/coordinator/_ledger.py
+++ b/chiveledge/coordinator/_ledger.py
@@ -31,6 +31,7 @@
     Transaction,
     Unavailable,
     Unsettled,
+    transact_hedged,
 )
 from chiveledge.types import JobId
 from chiveledge.workload import JobProgress, encode_progress
@@ -38,6 +39,9 @@
 PROGRESS_PREFIX = "progress/"
 RETRY_S = 0.1
 
+SETTLE_S = 2.0
+"""How long one round of sends lasts; a commit is tried until it is settled."""
+
 MAX_JOBS = 30
 """Jobs in one transaction: three entries each and the fence, within 100 entries."""
 
@@ -154,7 +158,10 @@
             )
             transaction = Transaction(write_id, (self._leadership.fence, *checks), puts)
             self._metrics.count("ledger_transactions")
-            match await self._table.transact(transaction):
+            result = await transact_hedged(
+                self._table, transaction, self._clock, patience_s=SETTLE_S
+            )
+            match result:
                 case Ok(version):
                     for job in batch:
                         job.version = version
--- a/chiveledge/intake/_desk.py
+++ b/chiveledge/intake/_desk.py
@@ -29,6 +29,7 @@
     Transaction,
     Unavailable,
     Unsettled,
+    transact_hedged,
 )
 from chiveledge.services.table import ABSENT
 from chiveledge.types import JobId
@@ -38,9 +39,6 @@
 CANCEL_SUFFIX = "~cancel"
 RETRY_S = 0.1
 
-SENDS_INTO_SILENCE = 2
-"""After this many sends without an answer the caller is told so at once."""
-
 
 class Accepted(NamedTuple):
     """The job is stored, by this call or an earlier one."""
@@ -127,27 +125,22 @@
         """
         if self._is_silent():
             return self._note_submit(request, NotStored("the store does not answer"))
-        deadline = self._clock.monotonic() + patience_s
-        transaction = _make_submission(request)
-        may_be_stored = False
-        sends = 0
-        while True:
-            match await self._table.transact(transaction):
-                case Ok(_):
-                    return self._note_submit(request, Accepted())
-                case Err(Conflict()):
-                    return self._note_submit(request, Accepted(repeated=True))
-                case Err(Unsettled()):
-                    may_be_stored = True
-                case Err(Unavailable(reason)):
-                    if not may_be_stored:
-                        return self._note_submit(request, NotStored(reason))
-            sends += 1
-            hopeless = sends >= SENDS_INTO_SILENCE and self._is_silent()
-            if hopeless or self._clock.monotonic() + RETRY_S >= deadline:
-                outcome = UnknownOutcome("the store did not confirm the write")
-                return self._note_submit(request, outcome)
-            await self._clock.sleep(RETRY_S)
+        result = await transact_hedged(
+            self._table,
+            _make_submission(request),
+            self._clock,
+            patience_s=patience_s,
+        )
+        match result:
+            case Ok(_):
+                return self._note_submit(request, Accepted())
+            case Err(Conflict()):
+                return self._note_submit(request, Accepted(repeated=True))
+            case Err(Unavailable(reason)):
+                return self._note_submit(request, NotStored(reason))
+            case Err(Unsettled(reason)):
+                return self._note_submit(request, UnknownOutcome(reason))
+        raise AssertionError("unreachable")
 
     async def read(self, job_id: JobId) -> ReadOutcome:
         """Return a job's public entry from the copy, else from the store."""
@@ -170,13 +163,16 @@
             write_id=uuid.uuid4().hex, puts=(Put(cancel_key(job_id), "{}"),)
         )
         while True:
+            left_s = deadline - self._clock.monotonic()
             match await self.read(job_id):
                 case NotFound():
                     return self._note_cancel(job_id, NotFound())
                 case BoardEntry(state=state) if state.ended:
                     return self._note_cancel(job_id, Accepted(repeated=True))
                 case BoardEntry():
-                    written = await self._table.transact(transaction)
+                    written = await transact_hedged(
+                        self._table, transaction, self._clock, patience_s=left_s
+                    )
                     if written.is_ok():
                         return self._note_cancel(job_id, Accepted())
                 case UnknownOutcome():
--- a/chiveledge/services/__init__.py
+++ b/chiveledge/services/__init__.py
@@ -15,6 +15,7 @@
     Unsettled,
 )
 from chiveledge.services.group_commit import GroupCommit
+from chiveledge.services.hedging import transact_hedged
 from chiveledge.services.hosts import (
     HostEntry,
     HostList,
@@ -100,4 +101,5 @@
     "Worker",
     "WorkerReport",
     "commit_settled",
+    "transact_hedged",
 ]
