Work leaves workers that go in time; that of workers that left starts again at once

Saved work now leaves at the last moment, other work at once if it will not end in time; a worker that said that it drains, is unlisted and refuses connections has left. Tests: placement/test_evacuation.py, coordinator/test_job_path.py (saved work, worker that left).

--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -100,7 +100,6 @@
     return (
         link.listed
         and not link.entry.draining
-        and not link.leaving
         and link.fence_raised
         and link.failing_since_s is None
         and now_s >= link.avoid_until_s
--- a/chiveledge/coordinator/_reign.py
+++ b/chiveledge/coordinator/_reign.py
@@ -29,7 +29,7 @@
     make_plan,
 )
 from chiveledge.placement._fleet import charged_usage
-from chiveledge.services import Row, WatchedTable
+from chiveledge.services import Row, Unavailable, WatchedTable
 from chiveledge.services.task_worker import (
     Declined,
     DeclineReason,
@@ -335,12 +335,17 @@
         if link is None:
             link = WorkerLink(entry, self._context.make_worker(entry))
             link.born_ms = entry.born_ms
+            if entry.draining:
+                link.drains_since_s = self._clock.monotonic()
             self.links[entry.name] = link
             self._spawn(self._follow_worker(link))
             return
         if entry.born_ms > link.born_ms:
             self._rebirth(link, entry.born_ms)
-        if entry.draining and not link.entry.draining:
+        if entry.draining and (
+            link.drains_since_s is None or entry.leaves_s != link.entry.leaves_s
+        ):
+            link.drains_since_s = self._clock.monotonic()
             self._log.write(
                 "workers", "draining", worker=entry.name, leaves_s=entry.leaves_s
             )
@@ -424,7 +429,9 @@
                 error=str(error),
                 runs=len(link.runs),
             )
-        link.note_failure(self._clock.monotonic())
+        link.note_failure(
+            self._clock.monotonic(), refused=isinstance(error, Unavailable)
+        )
         await self._clock.sleep(LOOK_RETRY_S)
 
     def _settle(self, link: WorkerLink, report, sent_s: float) -> None:
@@ -438,15 +445,18 @@
         now_s = self._clock.monotonic()
         if not link.runs or link.failing_since_s is None and link.entry.address:
             return
-        if link.answered_s is None:
+        if link.has_left:
+            over = True
+        elif link.answered_s is None:
             guard_s = self._context.timing.work_lease_s / 0.98 + FORMER_LEADER_S
             over = now_s - self._began_s > guard_s
         else:
             over = link.lease_is_over(now_s)
         if not over:
             return
+        why = "worker has left" if link.has_left else "lease is over"
         for tracked in list(link.runs.values()):
-            self._settlement.close(link, tracked, RunEnd.LAPSED, "lease is over")
+            self._settlement.close(link, tracked, RunEnd.LAPSED, why)
         self._wake.set()
 
     # Planning
@@ -462,6 +472,7 @@
     def _plan(self) -> None:
         now_s = self._clock.monotonic()
         self._settlement.stop_stalled(self.links, now_s)
+        self._settlement.evacuate(self.links, now_s)
         for name in self.speeds.update(self._settlement.list_paces(self.links), now_s):
             self._log.write("workers", "slow", worker=name)
         promised, claimed = self._review_claims(now_s)
--- a/chiveledge/coordinator/_settlement.py
+++ b/chiveledge/coordinator/_settlement.py
@@ -6,12 +6,12 @@
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING
 
-from chiveledge.coordinator._demands import find_policy
+from chiveledge.coordinator._demands import find_kept_runs, find_policy
 from chiveledge.coordinator._ledger import Ledger
 from chiveledge.coordinator._orders import OrderDesk
 from chiveledge.coordinator._runtimes import RunTimes
 from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
-from chiveledge.placement import RunPace, WorkerSuspicion
+from chiveledge.placement import RunPace, WorkerSuspicion, should_leave
 from chiveledge.services.task_worker import EndedTask, HoldReport, RunningTask
 from chiveledge.workload import JobProgress, JobState, RunEnd, RunState
 
@@ -125,6 +125,39 @@
                     self._suspicion.note_stall(link.name, now_s)
                     self._orders.stop(link, tracked, "it makes no progress")
 
+    def evacuate(self, links: dict[str, WorkerLink], now_s: float) -> None:
+        """Stop what has to leave workers that are about to go."""
+        kept = find_kept_runs(list(links.values()), self._jobs)
+        for link in list(links.values()):
+            leaves_s = link.leaves_in_s(now_s, self._timing.drain_s)
+            if leaves_s is None:
+                continue
+            for tracked in list(link.runs.values()):
+                if tracked.stopping or tracked.run.state is not RunState.RUNNING:
+                    continue
+                if tracked.name in kept:
+                    continue
+                if self._has_to_leave(tracked, leaves_s, now_s):
+                    self._orders.stop(link, tracked, "its worker leaves")
+
+    def _has_to_leave(self, tracked: TrackedRun, leaves_s: float, now_s: float) -> bool:
+        request = self._jobs[tracked.name.job_id].request
+        step = request.steps[tracked.name.step]
+        if step.lasting:
+            return True
+        rate = tracked.percent_per_s
+        left = ALL_DONE_PERCENT - tracked.run.percent
+        if rate:
+            remaining_s = left / rate
+        else:
+            remaining_s = self._run_times.expect_s(request, step) * left / 100
+        return should_leave(
+            leaves_s,
+            remaining_s,
+            saved=step.checkpoints,
+            stop_s=self._timing.stop_s,
+        )
+
     def list_paces(self, links: dict[str, WorkerLink]) -> list[RunPace]:
         """Return the pace of all runs that work and have not come to their end."""
         paces = []
--- a/chiveledge/coordinator/_timing.py
+++ b/chiveledge/coordinator/_timing.py
@@ -26,6 +26,8 @@
         Time that a stop takes at the most.
     keep_ended_s : float
         How long the state of ended jobs can be read.
+    drain_s : float
+        Time that a worker serves at least after it said that it drains.
     stall_s : float
         Time without any progress after which a run is taken for stalled.
     """
@@ -39,4 +41,5 @@
     order_timeout_s: float = 0.8
     stop_s: float = 0.9
     keep_ended_s: float = 180.0
+    drain_s: float = 2.5
     stall_s: float = 3.0
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -71,6 +71,10 @@
         As the platform listed it last.
     listed : bool
         Whether the platform lists it now.
+    refused : bool
+        Whether the last look was refused at its address.
+    drains_since_s : float, optional
+        When its present entry said that it drains.
     fence_raised : bool
         Whether it has answered to our fence in this life.
     lease_until_ms : int
@@ -94,8 +98,9 @@
     runs: dict[tuple[str, int], TrackedRun] = field(default_factory=dict)
     answered_s: float | None = None
     failing_since_s: float | None = None
+    refused: bool = False
+    drains_since_s: float | None = None
     avoid_until_s: float = 0.0
-    leaving: bool = False
     clock_ms: int = 0
     clock_read_s: float = 0.0
     born_ms: int = 0
@@ -118,12 +123,14 @@
         """Take over the worker's clock from an answer."""
         self.answered_s = now_s
         self.failing_since_s = None
+        self.refused = False
         if clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
             self.clock_read_s = now_s
 
-    def note_failure(self, now_s: float) -> None:
-        """A look got no answer."""
+    def note_failure(self, now_s: float, *, refused: bool) -> None:
+        """A look got no answer; `refused` if nobody listens there any more."""
+        self.refused = refused
         if self.failing_since_s is None:
             self.failing_since_s = now_s
 
@@ -142,6 +149,25 @@
         passed_ms = (now_s - self.clock_read_s) * 1000 * CLOCK_RATE
         return self.clock_ms + passed_ms > self.lease_until_ms
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the worker announced that it leaves and is gone since."""
+        return self.entry.draining and not self.listed and self.refused
+
+    def leaves_in_s(self, now_s: float, least_s: float) -> float | None:
+        """Return how long a draining worker surely stays; None if it does not drain.
+
+        Parameters
+        ----------
+        least_s : float
+            Time that a worker stays at least, where it does not say.
+        """
+        if self.drains_since_s is None:
+            return None
+        told_s = self.entry.leaves_s
+        total_s = least_s if told_s is None else told_s
+        return max(0.0, total_s - (now_s - self.drains_since_s))
+
     def begin_life(self, born_ms: int) -> None:
         """The worker started anew: it knows nothing of before."""
         self.born_ms = born_ms
@@ -151,6 +177,7 @@
         self.lease_until_ms = 0
         self.answered_s = None
         self.clock_ms = 0
+        self.drains_since_s = None
         self.loads.clear()
 
     def note_loads(self, report: HoldReport) -> None:
--- a/chiveledge/placement/__init__.py
+++ b/chiveledge/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from chiveledge.placement._evacuation import should_leave
 from chiveledge.placement._fleet import FleetView, RunView, WorkerView
 from chiveledge.placement._order import (
     StepDemand,
@@ -30,5 +31,6 @@
     "find_guaranteed_jobs",
     "make_plan",
     "place_step",
+    "should_leave",
     "sort_demands",
 ]
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -162,6 +162,7 @@
         timing = CoordinatorTiming(
             work_lease_s=min(6.0, bounds.longest_lease_s),
             stop_s=bounds.stop_s,
+            drain_s=bounds.drain_s,
             keep_ended_s=bounds.keep_status_s * 1.5,
         )
         context = ReignContext(
--- a/chiveledge/platform/_settings.py
+++ b/chiveledge/platform/_settings.py
@@ -37,6 +37,8 @@
         Longest lease that a worker grants.
     stop_s : float
         Time that a stop takes at the most.
+    drain_s : float
+        Time that a worker serves at least after it said that it drains.
     keep_status_s : float
         How long an ended job's state can be read.
     machine_lease_s : float
@@ -47,6 +49,7 @@
     config_apply_s: float = 2.5
     longest_lease_s: float = 6.0
     stop_s: float = 0.9
+    drain_s: float = 2.5
     keep_status_s: float = 120.0
     machine_lease_s: float = 3.0
 
@@ -134,6 +137,7 @@
         config_apply_s=_number(fields, "config_apply_ms", 2500) / 1000,
         longest_lease_s=_number(fields, "hold_max_ms", 6000) / 1000,
         stop_s=_number(fields, "stop_ms", 900) / 1000,
+        drain_s=_number(fields, "drain_ms", 2500) / 1000,
         keep_status_s=_number(fields, "status_s", default.keep_status_s),
         machine_lease_s=_number(fields, "lease_ms", 3000) / 1000,
     )
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from chiveledge.clock import Clock, run_with_timeout
-from chiveledge.services import CallError, Unsettled
+from chiveledge.services import CallError, Unavailable, Unsettled
 from chiveledge.services.task_worker import (
     Declined,
     DeclineReason,
@@ -73,6 +73,8 @@
     ----------
     silent : bool
         No call arrives.
+    gone : bool
+        Nobody listens at its address.
     lose_replies : int
         Calls that take effect without an answer.
     lose_orders : int
@@ -82,6 +84,7 @@
     """
 
     silent: bool = False
+    gone: bool = False
     lose_replies: int = 0
     lose_orders: int = 0
     late_s: float = 0.0
@@ -135,6 +138,11 @@
         """Lose everything and start again under the same name."""
         self._begin(self.entry._replace(born_ms=born_ms))
 
+    def leave(self) -> None:
+        """End everything and go."""
+        self.runs.clear()
+        self.faults.gone = True
+
     @property
     def clock_ms(self) -> int:
         """The worker's own steady clock."""
@@ -170,7 +178,7 @@
         self, order: StartOrder
     ) -> Result[OrderTaken, Declined | CallError]:
         """Start a run."""
-        if self.faults.silent:
+        if self.faults.silent or self.faults.gone:
             return await self._no_answer()
         if self.faults.lose_orders > 0:
             self.faults.lose_orders -= 1
@@ -194,7 +202,7 @@
         self, request: HoldRequest
     ) -> Result[HoldReport, Declined | CallError]:
         """Extend the lease and report, as soon as there is an end to report."""
-        if self.faults.silent:
+        if self.faults.silent or self.faults.gone:
             return await self._no_answer()
         if request.fence < self.fence:
             return Err(Declined(DeclineReason.FENCE, self.clock_ms))
@@ -203,7 +211,7 @@
         self.ended = [end for end in self.ended if end.number > request.last_seen]
         if not self.ended and request.wait_s:
             await run_with_timeout(self._clock, self._changed.wait(), request.wait_s)
-        if self.faults.silent:
+        if self.faults.silent or self.faults.gone:
             return await self._no_answer()
         return await self._answer(Ok(self._report()))
 
@@ -226,7 +234,8 @@
         task = self._describe(order.task)
         if not task.usage.fits(self._free()):
             return self._decline(DeclineReason.NO_ROOM)
-        self.runs[key] = StandInRun(order, task)
+        saved_s = float(order.checkpoint or 0.0)
+        self.runs[key] = StandInRun(order, task, done_s=saved_s)
         self.faults.started.append((self._clock.monotonic(), order.task, order.run))
         return Ok(OrderTaken(self.clock_ms))
 
@@ -310,5 +319,8 @@
         return result
 
     async def _no_answer(self) -> Err[CallError]:
+        if self.faults.gone:
+            await asyncio.sleep(0)
+            return Err(Unavailable("connection refused"))
         await self._clock.sleep(0.5)
         return Err(Unsettled("no answer"))
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -282,3 +282,34 @@
     await cluster.advance(10.0)
     assert cluster.nodes[0].leads
     assert cluster.table.rows["leadership/all/holder"].version < 10
+
+
+async def test_saved_work_leaves_a_worker_in_time(make_cluster):
+    cluster = make_cluster()
+    await cluster.advance(0.5)
+    step = Step(count=2, usage=SMALL, checkpoints=True, estimate_s=8.0)
+    await cluster.submit("j1", step, work_s=8.0)
+    await cluster.advance(2.0)
+    worker = next(w for w in cluster.workers.values() if w.runs)
+    entry = worker.entry._replace(draining=True, leaves_s=3.0)
+    cluster.list_worker(entry)
+    await cluster.advance(2.9)
+    assert not worker.runs
+    await cluster.advance(6.0)
+    assert cluster.state("j1") is JobState.COMPLETED
+
+
+async def test_work_of_a_worker_that_left_starts_again_at_once(make_cluster):
+    cluster = make_cluster()
+    await cluster.advance(0.5)
+    step = Step(count=1, usage=SMALL, estimate_s=4.0)
+    await cluster.submit("j1", step, work_s=4.0)
+    await cluster.advance(1.0)
+    worker = next(w for w in cluster.workers.values() if w.runs)
+    cluster.list_worker(worker.entry._replace(draining=True, leaves_s=2.5))
+    await cluster.advance(2.0)
+    assert worker.runs
+    worker.leave()
+    cluster.unlist_worker(worker.entry.name)
+    await cluster.advance(1.5)
+    assert len(cluster.starts("j1")) == 2
--- /dev/null
+++ b/tests/placement/test_evacuation.py
@@ -0,0 +1,23 @@
+"""What leaves a worker that goes, and when."""
+
+from __future__ import annotations
+
+import pytest
+
+from chiveledge.placement import should_leave
+
+
+@pytest.mark.parametrize(
+    "leaves_s,remaining_s,saved,leave",
+    [
+        (5.0, 4.0, False, False),
+        (5.0, 6.0, False, False),
+        (5.0, 9.0, False, True),
+        (5.0, 9.0, True, False),
+        (1.4, 9.0, True, True),
+        (1.4, 1.0, True, False),
+        (0.0, 0.5, True, True),
+    ],
+)
+def test_choice(leaves_s, remaining_s, saved, leave):
+    assert should_leave(leaves_s, remaining_s, saved=saved, stop_s=0.9) is leave
