Tickets of the advice service are asked for in batches and carried by starts

Queues whose policy only the advice service knows had no start: their orders carried no ticket. Steps that wait are asked for in their order, 30 workers a call, those with most room first, one call at a time; refusals are remembered, tickets are bound to the worker's life and time. Tests: coordinator/test_advice.py.

--- a/chiveledge/coordinator/__init__.py
+++ b/chiveledge/coordinator/__init__.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
+from chiveledge.coordinator._advice import Advice, AdviceService
 from chiveledge.coordinator._coordinator import Coordinator
 from chiveledge.coordinator._reign import Reign, ReignContext
 from chiveledge.coordinator._timing import CoordinatorTiming
 
-__all__ = ["Coordinator", "CoordinatorTiming", "Reign", "ReignContext"]
+__all__ = [
+    "Advice",
+    "AdviceService",
+    "Coordinator",
+    "CoordinatorTiming",
+    "Reign",
+    "ReignContext",
+]
--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -42,17 +42,20 @@
     max_attempts: int
     stretch: float
     target_s: float
+    needs_advice: bool
 
 
 def find_policy(job: JobProgress, catalogue: Catalogue) -> JobPolicy:
     """Return the policy in force for a job."""
-    queue = catalogue.queues.get(job.request.queue) or job.request
+    present = catalogue.queues.get(job.request.queue)
+    queue = present or job.request
     return JobPolicy(
         queue.service,
         queue.priority,
         queue.max_attempts,
         queue.stretch,
         queue.target_s,
+        needs_advice=present is not None and present.advice is not None,
     )
 
 
@@ -260,6 +263,7 @@
                             if task.run
                         ),
                         careful=failed and waited_s < DOUBT_PATIENCE_S,
+                        needs_advice=policy.needs_advice,
                     )
 
 
--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -13,6 +13,7 @@
 
 from result import Err, Ok
 
+from chiveledge.coordinator._advice import AdviceBook
 from chiveledge.coordinator._ledger import Ledger
 from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
 from chiveledge.leadership import Leadership
@@ -47,6 +48,8 @@
         Names the fence; nothing starts while it is not valid.
     ledger : Ledger
         Stores each start before it is sent.
+    advice : AdviceBook
+        Has the tickets that starts carry.
     jobs : dict
         All jobs by ID.
     spawn : callable
@@ -62,6 +65,7 @@
         context: ReignContext,
         leadership: Leadership,
         ledger: Ledger,
+        advice: AdviceBook,
         jobs: dict[str, JobProgress],
         spawn: Callable[[Coroutine], None],
         wake: Callable[[], None],
@@ -73,6 +77,7 @@
         self._timing = context.timing
         self._leadership = leadership
         self._ledger = ledger
+        self._advice = advice
         self._jobs = jobs
         self._spawn = spawn
         self._wake = wake
@@ -178,6 +183,9 @@
                 lease_until_ms=link.lease_end_ms(now_s, self._timing.work_lease_s) or 0,
                 fence=self._leadership.epoch,
                 checkpoint=checkpoint,
+                ticket=self._advice.find(
+                    tracked.name.step_name, link.name, link.born_ms
+                ),
             )
             if tracked.stopping or _key(tracked) not in link.runs:
                 return False
--- a/chiveledge/coordinator/_reign.py
+++ b/chiveledge/coordinator/_reign.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from chiveledge.clock import Clock, run_with_timeout
+from chiveledge.coordinator._advice import AdviceBook, AdviceService, Candidate
 from chiveledge.coordinator._demands import list_demands, view_fleet
 from chiveledge.coordinator._ledger import PROGRESS_PREFIX, Ledger
 from chiveledge.coordinator._orders import OrderDesk
@@ -23,10 +24,12 @@
 from chiveledge.metrics import Metrics
 from chiveledge.placement import (
     Claim,
+    FleetView,
     StepDemand,
     WorkerSpeeds,
     WorkerSuspicion,
     make_plan,
+    sort_demands,
 )
 from chiveledge.placement._fleet import charged_usage
 from chiveledge.services import Row, Unavailable, WatchedTable
@@ -78,6 +81,8 @@
         Returns the client of a worker.
     catalogue : callable
         Returns the configuration in force.
+    advice : AdviceService, optional
+        Knows the workers of queues with a policy of their own.
     """
 
     table: WatchedTable
@@ -89,6 +94,7 @@
     log: DecisionLog
     metrics: Metrics
     timing: CoordinatorTiming
+    advice: AdviceService | None = None
 
 
 class PendingClaim(NamedTuple):
@@ -136,10 +142,12 @@
             context.metrics,
             self.end,
         )
+        self._advice = AdviceBook(context.advice, self._clock, self._log, self._wake)
         self._orders = OrderDesk(
             context,
             leadership,
             self._ledger,
+            self._advice,
             self.jobs,
             self._spawn,
             self._wake.set,
@@ -231,6 +239,7 @@
         self._spawn(workers.run())
         self._spawn(inbox.run())
         self._spawn(self._clean_loop())
+        self._spawn(self._advice.run())
         await self._plan_loop()
 
     async def _load_progress(self) -> None:
@@ -494,13 +503,38 @@
             now_s,
             self._clock.now().timestamp() * 1000,
         )
-        plan = make_plan(fleet, demands)
+        plan = make_plan(fleet, self._apply_advice(fleet, demands))
         for start in plan.starts:
             self._begin(start.demand, start.placements)
         for claim in plan.claims:
             self._stop_for(claim, now_s)
         self._context.metrics.observe("plan_s", self._clock.monotonic() - now_s)
 
+    def _apply_advice(
+        self, fleet: FleetView, demands: Iterable[StepDemand]
+    ) -> list[StepDemand]:
+        """Bound demands to workers with tickets, and ask for what is missing."""
+        ready = []
+        wanted: dict[str, list[Candidate]] = {}
+        for demand in sort_demands(demands):
+            if not demand.needs_advice:
+                ready.append(demand)
+                continue
+            workers = fleet.candidates(demand.service, demand.step)
+            workers.sort(key=lambda worker: (worker.free, worker.name), reverse=True)
+            candidates = [
+                Candidate(worker.name, self.links[worker.name].born_ms)
+                for worker in workers
+            ]
+            wanted[demand.step_name] = candidates
+            allowed = self._advice.allowed(demand.step_name, candidates)
+            ready.append(demand._replace(allowed=allowed))
+        self._advice.want(wanted)
+        self._advice.forget(
+            name for name in self._advice.known_steps() if name not in wanted
+        )
+        return ready
+
     def _review_claims(self, now_s: float) -> tuple[dict[str, Usage], set[TaskName]]:
         """Start claims whose room is there; return what the others keep."""
         promised: dict[str, Usage] = {}
--- a/chiveledge/placement/_order.py
+++ b/chiveledge/placement/_order.py
@@ -37,6 +37,8 @@
     careful : bool
         Whether the tasks have failed before, so that a worker in doubt could
         cost them their last attempt.
+    needs_advice : bool
+        Whether only the advice service knows the workers that may run it.
     """
 
     job_id: str
@@ -53,6 +55,7 @@
     near: frozenset[str] = frozenset()
     allowed: frozenset[WorkerName] | None = None
     careful: bool = False
+    needs_advice: bool = False
 
     @property
     def step_name(self) -> str:
--- /dev/null
+++ b/chiveledge/platform/_advice.py
@@ -0,0 +1,47 @@
+"""Client of the platform's advice service."""
+
+from __future__ import annotations
+
+from result import Err, Ok, Result
+
+from chiveledge.coordinator import Advice
+from chiveledge.services import CallError, HttpCaller, Unavailable, Unsettled
+from chiveledge.services._http import HttpReply
+
+HTTP_OK = 200
+ASK_TIMEOUT_S = 4.0
+
+
+class PlatformAdvice:
+    """Asks which workers may run a step.
+
+    Parameters
+    ----------
+    caller : HttpCaller
+        Connection to the service.
+    """
+
+    def __init__(self, caller: HttpCaller) -> None:
+        self._caller = caller
+
+    async def ask(
+        self, step_name: str, workers: tuple[str, ...]
+    ) -> Result[Advice, CallError]:
+        """Return tickets for those of `workers` that may run the step."""
+        body = {"step": step_name, "workers": list(workers)}
+        match await self._caller.call("POST", "/advise", body, timeout_s=ASK_TIMEOUT_S):
+            case Ok(HttpReply(status=status, body=answer)) if status == HTTP_OK:
+                return _decode(answer)
+            case Ok(HttpReply(status=status)):
+                return Err(Unavailable(f"the advice service answered {status}"))
+            case Err(error):
+                return Err(error)
+        raise AssertionError("unreachable")
+
+
+def _decode(answer: dict) -> Result[Advice, CallError]:
+    try:
+        tickets = {str(name): str(ticket) for name, ticket in answer["good"]}
+        return Ok(Advice(tickets, float(answer["valid_ms"]) / 1000))
+    except (ValueError, TypeError, KeyError) as error:
+        return Err(Unsettled(f"the advice can't be read: {error!r}"))
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -20,6 +20,7 @@
 from chiveledge.intake._board import BOARD_PREFIX
 from chiveledge.leadership import Leadership
 from chiveledge.metrics import Metrics
+from chiveledge.platform._advice import PlatformAdvice
 from chiveledge.platform._catalogue import (
     CONFIGURATION_KEY,
     CONFIGURATION_PREFIX,
@@ -175,6 +176,7 @@
             log=self._log,
             metrics=self._metrics,
             timing=timing,
+            advice=self._make_advice(),
         )
         leadership = Leadership(
             SHARD,
@@ -187,6 +189,13 @@
         )
         return Coordinator(context, leadership)
 
+    def _make_advice(self) -> PlatformAdvice | None:
+        if self._settings.advice is None:
+            return None
+        url = f"http://{self._settings.advice}"
+        pool = SessionPool(limit=1)
+        return PlatformAdvice(HttpCaller(pool, url, metrics=self._metrics))
+
     def _on_configuration(
         self, rows: Iterable[Row], deleted: Iterable[str], whole: bool
     ) -> None:
--- /dev/null
+++ b/tests/coordinator/test_advice.py
@@ -0,0 +1,80 @@
+"""Tickets are asked for ahead, used while they hold, and refusals remembered."""
+
+from __future__ import annotations
+
+import asyncio
+
+from result import Err, Ok
+
+from chiveledge.clock import ManualClock
+from chiveledge.coordinator import Advice
+from chiveledge.coordinator._advice import BATCH_WORKERS, AdviceBook, Candidate
+from chiveledge.decision_log import SilentLog
+from chiveledge.services import Unavailable
+
+
+class Desk:
+    """An advice service that allows workers with even numbers."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.calls: list[tuple[str, tuple[str, ...]]] = []
+        self.busy = False
+        self.book = AdviceBook(self, self.clock, SilentLog(), asyncio.Event())
+
+    async def ask(self, step_name, workers):
+        self.calls.append((step_name, workers))
+        await self.clock.sleep(0.1)
+        if self.busy:
+            return Err(Unavailable("429"))
+        good = {name: f"t-{name}" for name in workers if int(name[1:]) % 2 == 0}
+        return Ok(Advice(good, 3.0))
+
+
+def candidates(count: int, born_ms: int = 1) -> list[Candidate]:
+    return [Candidate(f"w{number}", born_ms) for number in range(count)]
+
+
+async def run_for(desk: Desk, seconds: float) -> None:
+    task = asyncio.ensure_future(desk.book.run())
+    await desk.clock.advance(seconds)
+    task.cancel()
+
+
+async def test_workers_are_asked_about_in_batches_and_once():
+    desk = Desk()
+    desk.book.want({"j.0.0": candidates(50)})
+    await run_for(desk, 1.0)
+    assert [len(workers) for _, workers in desk.calls] == [BATCH_WORKERS, 20]
+    assert len(desk.book.allowed("j.0.0", candidates(50))) == 25
+    assert desk.book.find("j.0.0", "w2", 1) == "t-w2"
+    assert desk.book.find("j.0.0", "w3", 1) == ""
+
+
+async def test_ticket_ends_with_its_time_and_with_the_worker():
+    desk = Desk()
+    desk.book.want({"j.0.0": candidates(2)})
+    await run_for(desk, 0.5)
+    assert desk.book.find("j.0.0", "w0", born_ms=2) == ""
+    desk.clock.jump(3.0)
+    assert desk.book.find("j.0.0", "w0", 1) == ""
+    await run_for(desk, 0.6)
+    assert desk.calls[-1] == ("j.0.0", ("w0",))
+    assert desk.book.find("j.0.0", "w0", 1) == "t-w0"
+
+
+async def test_busy_service_is_asked_again_after_a_pause():
+    desk = Desk()
+    desk.busy = True
+    desk.book.want({"j.0.0": candidates(2)})
+    await run_for(desk, 3.0)
+    assert 3 < len(desk.calls) < 12
+    assert desk.book.allowed("j.0.0", candidates(2)) == frozenset()
+
+
+async def test_steps_that_do_not_wait_are_forgotten():
+    desk = Desk()
+    desk.book.want({"j.0.0": candidates(2)})
+    await run_for(desk, 0.5)
+    desk.book.forget(["j.0.0"])
+    assert desk.book.known_steps() == []
