--- a/standins/table.py
+++ b/standins/table.py
@@ -19,12 +19,21 @@
     Row,
     Snapshot,
     Transaction,
+    Unsettled,
 )
 from standins.faults import Faults, make_app
 
+LATE_TIMEOUT_S = 0.8
+
 
 class MemoryTable:
-    """A table service within one process; versions only grow."""
+    """A table service within one process; versions only grow.
+
+    Attributes
+    ----------
+    late_writes : int
+        Transactions that get no answer and are tried `late_s` later.
+    """
 
     def __init__(self, clock: Clock | None = None) -> None:
         self.faults = Faults(clock)
@@ -35,6 +44,8 @@
         self.reads = 0
         self._history: list[tuple[int, str]] = []
         self._changed = asyncio.Event()
+        self.late_writes = 0
+        self.late_s = 2.0
         self._clock = clock or SystemClock()
 
     async def read(self, key: str) -> Result[Row | None, CallError]:
@@ -44,6 +55,11 @@
         return await self.faults.call(lambda: Ok(self.find_all(prefix)), writes=False)
 
     async def transact(self, transaction: Transaction) -> Result[int, CallError]:
+        if self.late_writes > 0:
+            self.late_writes -= 1
+            asyncio.ensure_future(self._commit_late(transaction))
+            await self._clock.sleep(LATE_TIMEOUT_S)
+            return Err(Unsettled("no answer"))
         return await self.faults.call(lambda: self.commit(transaction), writes=True)
 
     async def snapshot(self, prefix: str) -> Result[Snapshot, CallError]:
@@ -72,6 +88,10 @@
                 return Ok(self._changes(list(keys)))
             await run_with_timeout(self._clock, self._changed.wait(), left_s)
 
+    async def _commit_late(self, transaction: Transaction) -> None:
+        await self._clock.sleep(self.late_s)
+        self.commit(transaction)
+
     def forget_history(self) -> None:
         """Drop all changes that were kept for watchers."""
         self._history = [(self.version + 1, "")]
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -93,6 +93,22 @@
     started: list[tuple[float, str, int]] = field(default_factory=list)
 
 
+@dataclass
+class FleetRecord:
+    """What happened on all workers together.
+
+    Attributes
+    ----------
+    noted_done : set of str
+        Tasks whose end as done was acknowledged by a leader.
+    started_after_done : list of str
+        Tasks that were started in spite of that.
+    """
+
+    noted_done: set[str] = field(default_factory=set)
+    started_after_done: list[str] = field(default_factory=list)
+
+
 class MemoryTaskWorker:
     """One life after another of a worker.
 
@@ -106,6 +122,8 @@
         Returns what a task needs, by its name without the run.
     fleet : list, optional
         All workers, among which members of a gang find each other.
+    record : FleetRecord, optional
+        Shared by all workers.
     """
 
     def __init__(
@@ -114,12 +132,14 @@
         clock: Clock,
         describe: Callable[[str], StandInTask],
         fleet: list[MemoryTaskWorker] | None = None,
+        record: FleetRecord | None = None,
     ) -> None:
         self.faults = WorkerFaults()
         self.clock_rate = 1.0
         self._clock = clock
         self._describe = describe
         self._fleet = fleet if fleet is not None else [self]
+        self._record = record or FleetRecord()
         self._changed = asyncio.Event()
         self._begin(entry)
 
@@ -208,7 +228,7 @@
             return Err(Declined(DeclineReason.FENCE, self.clock_ms))
         self.fence = request.fence
         self._extend(request.lease_until_ms)
-        self.ended = [end for end in self.ended if end.number > request.last_seen]
+        self._forget_seen(request.last_seen)
         if not self.ended and request.wait_s:
             await run_with_timeout(self._clock, self._changed.wait(), request.wait_s)
         if self.faults.silent or self.faults.gone:
@@ -236,6 +256,8 @@
             return self._decline(DeclineReason.NO_ROOM)
         saved_s = float(order.checkpoint or 0.0)
         self.runs[key] = StandInRun(order, task, done_s=saved_s)
+        if order.task in self._record.noted_done:
+            self._record.started_after_done.append(order.task)
         self.faults.started.append((self._clock.monotonic(), order.task, order.run))
         return Ok(OrderTaken(self.clock_ms))
 
@@ -275,6 +297,12 @@
             self.clock_ms, self.entry.born_ms, running, tuple(self.ended[:500])
         )
 
+    def _forget_seen(self, last_seen: int) -> None:
+        for end in self.ended:
+            if end.number <= last_seen and end.how is RunEnd.DONE:
+                self._record.noted_done.add(end.task)
+        self.ended = [end for end in self.ended if end.number > last_seen]
+
     def _extend(self, until_ms: int | None) -> None:
         if until_ms is not None:
             until_ms = min(until_ms, self.clock_ms + LONGEST_LEASE_MS)
--- a/tests/coordinator/cluster.py
+++ b/tests/coordinator/cluster.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import inspect
 import json
 from collections import Counter
 
+from result import Err
+
 from chiveledge.clock import ManualClock
 from chiveledge.coordinator import Coordinator, CoordinatorTiming, ReignContext
 from chiveledge.decision_log import SilentLog
@@ -14,7 +17,7 @@
 from chiveledge.intake._board import BOARD_PREFIX
 from chiveledge.leadership import Leadership
 from chiveledge.metrics import Metrics
-from chiveledge.services import Put, Row, Transaction
+from chiveledge.services import Put, Row, Transaction, Unsettled
 from chiveledge.services.task_worker import WorkerEntry
 from chiveledge.workload import (
     Catalogue,
@@ -27,7 +30,7 @@
     Workspace,
 )
 from standins.table import MemoryTable
-from standins.task_worker import MemoryTaskWorker, StandInTask
+from standins.task_worker import FleetRecord, MemoryTaskWorker, StandInTask
 
 STEP_S = 0.05
 WORKER_PREFIX = "servers/"
@@ -46,22 +49,65 @@
 )
 
 
+CUT_TIMEOUT_S = 0.6
+
+
+class Link:
+    """Calls of one node to one service, which may be cut.
+
+    Attributes
+    ----------
+    cut : bool
+        No call arrives.
+    one_way : bool
+        Calls arrive and their answers are lost.
+    """
+
+    def __init__(self, service, clock: ManualClock) -> None:
+        self._service = service
+        self._clock = clock
+        self.cut = False
+        self.one_way = False
+
+    def __getattr__(self, name: str):
+        call = getattr(self._service, name)
+        if not inspect.iscoroutinefunction(call):
+            return call
+
+        async def carry(*arguments):
+            if not self.cut:
+                result = await call(*arguments)
+                if not self.one_way:
+                    return result
+            await self._clock.sleep(CUT_TIMEOUT_S)
+            return Err(Unsettled("the link is cut"))
+
+        return carry
+
+
 class Node:
     """One process: a desk for callers and a coordinator."""
 
     def __init__(self, cluster: Cluster, name: str, rank: int) -> None:
+        self.name = name
+        self.rank = rank
+        self.store = Link(cluster.table, cluster.clock)
+        self.workers = {
+            worker: Link(service, cluster.clock)
+            for worker, service in cluster.workers.items()
+        }
         self.board = JobBoard()
         self.log = SilentLog()
-        self.desk = JobDesk(cluster.table, self.board, cluster.clock, self.log)
+        self.desk = JobDesk(self.store, self.board, cluster.clock, self.log)
         self.metrics = Metrics()
         self.follower = TableFollower(
-            cluster.table, BOARD_PREFIX, cluster.clock, self.log, self.board.on_rows
+            self.store, BOARD_PREFIX, cluster.clock, self.log, self.board.on_rows
         )
         context = ReignContext(
-            table=cluster.table,
+            table=self.store,
             worker_prefix=WORKER_PREFIX,
             decode_worker=decode_worker,
-            make_worker=lambda entry: cluster.workers[entry.name],
+            make_worker=lambda entry: self.workers[entry.name],
             catalogue=lambda: cluster.catalogue,
             clock=cluster.clock,
             log=self.log,
@@ -71,7 +117,7 @@
         leadership = Leadership(
             "all",
             name,
-            cluster.table,
+            self.store,
             cluster.clock,
             Timeline(name, cluster.clock),
             cluster.timing,
@@ -115,6 +161,7 @@
         self.tasks: dict[str, StandInTask] = {}
         self.workers: dict[str, MemoryTaskWorker] = {}
         self.double_runs: list[str] = []
+        self.record = FleetRecord()
         fleet: list[MemoryTaskWorker] = []
         for number in range(workers):
             entry = WorkerEntry(
@@ -127,7 +174,9 @@
                 capacity,
                 born_ms=1,
             )
-            worker = MemoryTaskWorker(entry, self.clock, self._describe, fleet)
+            worker = MemoryTaskWorker(
+                entry, self.clock, self._describe, fleet, self.record
+            )
             fleet.append(worker)
             self.workers[entry.name] = worker
             self.list_worker(entry)
@@ -211,6 +260,12 @@
         """The node that leads."""
         return next(node for node in self.nodes if node.leads)
 
+    async def restart(self, index: int) -> None:
+        """Kill a node and start it again under its name."""
+        node = self.nodes[index]
+        await node.kill()
+        self.nodes[index] = Node(self, node.name, node.rank)
+
     async def close(self) -> None:
         """End everything."""
         for node in self.nodes:
--- /dev/null
+++ b/tests/coordinator/test_random_faults.py
@@ -0,0 +1,161 @@
+"""Random faults in series and overlapping, then calm: nothing is lost or doubled.
+
+Each seed plays jobs of all kinds on three nodes and six workers while nodes are
+killed, restarted and cut off, workers are silent, reborn, hang or carry orders out
+late, and the store is down, loses answers, writes late or forgets its history.
+Checked throughout: no task runs twice at the same time and none starts after its
+end was acknowledged. Checked after the calm: every accepted job has ended as it
+should, and nothing runs any more.
+"""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from chiveledge.intake import Accepted
+from chiveledge.workload import JobState, Step, Usage
+from tests.coordinator.cluster import Cluster
+
+SEEDS = range(24)
+FAULTY_S = 14.0
+CALM_S = 30.0
+
+
+class Play:
+    """One seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.cluster = Cluster(workers=6, nodes=3)
+        for worker in self.cluster.workers.values():
+            worker.clock_rate = self.rng.choice([0.98, 1.0, 1.02])
+        self.accepted: dict[str, Step] = {}
+        self.failing: set[str] = set()
+        self.cancelled: set[str] = set()
+        self.heals: list = []
+
+    async def run(self) -> None:
+        cluster = self.cluster
+        await cluster.advance(0.5)
+        until_s = cluster.clock.monotonic() + FAULTY_S
+        number = 0
+        while cluster.clock.monotonic() < until_s:
+            number += 1
+            action = self.rng.choice([self.hand_in, self.hand_in, self.harm, self.heal])
+            await action(number)
+            await cluster.advance(self.rng.choice([0.1, 0.3, 0.8]))
+        await self.heal_all()
+        await cluster.advance(CALM_S)
+
+    async def hand_in(self, number: int) -> None:
+        rng = self.rng
+        job_id = f"j{number}"
+        step = Step(
+            count=rng.randint(1, 5),
+            usage=Usage(1000, 500, rng.choice([1, 1, 2, 4])),
+            estimate_s=2.0,
+            gang=rng.random() < 0.4,
+            checkpoints=rng.random() < 0.4,
+        )
+        fails = rng.random() < 0.1
+        outcome = await self.cluster.submit(
+            job_id,
+            step,
+            queue=rng.choice(["urgent", "standard", "batch"]),
+            work_s=rng.uniform(0.3, 4.0),
+            fails=fails,
+            node=rng.randrange(3),
+        )
+        if isinstance(outcome, Accepted):
+            self.accepted[job_id] = step
+            if fails:
+                self.failing.add(job_id)
+            elif rng.random() < 0.1:
+                desk = self.cluster.nodes[rng.randrange(3)].desk
+                done = await self.cluster.call(desk.cancel(job_id, 2.0))
+                if isinstance(done, Accepted):
+                    self.cancelled.add(job_id)
+
+    async def harm(self, number: int) -> None:
+        rng, cluster = self.rng, self.cluster
+        worker = rng.choice(list(cluster.workers.values()))
+        node = rng.choice(cluster.nodes)
+        match rng.randrange(12):
+            case 0 | 1:
+                await cluster.restart(rng.randrange(3))
+            case 2:
+                node.store.cut = True
+                self.heals.append(lambda: setattr(node.store, "cut", False))
+            case 3:
+                node.store.one_way = True
+                self.heals.append(lambda: setattr(node.store, "one_way", False))
+            case 4:
+                link = node.workers[worker.entry.name]
+                link.one_way = True
+                self.heals.append(lambda: setattr(link, "one_way", False))
+            case 5:
+                worker.faults.silent = True
+                self.heals.append(lambda: setattr(worker.faults, "silent", False))
+            case 6:
+                worker.crash(worker.entry.born_ms + 1)
+                cluster.list_worker(worker.entry)
+            case 7:
+                worker.faults.lose_orders = 2
+                worker.faults.late_s = rng.uniform(1.0, 6.0)
+            case 8:
+                worker.faults.hangs = True
+                self.heals.append(lambda: setattr(worker.faults, "hangs", False))
+            case 9:
+                cluster.table.faults.down = True
+                heal = cluster.table.faults
+                self.heals.append(lambda: setattr(heal, "down", False))
+            case 10:
+                cluster.table.late_writes = rng.randint(1, 4)
+                cluster.table.late_s = rng.uniform(0.5, 5.0)
+            case 11:
+                cluster.table.faults.lose_replies = rng.randint(1, 4)
+                cluster.table.forget_history()
+
+    async def heal(self, number: int) -> None:
+        if self.heals:
+            self.heals.pop(self.rng.randrange(len(self.heals)))()
+
+    async def heal_all(self) -> None:
+        for heal in self.heals:
+            heal()
+        for worker in self.cluster.workers.values():
+            worker.faults.lose_orders = 0
+        self.cluster.table.late_writes = 0
+        self.cluster.table.faults.lose_replies = 0
+
+    def expected(self, job_id: str) -> set[JobState]:
+        states = {JobState.COMPLETED}
+        if job_id in self.failing:
+            states = {JobState.FAILED}
+        if job_id in self.cancelled:
+            states.add(JobState.CANCELLED)
+        return states
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_nothing_is_lost_or_doubled(seed):
+    play = Play(seed)
+    try:
+        await play.run()
+        cluster = play.cluster
+        assert not cluster.double_runs
+        assert not cluster.record.started_after_done
+        assert play.accepted
+        states = {job: cluster.state(job, node=2) for job in play.accepted}
+        wrong = {
+            job: state
+            for job, state in states.items()
+            if state not in play.expected(job)
+        }
+        assert not wrong
+        left = [key for worker in cluster.workers.values() for key in worker.runs]
+        assert not left
+    finally:
+        await play.cluster.close()
