Random faults on three nodes; a start may be taken by the next life of a worker

24 seeds of random faults (kills, restarts, cuts, one-way links, silent, reborn and hanging workers, late orders, store down, late, losing answers or history) with checks of double runs, starts after a noted end, lost and left-over work. Of 200 further seeds 221 failed: a start was stored while the store's answers were lost, the worker had started anew meanwhile and took the order, since orders name the worker and not its life; then the run was closed as lost with the earlier life and the task ran twice. Now only runs that the earlier life has shown are closed; orders for a life that is over are not sent; others are settled by the next look. A worker that is silent after its rebirth is waited for as long as the longest lease. The seed is kept.

--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -90,6 +90,10 @@
             for link, tracked in started:
                 self.forget(link, tracked, "not sent: the job ended or no leadership")
             return
+        if any(link.born_ms != tracked.run.born_ms for link, tracked in started):
+            for link, tracked in started:
+                self.forget(link, tracked, "not sent: a worker started anew")
+            return
         checkpoint = _choose_checkpoint(step, started)
         taken = await asyncio.gather(
             *(
--- a/chiveledge/coordinator/_reign.py
+++ b/chiveledge/coordinator/_reign.py
@@ -16,7 +16,11 @@
 from chiveledge.coordinator._runtimes import RunTimes
 from chiveledge.coordinator._settlement import Settlement
 from chiveledge.coordinator._timing import CoordinatorTiming
-from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
+from chiveledge.coordinator._worker_link import (
+    CLOCK_RATE,
+    TrackedRun,
+    WorkerLink,
+)
 from chiveledge.decision_log import DecisionLog
 from chiveledge.intake import TableFollower, is_cancel_key
 from chiveledge.intake._desk import CANCEL_SUFFIX, INBOX_PREFIX
@@ -46,6 +50,7 @@
     JobState,
     OpenRun,
     RunEnd,
+    RunState,
     TaskName,
     Usage,
     decode_progress,
@@ -292,9 +297,6 @@
             adopted=True,
         )
         link.runs[str(name), run.number] = tracked
-        if link.born_ms > run.born_ms > 0:
-            self._settlement.close(link, tracked, RunEnd.LAPSED, "worker started anew")
-            return
         if job.state.ended:
             self._orders.stop(link, tracked, "the job has ended")
 
@@ -365,18 +367,27 @@
 
     def _rebirth(self, link: WorkerLink, born_ms: int) -> None:
         self._log.write("workers", "reborn", worker=link.name, born_ms=born_ms)
-        link.begin_life(born_ms)
+        link.begin_life(born_ms, self._clock.monotonic())
         self.suspicion.forget_worker(link.name)
         for tracked in list(link.runs.values()):
-            if tracked.settled_s is None:
-                # A late start may reach the new life; a stop there bars it.
-                self._orders.stop(link, tracked, "its worker started anew")
-            else:
-                self._settlement.close(
-                    link, tracked, RunEnd.LAPSED, "worker started anew"
-                )
+            self._carry_over(link, tracked)
         self._wake.set()
 
+    def _carry_over(self, link: WorkerLink, tracked: TrackedRun) -> None:
+        """Decide on a run of a worker that started anew under its name.
+
+        Orders name the worker and not its life, so a start that the earlier life
+        never showed may have reached the present one.
+        """
+        if tracked.run.state is RunState.INTENDED:
+            return
+        if tracked.shown:
+            self._settlement.close(link, tracked, RunEnd.LAPSED, "worker started anew")
+        elif tracked.settled_s is None:
+            self._orders.stop(link, tracked, "its worker started anew")
+        else:
+            tracked.settled_s = self._clock.monotonic()
+
     async def _follow_worker(self, link: WorkerLink) -> None:
         """Hold a worker's lease and settle what it reports.
 
@@ -457,8 +468,9 @@
         if link.has_left:
             over = True
         elif link.answered_s is None:
-            guard_s = self._context.timing.work_lease_s / 0.98 + FORMER_LEADER_S
-            over = now_s - self._began_s > guard_s
+            longest_s = self._context.timing.longest_lease_s / CLOCK_RATE
+            since_s = max(self._began_s, link.life_began_s)
+            over = now_s - since_s > longest_s + FORMER_LEADER_S
         else:
             over = link.lease_is_over(now_s)
         if not over:
--- a/chiveledge/coordinator/_settlement.py
+++ b/chiveledge/coordinator/_settlement.py
@@ -193,6 +193,8 @@
             self._orders.bar(link, row.task, row.run)
             return
         run = tracked.run
+        run.born_ms = link.born_ms
+        tracked.shown = True
         now_s = self._clock.monotonic()
         if run.state is not RunState.RUNNING:
             run.state = RunState.RUNNING
--- a/chiveledge/coordinator/_timing.py
+++ b/chiveledge/coordinator/_timing.py
@@ -18,6 +18,8 @@
         Period at which a standby looks at the lease.
     work_lease_s : float
         How long running work outlives its last extension.
+    longest_lease_s : float
+        Longest lease that a worker grants, whatever it is asked for.
     hold_busy_s, hold_idle_s : float
         Longest wait of one look at a worker with and without work.
     order_timeout_s : float
@@ -36,6 +38,7 @@
     renew_s: float = 0.4
     challenge_s: float = 0.4
     work_lease_s: float = 6.0
+    longest_lease_s: float = 10.0
     hold_busy_s: float = 0.5
     hold_idle_s: float = 2.0
     order_timeout_s: float = 0.8
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -32,6 +32,8 @@
         Whether a stop is on its way.
     adopted : bool
         Whether an earlier leader started it, so that its start time is unknown.
+    shown : bool
+        Whether the present life of the worker has shown it.
     """
 
     name: TaskName
@@ -41,6 +43,7 @@
     settled_s: float | None = None
     stopping: bool = False
     adopted: bool = False
+    shown: bool = False
     marks: deque[tuple[float, int]] = field(
         default_factory=lambda: deque(maxlen=MARKS_KEPT)
     )
@@ -104,6 +107,7 @@
     clock_ms: int = 0
     clock_read_s: float = 0.0
     born_ms: int = 0
+    life_began_s: float = float("-inf")
     loads: dict[tuple[str, int], float] = field(default_factory=dict)
 
     @property
@@ -168,8 +172,9 @@
         total_s = least_s if told_s is None else told_s
         return max(0.0, total_s - (now_s - self.drains_since_s))
 
-    def begin_life(self, born_ms: int) -> None:
+    def begin_life(self, born_ms: int, now_s: float) -> None:
         """The worker started anew: it knows nothing of before."""
+        self.life_began_s = now_s
         self.born_ms = born_ms
         self.fence_raised = False
         self.last_seen = 0
@@ -178,6 +183,8 @@
         self.answered_s = None
         self.clock_ms = 0
         self.drains_since_s = None
+        for tracked in self.runs.values():
+            tracked.marks.clear()
         self.loads.clear()
 
     def note_loads(self, report: HoldReport) -> None:
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -48,6 +48,9 @@
 CURRENT_SHARE = 0.85
 """Part of the bound on applying configurations up to which a copy is trusted."""
 
+WORK_LEASE_S = 6.0
+"""Running work outlives the loss of all hosts for this long, if workers allow it."""
+
 BOARD_PAUSE_S = 0.1
 STORE_NEAR_S = 0.02
 """Round trip to the store that is one step further away for a standby."""
@@ -161,7 +164,8 @@
     def _make_coordinator(self, store: PlatformStore, rank: int) -> Coordinator:
         bounds = self._settings.bounds
         timing = CoordinatorTiming(
-            work_lease_s=min(6.0, bounds.longest_lease_s),
+            work_lease_s=min(WORK_LEASE_S, bounds.longest_lease_s),
+            longest_lease_s=bounds.longest_lease_s,
             stop_s=bounds.stop_s,
             drain_s=bounds.drain_s,
             keep_ended_s=bounds.keep_status_s * 1.5,
--- a/tests/coordinator/test_random_faults.py
+++ b/tests/coordinator/test_random_faults.py
@@ -18,7 +18,12 @@
 from chiveledge.workload import JobState, Step, Usage
 from tests.coordinator.cluster import Cluster
 
-SEEDS = range(24)
+SEEDS = [
+    *range(24),
+    # A start for one life of a worker was taken by the next, which nobody knew yet;
+    # the run was closed as lost with the earlier life and started again elsewhere.
+    221,
+]
 FAULTY_S = 14.0
 CALM_S = 30.0
 
