Strong hosts near the store lead first; looks in a second are bounded

Cause: on the grown site hosts have 0.5 to 2.15 cores and links from 5 Mbit/s, and the first to ask led; 176 busy workers at two looks a second are 350 calls a second for the leader. Candidates wait by their place: distance to the store, then processor and link. Looks at busy workers grow rarer above 60 of them. Tests: test_leadership.py, coordinator/test_runtimes.py.

--- a/chiveledge/coordinator/_reign.py
+++ b/chiveledge/coordinator/_reign.py
@@ -420,7 +420,7 @@
         wait_s = 0.0
         if link.failing_since_s is None and link.answered_s is not None:
             lease = link.lease_end_ms(now_s, timing.work_lease_s)
-            wait_s = timing.hold_busy_s if link.runs else timing.hold_idle_s
+            wait_s = timing.look_wait_s(len(self.links), busy=bool(link.runs))
         if storing:
             wait_s = 0.0
         request = HoldRequest(self._leadership.epoch, link.last_seen, lease, wait_s)
--- a/chiveledge/coordinator/_timing.py
+++ b/chiveledge/coordinator/_timing.py
@@ -4,6 +4,9 @@
 
 from typing import NamedTuple
 
+LOOKS_PER_SECOND = 120
+"""Looks at busy workers in a second; each takes a leader about half a millisecond."""
+
 
 class CoordinatorTiming(NamedTuple):
     """Times in seconds.
@@ -46,3 +49,15 @@
     keep_ended_s: float = 180.0
     drain_s: float = 2.5
     stall_s: float = 3.0
+
+    def look_wait_s(self, workers: int, *, busy: bool) -> float:
+        """Return how long a look at a worker may wait for an end.
+
+        Load answered: a leader of hundreds of workers on a small host. Looks at busy
+        workers show stalls and slowness; they grow rarer with the number of workers
+        so that their number in a second stays bounded.
+        """
+        if not busy:
+            return self.hold_idle_s
+        crowded_s = workers / LOOKS_PER_SECOND
+        return min(max(self.hold_busy_s, crowded_s), self.hold_idle_s)
--- a/chiveledge/leadership.py
+++ b/chiveledge/leadership.py
@@ -33,6 +33,16 @@
 STANDBY_DELAY_S = 0.15
 """Extra wait of a challenger for each place behind in the region's order."""
 
+STORE_STEP_S = 0.02
+"""Round trip to the store that makes a candidate one place worse."""
+
+WEAK_CORES = 0.8
+NARROW_LINK_MBPS = 30.0
+WEAK_PLACES = 3
+"""Places that a weak processor or a narrow link costs: more than any distance."""
+
+FURTHEST_PLACES = 3
+
 log = PartLogger("leadership")
 
 
@@ -60,6 +70,34 @@
     since_s: float
 
 
+def rank_candidate(round_trip_s: float, cores: float, link_mbps: float) -> int:
+    """Return the place of a process among the candidates, 0 for the best.
+
+    The leader calls every worker and the store all the time, so it should be close
+    to the store and on a host that can carry it; any host may lead if none is.
+
+    Parameters
+    ----------
+    round_trip_s : float
+        Time of one call to the store.
+    cores : float
+        Processor time of the host in full cores.
+    link_mbps : float
+        Bandwidth of the host's link.
+
+    Examples
+    --------
+    >>> rank_candidate(0.006, 1.07, 1000.0), rank_candidate(0.045, 0.5, 5.0)
+    (0, 8)
+    """
+    rank = min(int(round_trip_s / STORE_STEP_S), FURTHEST_PLACES)
+    if cores < WEAK_CORES:
+        rank += WEAK_PLACES
+    if link_mbps < NARROW_LINK_MBPS:
+        rank += WEAK_PLACES
+    return rank
+
+
 def leadership_key(region: RegionName) -> str:
     """Return the key of a region's leadership row."""
     return f"leadership/{region}/holder"
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -18,7 +18,7 @@
 from chiveledge.events import Timeline
 from chiveledge.intake import JobBoard, JobDesk, TableFollower
 from chiveledge.intake._board import BOARD_PREFIX
-from chiveledge.leadership import Leadership
+from chiveledge.leadership import Leadership, rank_candidate
 from chiveledge.metrics import Metrics
 from chiveledge.platform._advice import PlatformAdvice
 from chiveledge.platform._catalogue import (
@@ -52,9 +52,6 @@
 """Running work outlives the loss of all hosts for this long, if workers allow it."""
 
 BOARD_PAUSE_S = 0.1
-STORE_NEAR_S = 0.02
-"""Round trip to the store that is one step further away for a standby."""
-
 STOP_LISTENING_S = 3.0
 """Time until the balancer has surely seen that this process is not ready."""
 
@@ -153,13 +150,17 @@
         )
 
     async def _await_configuration(self) -> int:
-        """Read the first configuration; return how far away the store is."""
+        """Read the first configuration; return the rank as a candidate to lead."""
         while True:
             sent_s = self._clock.monotonic()
             if await self._configuration.step():
                 break
             await self._clock.sleep(POLL_S)
-        return int((self._clock.monotonic() - sent_s) / STORE_NEAR_S)
+        return rank_candidate(
+            self._clock.monotonic() - sent_s,
+            self._settings.limits.cores,
+            self._settings.limits.link_mbps,
+        )
 
     def _make_coordinator(self, store: PlatformStore, rank: int) -> Coordinator:
         bounds = self._settings.bounds
--- a/chiveledge/platform/_settings.py
+++ b/chiveledge/platform/_settings.py
@@ -54,6 +54,21 @@
     machine_lease_s: float = 3.0
 
 
+class HostLimits(NamedTuple):
+    """What the host gives a process.
+
+    Attributes
+    ----------
+    cores : float
+        Processor time in full cores.
+    link_mbps : float
+        Bandwidth of the host's own link.
+    """
+
+    cores: float = 1.0
+    link_mbps: float = 1000.0
+
+
 class NodeSettings(NamedTuple):
     """What a process learns at its start."""
 
@@ -66,6 +81,7 @@
     store: Endpoint
     advice: Endpoint | None
     bounds: PlatformBounds
+    limits: HostLimits = HostLimits()
 
 
 class SettingsError(NamedTuple):
@@ -127,6 +143,17 @@
         store=_endpoint(store.get("address"), "platform.address"),
         advice=_optional_endpoint(fields, "advice", "advice"),
         bounds=_decode_bounds(_table(fields.get("bounds", {}), "bounds")),
+        limits=_decode_limits(_table(fields.get("limits", {}), "limits")),
+    )
+
+
+def _decode_limits(fields: Mapping[str, Any]) -> HostLimits:
+    default = HostLimits()
+    share = _number(fields, "cpu_share", default.cores, "limits")
+    speed = _number(fields, "cores", 1.0, "limits")
+    return HostLimits(
+        cores=share * speed,
+        link_mbps=_number(fields, "link_mbps", default.link_mbps, "limits"),
     )
 
 
@@ -156,10 +183,12 @@
     return value
 
 
-def _number(fields: Mapping[str, Any], name: str, default: float) -> float:
+def _number(
+    fields: Mapping[str, Any], name: str, default: float, table: str = "bounds"
+) -> float:
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise _FieldError(f"bounds.{name}", f"give a number, got {value!r}")
+        raise _FieldError(f"{table}.{name}", f"give a number, got {value!r}")
     return float(value)
 
 
--- a/tests/coordinator/test_runtimes.py
+++ b/tests/coordinator/test_runtimes.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from chiveledge.coordinator import CoordinatorTiming
 from chiveledge.coordinator._runtimes import RunTimes
 from chiveledge.workload import JobRequest, Step
 
@@ -40,3 +41,11 @@
         Step(estimate_s=1.0, after=(1,)),
     )
     assert RunTimes().expect_chain_s(REQUEST._replace(steps=steps)) == 6.0
+
+
+def test_looks_in_a_second_are_bounded():
+    timing = CoordinatorTiming()
+    assert timing.look_wait_s(24, busy=True) == timing.hold_busy_s
+    assert timing.look_wait_s(180, busy=True) == 1.5
+    assert timing.look_wait_s(800, busy=True) == timing.hold_idle_s
+    assert timing.look_wait_s(24, busy=False) == timing.hold_idle_s
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -39,6 +39,10 @@
     assert settings.bounds.config_apply_s == 4.0
     assert settings.bounds.longest_lease_s == 5.0
     assert settings.advice is None
+    assert settings.limits.cores == 1.0
+    limits = {"limits": {"cpu_share": 0.537, "cores": 2, "link_mbps": 5}}
+    settings = load(tmp_path, GOOD | limits).unwrap()
+    assert settings.limits == (1.074, 5.0)
 
 
 @pytest.mark.parametrize(
@@ -52,6 +56,7 @@
         ({"listen": {"front": "1.2.3.4"}}, "listen.front"),
         ({"orders": "heartbeat"}, "orders"),
         ({"bounds": {"stop_ms": "long"}}, "bounds.stop_ms"),
+        ({"limits": {"cores": "two"}}, "limits.cores"),
     ],
 )
 def test_wrong_field_is_named(tmp_path, change, field):
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -9,7 +9,7 @@
 
 from chiveledge.clock import ManualClock
 from chiveledge.events import Timeline
-from chiveledge.leadership import Leadership
+from chiveledge.leadership import Leadership, rank_candidate
 from chiveledge.services import Conflict, Put, Transaction, Unsettled
 from chiveledge.settings import TimingSettings
 from standins.table import MemoryTable
@@ -207,3 +207,14 @@
         assert not await race.clock_advance(other.challenge())
 
     run_race(work)
+
+
+def test_strong_hosts_near_the_store_come_first():
+    near, far = 0.006, 0.045
+    ranks = [
+        rank_candidate(near, 1.07, 100.0),
+        rank_candidate(far, 1.07, 100.0),
+        rank_candidate(near, 0.52, 100.0),
+        rank_candidate(near, 0.52, 5.0),
+    ]
+    assert ranks == sorted(set(ranks))
