--- a/chiveledge/coordinator/__init__.py
+++ b/chiveledge/coordinator/__init__.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from chiveledge.coordinator._advice import Advice, AdviceService
+from chiveledge.coordinator._context import ReignContext
 from chiveledge.coordinator._coordinator import Coordinator
-from chiveledge.coordinator._reign import Reign, ReignContext
+from chiveledge.coordinator._reign import Reign
 from chiveledge.coordinator._timing import CoordinatorTiming
 
 __all__ = [
--- a/chiveledge/coordinator/_coordinator.py
+++ b/chiveledge/coordinator/_coordinator.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from chiveledge.coordinator._reign import Reign, ReignContext
+from chiveledge.coordinator._context import ReignContext
+from chiveledge.coordinator._reign import Reign
 from chiveledge.leadership import Leadership
 
 
--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -9,11 +9,11 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import TYPE_CHECKING
 
 from result import Err, Ok
 
 from chiveledge.coordinator._advice import AdviceBook
+from chiveledge.coordinator._context import ReignContext
 from chiveledge.coordinator._ledger import Ledger
 from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
 from chiveledge.leadership import Leadership
@@ -26,9 +26,6 @@
 )
 from chiveledge.workload import JobProgress, JobState, RunState, Step
 
-if TYPE_CHECKING:
-    from chiveledge.coordinator._reign import ReignContext
-
 START_ATTEMPTS = 3
 STOP_RETRY_S = 0.3
 AVOID_AFTER_DECLINE_S = 0.5
@@ -50,8 +47,8 @@
         Stores each start before it is sent.
     advice : AdviceBook
         Has the tickets that starts carry.
-    jobs : dict
-        All jobs by ID.
+    jobs, links : dict
+        All jobs by ID and all workers by name.
     spawn : callable
         Runs work until the reign ends.
     wake : callable
@@ -67,6 +64,7 @@
         ledger: Ledger,
         advice: AdviceBook,
         jobs: dict[str, JobProgress],
+        links: dict[str, WorkerLink],
         spawn: Callable[[Coroutine], None],
         wake: Callable[[], None],
         end: Callable[[str], None],
@@ -79,6 +77,7 @@
         self._ledger = ledger
         self._advice = advice
         self._jobs = jobs
+        self._links = links
         self._spawn = spawn
         self._wake = wake
         self._end = end
@@ -159,18 +158,14 @@
             self.stop(link, tracked, reason)
 
     def find_runs(self, job: JobProgress) -> Started:
-        """Return the job's open runs; set by the reign's links."""
+        """Return the job's open runs and their workers."""
         return [
             (link, tracked)
-            for link in self._links().values()
+            for link in self._links.values()
             for tracked in list(link.runs.values())
             if tracked.name.job_id == job.job_id
         ]
 
-    def use_links(self, links: Callable[[], dict[str, WorkerLink]]) -> None:
-        """Tell where the worker links are."""
-        self._links = links
-
     async def _start(
         self, link: WorkerLink, tracked: TrackedRun, payload: str, checkpoint: str
     ) -> bool:
@@ -184,7 +179,7 @@
                 task=str(tracked.name),
                 run=run.number,
                 payload=payload,
-                lease_until_ms=link.lease_end_ms(now_s, self._timing.work_lease_s) or 0,
+                lease_end_ms=link.extend_lease(now_s, self._timing.work_lease_s) or 0,
                 fence=self._leadership.epoch,
                 checkpoint=checkpoint,
                 ticket=self._advice.find(
--- a/chiveledge/coordinator/_settlement.py
+++ b/chiveledge/coordinator/_settlement.py
@@ -4,8 +4,8 @@
 
 import asyncio
 from collections.abc import Coroutine
-from typing import TYPE_CHECKING
 
+from chiveledge.coordinator._context import ReignContext
 from chiveledge.coordinator._demands import find_kept_runs, find_policy
 from chiveledge.coordinator._ledger import Ledger
 from chiveledge.coordinator._orders import OrderDesk
@@ -15,9 +15,6 @@
 from chiveledge.services.task_worker import EndedTask, HoldReport, RunningTask
 from chiveledge.workload import JobProgress, JobState, RunEnd, RunState
 
-if TYPE_CHECKING:
-    from chiveledge.coordinator._reign import ReignContext
-
 ALL_DONE_PERCENT = 100
 
 
@@ -309,4 +306,4 @@
     ) -> None:
         await asyncio.gather(*(self._ledger.save(job) for job in jobs))
         if link.born_ms == born_ms:
-            link.last_seen = max(link.last_seen, last)
+            link.acknowledged = max(link.acknowledged, last)
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -80,9 +80,9 @@
         When its present entry said that it drains.
     fence_raised : bool
         Whether it has answered to our fence in this life.
-    lease_until_ms : int
+    lease_end_ms : int
         Latest end of lease that any order of ours carried, on its clock.
-    last_seen : int
+    acknowledged : int
         Number of the last end that is stored.
     last_settled : int
         Number of the last end that was taken over.
@@ -94,10 +94,10 @@
     worker: TaskWorker
     listed: bool = True
     fence_raised: bool = False
-    last_seen: int = 0
+    acknowledged: int = 0
     last_settled: int = 0
     storing: asyncio.Task | None = None
-    lease_until_ms: int = 0
+    lease_end_ms: int = 0
     runs: dict[tuple[str, int], TrackedRun] = field(default_factory=dict)
     answered_s: float | None = None
     failing_since_s: float | None = None
@@ -138,20 +138,20 @@
         if self.failing_since_s is None:
             self.failing_since_s = now_s
 
-    def lease_end_ms(self, now_s: float, lease_s: float) -> int | None:
+    def extend_lease(self, now_s: float, lease_s: float) -> int | None:
         """Return the end of a lease from now on the worker's clock, once known."""
         if self.answered_s is None:
             return None
         clock_ms = self.clock_ms + (now_s - self.clock_read_s) * 1000
-        self.lease_until_ms = max(self.lease_until_ms, int(clock_ms + lease_s * 1000))
-        return self.lease_until_ms
+        self.lease_end_ms = max(self.lease_end_ms, int(clock_ms + lease_s * 1000))
+        return self.lease_end_ms
 
     def lease_is_over(self, now_s: float) -> bool:
         """Whether all that ran there has surely lapsed, even on a slow clock."""
         if self.answered_s is None:
             return False
         passed_ms = (now_s - self.clock_read_s) * 1000 * CLOCK_RATE
-        return self.clock_ms + passed_ms > self.lease_until_ms
+        return self.clock_ms + passed_ms > self.lease_end_ms
 
     @property
     def has_left(self) -> bool:
@@ -177,9 +177,9 @@
         self.life_began_s = now_s
         self.born_ms = born_ms
         self.fence_raised = False
-        self.last_seen = 0
+        self.acknowledged = 0
         self.last_settled = 0
-        self.lease_until_ms = 0
+        self.lease_end_ms = 0
         self.answered_s = None
         self.clock_ms = 0
         self.drains_since_s = None
--- a/chiveledge/platform/_workers.py
+++ b/chiveledge/platform/_workers.py
@@ -143,7 +143,7 @@
             "task": order.task,
             "run": order.run,
             "spec": order.payload,
-            "until_ms": order.lease_until_ms,
+            "until_ms": order.lease_end_ms,
             "fence": order.fence,
         }
         if order.checkpoint:
@@ -166,10 +166,10 @@
         """Extend the lease and look."""
         body: dict[str, object] = {
             "fence": request.fence,
-            "last_seen": request.last_seen,
+            "last_seen": request.acknowledged,
         }
-        if request.lease_until_ms is not None:
-            body["until_ms"] = request.lease_until_ms
+        if request.lease_end_ms is not None:
+            body["until_ms"] = request.lease_end_ms
         if request.wait_s:
             body["wait_ms"] = int(request.wait_s * 1000)
         reply = await self._caller.call(
--- a/chiveledge/services/task_worker.py
+++ b/chiveledge/services/task_worker.py
@@ -46,7 +46,7 @@
 
     Attributes
     ----------
-    lease_until_ms : int
+    lease_end_ms : int
         End of the lease of all that runs on the worker, on the worker's clock.
     fence : int
         Epoch of the sender; a worker does nothing for a lower one than it has seen.
@@ -59,7 +59,7 @@
     task: str
     run: int
     payload: str
-    lease_until_ms: int
+    lease_end_ms: int
     fence: Epoch
     checkpoint: str = ""
     ticket: str = ""
@@ -87,17 +87,17 @@
 
     Attributes
     ----------
-    last_seen : int
+    acknowledged : int
         Ends up to this number are stored and may be forgotten.
-    lease_until_ms : int, optional
+    lease_end_ms : int, optional
         End of the lease on the worker's clock; None to leave it.
     wait_s : float
         How long the worker may wait for an end before it answers.
     """
 
     fence: Epoch
-    last_seen: int
-    lease_until_ms: int | None = None
+    acknowledged: int
+    lease_end_ms: int | None = None
     wait_s: float = 0.0
 
 
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -150,7 +150,7 @@
         self.fence = 0
         self._number = 0
         self._highest_ended: dict[str, int] = {}
-        self._lease_until_ms = 0
+        self._lease_end_ms = 0
         self._began_s = self._clock.monotonic()
         self._moved_s = self._began_s
 
@@ -174,7 +174,7 @@
         now_s = self._clock.monotonic()
         passed_s = now_s - self._moved_s
         self._moved_s = now_s
-        if self.runs and self.clock_ms > self._lease_until_ms:
+        if self.runs and self.clock_ms > self._lease_end_ms:
             for key in list(self.runs):
                 self._finish(key, RunEnd.LAPSED)
         for key, run in list(self.runs.items()):
@@ -227,8 +227,8 @@
         if request.fence < self.fence:
             return Err(Declined(DeclineReason.FENCE, self.clock_ms))
         self.fence = request.fence
-        self._extend(request.lease_until_ms)
-        self._forget_seen(request.last_seen)
+        self._extend(request.lease_end_ms)
+        self._forget_seen(request.acknowledged)
         if not self.ended and request.wait_s:
             await run_with_timeout(self._clock, self._changed.wait(), request.wait_s)
         if self.faults.silent or self.faults.gone:
@@ -244,12 +244,12 @@
         if order.fence < self.fence:
             return self._decline(DeclineReason.FENCE)
         self.fence = order.fence
-        self._extend(order.lease_until_ms)
+        self._extend(order.lease_end_ms)
         if key in self.runs:
             return Ok(OrderTaken(self.clock_ms))
         if order.run <= self._highest_ended.get(order.task, 0):
             return self._decline(DeclineReason.OLD_RUN)
-        if order.lease_until_ms <= self.clock_ms:
+        if order.lease_end_ms <= self.clock_ms:
             return self._decline(DeclineReason.LEASE_OVER)
         task = self._describe(order.task)
         if not task.usage.fits(self._free()):
@@ -297,16 +297,16 @@
             self.clock_ms, self.entry.born_ms, running, tuple(self.ended[:500])
         )
 
-    def _forget_seen(self, last_seen: int) -> None:
+    def _forget_seen(self, acknowledged: int) -> None:
         for end in self.ended:
-            if end.number <= last_seen and end.how is RunEnd.DONE:
+            if end.number <= acknowledged and end.how is RunEnd.DONE:
                 self._record.noted_done.add(end.task)
-        self.ended = [end for end in self.ended if end.number > last_seen]
+        self.ended = [end for end in self.ended if end.number > acknowledged]
 
     def _extend(self, until_ms: int | None) -> None:
         if until_ms is not None:
             until_ms = min(until_ms, self.clock_ms + LONGEST_LEASE_MS)
-            self._lease_until_ms = max(self._lease_until_ms, until_ms)
+            self._lease_end_ms = max(self._lease_end_ms, until_ms)
 
     def _free(self) -> Usage:
         free = self.entry.capacity
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -88,7 +88,7 @@
 
 async def test_run_starts_ends_and_is_forgotten(worker):
     fake, client = worker
-    order = START._replace(lease_until_ms=fake.clock_ms + 5000)
+    order = START._replace(lease_end_ms=fake.clock_ms + 5000)
     assert isinstance((await client.start(order)).unwrap(), OrderTaken)
     assert isinstance((await client.start(order)).unwrap(), OrderTaken)
     report = (await client.hold(HoldRequest(7, 0))).unwrap()
@@ -103,7 +103,7 @@
 async def test_barred_run_does_not_start(worker):
     fake, client = worker
     assert (await client.stop(StopOrder(START.task, 1, 7))).is_ok()
-    order = START._replace(lease_until_ms=fake.clock_ms + 5000)
+    order = START._replace(lease_end_ms=fake.clock_ms + 5000)
     match await client.start(order):
         case Err(Declined(reason)):
             assert reason is DeclineReason.OLD_RUN
@@ -115,13 +115,13 @@
     "change,reason",
     [
         ({"fence": 6}, DeclineReason.FENCE),
-        ({"lease_until_ms": 0}, DeclineReason.LEASE_OVER),
+        ({"lease_end_ms": 0}, DeclineReason.LEASE_OVER),
     ],
 )
 async def test_declined_start_names_its_reason(worker, change, reason):
     fake, client = worker
     fake.fence = 7
-    order = START._replace(lease_until_ms=fake.clock_ms + 5000)
+    order = START._replace(lease_end_ms=fake.clock_ms + 5000)
     match await client.start(order._replace(**change)):
         case Err(Declined(found)):
             assert found is reason
@@ -142,7 +142,7 @@
 async def test_order_without_answer_is_unsettled(worker):
     fake, client = worker
     fake.faults.lose_replies = 1
-    order = START._replace(lease_until_ms=fake.clock_ms + 5000)
+    order = START._replace(lease_end_ms=fake.clock_ms + 5000)
     match await client.start(order):
         case Err(Unsettled()):
             pass
