The demo shows the path on the users' platform

make demo also runs two processes against the platform's stand-in: a gang, an urgent job that makes room, a cancel, the leader killed with four tasks running, a queue taken away; it fails if a task started twice. standins/deployment.py serves it and tests/platform/test_node.py.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 
 demo: $(STAMP)
 	$(BIN)/python -m demo
+	$(BIN)/python -m demo.platform
 
 test: $(STAMP)
 	$(BIN)/python -m tests.run
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -3,25 +3,15 @@
 from __future__ import annotations
 
 import pytest
-from aiohttp import web
 
 from chiveledge.clock import SystemClock
 from chiveledge.metrics import Metrics
 from chiveledge.platform._store import PlatformStore
 from chiveledge.services import HttpCaller, SessionPool
+from standins.deployment import serve
 from standins.platform import StoreStandIn
 
 
-async def serve(app: web.Application) -> tuple[web.AppRunner, str]:
-    """Listen on a free port; return the runner and the address."""
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-    await runner.setup()
-    site = web.TCPSite(runner, "127.0.0.1", 0)
-    await site.start()
-    host, port = site._server.sockets[0].getsockname()[:2]
-    return runner, f"{host}:{port}"
-
-
 @pytest.fixture
 async def stand_in():
     """The store's stand-in and its address."""
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -22,9 +22,9 @@
     WorkerEntry,
 )
 from chiveledge.workload import RunEnd, Usage
+from standins.deployment import serve
 from standins.platform import describe_worker, make_worker_app
 from standins.task_worker import MemoryTaskWorker, StandInTask
-from tests.platform.conftest import serve
 
 ENTRY = WorkerEntry(
     "i-1",
