--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -101,6 +101,7 @@
         self._claims: list[PendingClaim] = []
 
     async def run(self) -> None:
+        """Plan until cancelled."""
         while True:
             await run_with_timeout(self._clock, self._wake.wait(), PLAN_AGAIN_S)
             await self._clock.sleep(GATHER_S)
--- a/chiveledge/coordinator/_settlement.py
+++ b/chiveledge/coordinator/_settlement.py
@@ -78,7 +78,6 @@
         """
         link.fence_raised = True
         link.note_answer(report.clock_ms, self._clock.monotonic())
-        link.note_loads(report)
         shown = set()
         for row in report.running:
             shown.add((row.task, row.run))
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -6,14 +6,13 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from chiveledge.services.task_worker import HoldReport, TaskWorker, WorkerEntry
+from chiveledge.services.task_worker import TaskWorker, WorkerEntry
 from chiveledge.types import WorkerName
 from chiveledge.workload import OpenRun, TaskName, TaskProgress, Usage
 
 CLOCK_RATE = 0.98
 """A worker's clock may run this much slower than ours."""
 
-
 MARKS_KEPT = 8
 RATE_SPAN_S = 0.4
 """Least time over which a rate is taken, as percents are whole numbers."""
@@ -108,7 +107,6 @@
     clock_read_s: float = 0.0
     born_ms: int = 0
     life_began_s: float = float("-inf")
-    loads: dict[tuple[str, int], float] = field(default_factory=dict)
 
     @property
     def name(self) -> WorkerName:
@@ -185,8 +183,3 @@
         self.drains_since_s = None
         for tracked in self.runs.values():
             tracked.marks.clear()
-        self.loads.clear()
-
-    def note_loads(self, report: HoldReport) -> None:
-        """Remember the load that each run shows."""
-        self.loads = {(row.task, row.run): row.load for row in report.running}
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -21,6 +21,7 @@
 from chiveledge.services.task_worker import (
     Declined,
     DeclineReason,
+    HoldReport,
     HoldRequest,
     WorkerEntry,
 )
@@ -100,6 +101,7 @@
         return link
 
     def on_rows(self, rows: Iterable[Row], deleted: Iterable[str], whole: bool) -> None:
+        """Take changes of the platform's list in."""
         seen = set()
         for row in rows:
             entry = self._context.decode_worker(row)
@@ -230,7 +232,7 @@
         )
         await self._clock.sleep(LOOK_RETRY_S)
 
-    def _settle(self, link: WorkerLink, report, sent_s: float) -> None:
+    def _settle(self, link: WorkerLink, report: HoldReport, sent_s: float) -> None:
         acknowledge = self._settlement.settle(link, report, sent_s)
         self._wake()
         if acknowledge is not None:
