test_progress_survives draws from a fixed seed and drops what done tasks drop

Failed once in a full run (1 of 1346): the generator left the saved data of an open run on a task that a later row made done; the row of a done task keeps no saved data, since it never starts again. The generator now clears it for done tasks and gives waiting ones saved data, which it never did, so the check is as strict as before and covers more; derandomized with 300 examples.

--- a/tests/workload/test_codec.py
+++ b/tests/workload/test_codec.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from chiveledge.workload import (
@@ -39,6 +39,7 @@
     assert decode_request(encode_request(REQUEST)) == REQUEST
 
 
+@settings(derandomize=True, max_examples=300)
 @given(st.lists(tasks, max_size=20), st.sampled_from(JobState))
 def test_progress_survives(rows, state):
     job = JobProgress(REQUEST, state=state, finished_occurrences={2})
@@ -52,6 +53,8 @@
         task.begun = True
         task.done = how == "done"
         task.run = None
+        # What a task has saved is of no use once it is done, and is not kept.
+        task.checkpoint = "" if how == "done" else "w"
         if how == "open":
             task.run = OpenRun(run, "w1", 5, RunState.UNKNOWN, checkpoint="c")
             task.checkpoint = "b"
