--- a/chiveledge/coordinator/_settlement.py
+++ b/chiveledge/coordinator/_settlement.py
@@ -4,8 +4,8 @@
 
 import asyncio
 from collections.abc import Coroutine
-from typing import TYPE_CHECKING
 
+from chiveledge.coordinator._context import ReignContext
 from chiveledge.coordinator._demands import find_kept_runs, find_policy
 from chiveledge.coordinator._ledger import Ledger
 from chiveledge.coordinator._orders import OrderDesk
@@ -15,9 +15,6 @@
 from chiveledge.services.task_worker import EndedTask, HoldReport, RunningTask
 from chiveledge.workload import JobProgress, JobState, RunEnd, RunState
 
-if TYPE_CHECKING:
-    from chiveledge.coordinator._reign import ReignContext
-
 ALL_DONE_PERCENT = 100
 
 
@@ -81,7 +78,6 @@
         """
         link.fence_raised = True
         link.note_answer(report.clock_ms, self._clock.monotonic())
-        link.note_loads(report)
         shown = set()
         for row in report.running:
             shown.add((row.task, row.run))
@@ -193,6 +189,8 @@
             self._orders.bar(link, row.task, row.run)
             return
         run = tracked.run
+        run.born_ms = link.born_ms
+        tracked.shown = True
         now_s = self._clock.monotonic()
         if run.state is not RunState.RUNNING:
             run.state = RunState.RUNNING
@@ -307,4 +305,4 @@
     ) -> None:
         await asyncio.gather(*(self._ledger.save(job) for job in jobs))
         if link.born_ms == born_ms:
-            link.last_seen = max(link.last_seen, last)
+            link.acknowledged = max(link.acknowledged, last)
--- a/chiveledge/coordinator/_timing.py
+++ b/chiveledge/coordinator/_timing.py
@@ -4,6 +4,9 @@
 
 from typing import NamedTuple
 
+LOOKS_PER_SECOND = 120
+"""Looks at busy workers in a second; each takes a leader about half a millisecond."""
+
 
 class CoordinatorTiming(NamedTuple):
     """Times in seconds.
@@ -18,6 +21,8 @@
         Period at which a standby looks at the lease.
     work_lease_s : float
         How long running work outlives its last extension.
+    longest_lease_s : float
+        Longest lease that a worker grants, whatever it is asked for.
     hold_busy_s, hold_idle_s : float
         Longest wait of one look at a worker with and without work.
     order_timeout_s : float
@@ -36,6 +41,7 @@
     renew_s: float = 0.4
     challenge_s: float = 0.4
     work_lease_s: float = 6.0
+    longest_lease_s: float = 10.0
     hold_busy_s: float = 0.5
     hold_idle_s: float = 2.0
     order_timeout_s: float = 0.8
@@ -43,3 +49,15 @@
     keep_ended_s: float = 180.0
     drain_s: float = 2.5
     stall_s: float = 3.0
+
+    def look_wait_s(self, workers: int, *, busy: bool) -> float:
+        """Return how long a look at a worker may wait for an end.
+
+        Load answered: a leader of hundreds of workers on a small host. Looks at busy
+        workers show stalls and slowness; they grow rarer with the number of workers
+        so that their number in a second stays bounded.
+        """
+        if not busy:
+            return self.hold_idle_s
+        crowded_s = workers / LOOKS_PER_SECOND
+        return min(max(self.hold_busy_s, crowded_s), self.hold_idle_s)
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -6,14 +6,13 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from chiveledge.services.task_worker import HoldReport, TaskWorker, WorkerEntry
+from chiveledge.services.task_worker import TaskWorker, WorkerEntry
 from chiveledge.types import WorkerName
 from chiveledge.workload import OpenRun, TaskName, TaskProgress, Usage
 
 CLOCK_RATE = 0.98
 """A worker's clock may run this much slower than ours."""
 
-
 MARKS_KEPT = 8
 RATE_SPAN_S = 0.4
 """Least time over which a rate is taken, as percents are whole numbers."""
@@ -32,6 +31,8 @@
         Whether a stop is on its way.
     adopted : bool
         Whether an earlier leader started it, so that its start time is unknown.
+    shown : bool
+        Whether the present life of the worker has shown it.
     """
 
     name: TaskName
@@ -41,6 +42,7 @@
     settled_s: float | None = None
     stopping: bool = False
     adopted: bool = False
+    shown: bool = False
     marks: deque[tuple[float, int]] = field(
         default_factory=lambda: deque(maxlen=MARKS_KEPT)
     )
@@ -77,9 +79,9 @@
         When its present entry said that it drains.
     fence_raised : bool
         Whether it has answered to our fence in this life.
-    lease_until_ms : int
+    lease_end_ms : int
         Latest end of lease that any order of ours carried, on its clock.
-    last_seen : int
+    acknowledged : int
         Number of the last end that is stored.
     last_settled : int
         Number of the last end that was taken over.
@@ -91,10 +93,10 @@
     worker: TaskWorker
     listed: bool = True
     fence_raised: bool = False
-    last_seen: int = 0
+    acknowledged: int = 0
     last_settled: int = 0
     storing: asyncio.Task | None = None
-    lease_until_ms: int = 0
+    lease_end_ms: int = 0
     runs: dict[tuple[str, int], TrackedRun] = field(default_factory=dict)
     answered_s: float | None = None
     failing_since_s: float | None = None
@@ -104,7 +106,7 @@
     clock_ms: int = 0
     clock_read_s: float = 0.0
     born_ms: int = 0
-    loads: dict[tuple[str, int], float] = field(default_factory=dict)
+    life_began_s: float = float("-inf")
 
     @property
     def name(self) -> WorkerName:
@@ -134,20 +136,20 @@
         if self.failing_since_s is None:
             self.failing_since_s = now_s
 
-    def lease_end_ms(self, now_s: float, lease_s: float) -> int | None:
+    def extend_lease(self, now_s: float, lease_s: float) -> int | None:
         """Return the end of a lease from now on the worker's clock, once known."""
         if self.answered_s is None:
             return None
         clock_ms = self.clock_ms + (now_s - self.clock_read_s) * 1000
-        self.lease_until_ms = max(self.lease_until_ms, int(clock_ms + lease_s * 1000))
-        return self.lease_until_ms
+        self.lease_end_ms = max(self.lease_end_ms, int(clock_ms + lease_s * 1000))
+        return self.lease_end_ms
 
     def lease_is_over(self, now_s: float) -> bool:
         """Whether all that ran there has surely lapsed, even on a slow clock."""
         if self.answered_s is None:
             return False
         passed_ms = (now_s - self.clock_read_s) * 1000 * CLOCK_RATE
-        return self.clock_ms + passed_ms > self.lease_until_ms
+        return self.clock_ms + passed_ms > self.lease_end_ms
 
     @property
     def has_left(self) -> bool:
@@ -168,18 +170,16 @@
         total_s = least_s if told_s is None else told_s
         return max(0.0, total_s - (now_s - self.drains_since_s))
 
-    def begin_life(self, born_ms: int) -> None:
+    def begin_life(self, born_ms: int, now_s: float) -> None:
         """The worker started anew: it knows nothing of before."""
+        self.life_began_s = now_s
         self.born_ms = born_ms
         self.fence_raised = False
-        self.last_seen = 0
+        self.acknowledged = 0
         self.last_settled = 0
-        self.lease_until_ms = 0
+        self.lease_end_ms = 0
         self.answered_s = None
         self.clock_ms = 0
         self.drains_since_s = None
-        self.loads.clear()
-
-    def note_loads(self, report: HoldReport) -> None:
-        """Remember the load that each run shows."""
-        self.loads = {(row.task, row.run): row.load for row in report.running}
+        for tracked in self.runs.values():
+            tracked.marks.clear()
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -18,7 +18,7 @@
 from chiveledge.events import Timeline
 from chiveledge.intake import JobBoard, JobDesk, TableFollower
 from chiveledge.intake._board import BOARD_PREFIX
-from chiveledge.leadership import Leadership
+from chiveledge.leadership import Leadership, rank_candidate
 from chiveledge.metrics import Metrics
 from chiveledge.platform._advice import PlatformAdvice
 from chiveledge.platform._catalogue import (
@@ -48,10 +48,10 @@
 CURRENT_SHARE = 0.85
 """Part of the bound on applying configurations up to which a copy is trusted."""
 
-BOARD_PAUSE_S = 0.1
-STORE_NEAR_S = 0.02
-"""Round trip to the store that is one step further away for a standby."""
+WORK_LEASE_S = 6.0
+"""Running work outlives the loss of all hosts for this long, if workers allow it."""
 
+BOARD_PAUSE_S = 0.1
 STOP_LISTENING_S = 3.0
 """Time until the balancer has surely seen that this process is not ready."""
 
@@ -150,18 +150,23 @@
         )
 
     async def _await_configuration(self) -> int:
-        """Read the first configuration; return how far away the store is."""
+        """Read the first configuration; return the rank as a candidate to lead."""
         while True:
             sent_s = self._clock.monotonic()
             if await self._configuration.step():
                 break
             await self._clock.sleep(POLL_S)
-        return int((self._clock.monotonic() - sent_s) / STORE_NEAR_S)
+        return rank_candidate(
+            self._clock.monotonic() - sent_s,
+            self._settings.limits.cores,
+            self._settings.limits.link_mbps,
+        )
 
     def _make_coordinator(self, store: PlatformStore, rank: int) -> Coordinator:
         bounds = self._settings.bounds
         timing = CoordinatorTiming(
-            work_lease_s=min(6.0, bounds.longest_lease_s),
+            work_lease_s=min(WORK_LEASE_S, bounds.longest_lease_s),
+            longest_lease_s=bounds.longest_lease_s,
             stop_s=bounds.stop_s,
             drain_s=bounds.drain_s,
             keep_ended_s=bounds.keep_status_s * 1.5,
--- /dev/null
+++ b/tests/platform/test_node.py
@@ -0,0 +1,46 @@
+"""Whole processes against the stand-in of the platform, killed and stopped."""
+
+from __future__ import annotations
+
+import signal
+
+import pytest
+
+from chiveledge.workload import Usage
+from standins.deployment import Deployment
+from standins.task_worker import StandInTask
+
+GANG = StandInTask(0.4, Usage(1000, 0, 1), gang=3)
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    deployment = Deployment(tmp_path)
+    await deployment.start()
+    for name in ("n1", "n2"):
+        await deployment.launch(name)
+    yield deployment
+    await deployment.close()
+
+
+async def run_gang(deployment, name: str, path: str) -> None:
+    await deployment.submit(name, path, GANG, 3, gang=True)
+    await deployment.wait_for(name, path, "completed")
+
+
+async def test_jobs_survive_a_killed_leader_and_a_stop(deployment):
+    paths = [f"/q/00000000000000a{number}" for number in range(1, 5)]
+    await run_gang(deployment, "n1", paths[0])
+    leader = deployment.leader()
+    other = {"n1": "n2", "n2": "n1"}[leader]
+    await deployment.kill(leader)
+    await run_gang(deployment, other, paths[1])
+    await deployment.launch(leader)
+    await run_gang(deployment, leader, paths[2])
+    deployment.processes[other].send_signal(signal.SIGTERM)
+    assert await deployment.processes[other].wait() == 0
+    await run_gang(deployment, leader, paths[3])
+    assert [deployment.starts(path) for path in paths] == [3] * 4
+    events = [line["event"] for line in deployment.read_events(other)]
+    assert events[0] == "start"
+    assert events[-1] == "stop"
