A slow store is not sent copies of a transaction

Cause: conditional writes were sent again after 0.3 s whatever the store's speed. Ruled out: processor time (the same with and without load). Test seen failing: intake/test_desk.py::test_slow_store_is_not_sent_copies.

--- a/chiveledge/coordinator/_ledger.py
+++ b/chiveledge/coordinator/_ledger.py
@@ -26,6 +26,7 @@
 from chiveledge.services import (
     Check,
     Conflict,
+    HedgePacer,
     Put,
     TableService,
     Transaction,
@@ -88,6 +89,7 @@
         self._posted: dict[JobId, str] = {}
         self._waiters: dict[JobId, list[asyncio.Future[None]]] = {}
         self._wake = asyncio.Event()
+        self._pacer = HedgePacer()
 
     async def save(self, job: JobProgress) -> None:
         """Return once the job's present progress is stored."""
@@ -159,7 +161,11 @@
             transaction = Transaction(write_id, (self._leadership.fence, *checks), puts)
             self._metrics.count("ledger_transactions")
             result = await transact_hedged(
-                self._table, transaction, self._clock, patience_s=SETTLE_S
+                self._table,
+                transaction,
+                self._clock,
+                self._pacer,
+                patience_s=SETTLE_S,
             )
             match result:
                 case Ok(version):
--- a/chiveledge/intake/_desk.py
+++ b/chiveledge/intake/_desk.py
@@ -24,6 +24,7 @@
 from chiveledge.services import (
     Check,
     Conflict,
+    HedgePacer,
     Put,
     TableService,
     Transaction,
@@ -112,6 +113,7 @@
         self._clock = clock
         self._log = log
         self._is_silent = is_silent
+        self._pacer = HedgePacer()
 
     async def submit(self, request: JobRequest, patience_s: float) -> SubmitOutcome:
         """Store a job unless it is stored already.
@@ -129,6 +131,7 @@
             self._table,
             _make_submission(request),
             self._clock,
+            self._pacer,
             patience_s=patience_s,
         )
         match result:
@@ -171,7 +174,11 @@
                     return self._note_cancel(job_id, Accepted(repeated=True))
                 case BoardEntry():
                     written = await transact_hedged(
-                        self._table, transaction, self._clock, patience_s=left_s
+                        self._table,
+                        transaction,
+                        self._clock,
+                        self._pacer,
+                        patience_s=left_s,
                     )
                     if written.is_ok():
                         return self._note_cancel(job_id, Accepted())
--- a/chiveledge/services/__init__.py
+++ b/chiveledge/services/__init__.py
@@ -15,7 +15,7 @@
     Unsettled,
 )
 from chiveledge.services.group_commit import GroupCommit
-from chiveledge.services.hedging import transact_hedged
+from chiveledge.services.hedging import HedgePacer, transact_hedged
 from chiveledge.services.hosts import (
     HostEntry,
     HostList,
@@ -65,6 +65,7 @@
     "Check",
     "Conflict",
     "GroupCommit",
+    "HedgePacer",
     "HistoryGone",
     "HostEntry",
     "HostList",
--- a/chiveledge/services/hedging.py
+++ b/chiveledge/services/hedging.py
@@ -15,16 +15,41 @@
 from chiveledge.services.errors import CallError, Conflict, Unavailable, Unsettled
 from chiveledge.services.table import TableService, Transaction
 
-HEDGE_S = 0.3
+SHORTEST_PAUSE_S = 0.3
 """Pause before another send; several times an ordinary answer over regions."""
 
+PAUSE_ANSWERS = 4.0
+"""Pause before another send, in answer times: a slow store must not get more work."""
+
+NEWEST_WEIGHT = 0.5
 MAX_SENDS = 4
 
 
+class HedgePacer:
+    """Learns how long answers take, and from it how long to wait for one.
+
+    Load answered: a store many times slower than usual takes few transactions a
+    second; sending each of them twice would fill its queue with copies.
+    """
+
+    def __init__(self) -> None:
+        self._answer_s = 0.0
+
+    @property
+    def pause_s(self) -> float:
+        """Time after which a send counts as late."""
+        return max(SHORTEST_PAUSE_S, PAUSE_ANSWERS * self._answer_s)
+
+    def note_answer(self, took_s: float) -> None:
+        """A send was answered."""
+        self._answer_s += NEWEST_WEIGHT * (took_s - self._answer_s)
+
+
 async def transact_hedged(
     table: TableService,
     transaction: Transaction,
     clock: Clock,
+    pacer: HedgePacer,
     *,
     patience_s: float,
 ) -> Result[int, CallError]:
@@ -38,6 +63,8 @@
         Sent up to `MAX_SENDS` times, unchanged.
     clock : Clock
         Source of time.
+    pacer : HedgePacer
+        Knows how long answers take at present.
     patience_s : float
         How long to go on.
 
@@ -55,9 +82,10 @@
         while True:
             left_s = deadline - clock.monotonic()
             if sends < MAX_SENDS and left_s > 0:
-                pending.add(asyncio.ensure_future(table.transact(transaction)))
+                send = _send(table, transaction, clock, pacer)
+                pending.add(asyncio.ensure_future(send))
                 sends += 1
-            wait_s = min(HEDGE_S if sends < MAX_SENDS else left_s, left_s)
+            wait_s = min(pacer.pause_s if sends < MAX_SENDS else left_s, left_s)
             await run_with_timeout(clock, _first(pending), max(wait_s, 0.0))
             done = {task for task in pending if task.done()}
             pending -= done
@@ -77,5 +105,15 @@
             task.cancel()
 
 
+async def _send(
+    table: TableService, transaction: Transaction, clock: Clock, pacer: HedgePacer
+) -> Result[int, CallError]:
+    sent_s = clock.monotonic()
+    result = await table.transact(transaction)
+    if not isinstance(result.err(), Unsettled):
+        pacer.note_answer(clock.monotonic() - sent_s)
+    return result
+
+
 async def _first(tasks: set[asyncio.Task]) -> None:
     await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
--- a/tests/intake/test_desk.py
+++ b/tests/intake/test_desk.py
@@ -72,6 +72,26 @@
     assert took_s <= 0.5
 
 
+async def test_slow_store_is_not_sent_copies():
+    desk = Desk()
+    desk.table.faults.delay_s = 0.25
+    transact = desk.table.transact
+    sends = []
+
+    async def count(transaction):
+        sends.append(transaction)
+        return await transact(transaction)
+
+    desk.table.transact = count
+    await desk.submit()
+    await desk.submit()
+    desk.table.faults.delay_s = 0.6
+    sends.clear()
+    for _ in range(4):
+        await desk.submit()
+    assert len(sends) <= 5
+
+
 async def test_job_that_is_stored_already_is_accepted():
     desk = Desk()
     assert (await desk.submit())[0] == Accepted()
