Three methods that nobody called are gone

FleetView.use_share, Ledger.note_posted and JobProgress.next_due_ms had no caller in the tree (grep over code and tests).

--- a/chiveledge/coordinator/_ledger.py
+++ b/chiveledge/coordinator/_ledger.py
@@ -103,10 +103,6 @@
         self._dirty[job.job_id] = job
         self._wake.set()
 
-    def note_posted(self, job: JobProgress, entry_text: str) -> None:
-        """Remember the public row as it was read."""
-        self._posted[job.job_id] = entry_text
-
     async def run(self) -> None:
         """Write what is marked until cancelled."""
         while True:
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -143,17 +143,6 @@
         worker.serving |= bool(step.latency_target_ms)
         worker.filling |= step.filler
 
-    def use_share(self, service: str) -> float:
-        """Return the scarcest resource's used share over a service's workers."""
-        workers = [w for w in self.workers.values() if w.service == service]
-        shares = []
-        for index in range(3):
-            total = sum(worker.capacity[index] for worker in workers)
-            free = sum(worker.free[index] for worker in workers)
-            if total:
-                shares.append(1 - free / total)
-        return max(shares, default=1.0)
-
 
 def charged_usage(step: Step) -> Usage:
     """Return what a task of a step takes of a worker's capacity."""
--- a/chiveledge/workload/_progress.py
+++ b/chiveledge/workload/_progress.py
@@ -148,14 +148,6 @@
             if occurrence not in self.finished_occurrences:
                 yield occurrence
 
-    def next_due_ms(self, now_ms: float) -> float | None:
-        """Return when the next occurrence is due, or None after the last."""
-        for occurrence in range(self.total_occurrences):
-            due = self.request.due_ms(occurrence)
-            if due > now_ms:
-                return due
-        return None
-
     def step_ready(self, occurrence: int, step: int) -> bool:
         """Whether all steps that this one waits for are done."""
         steps = self.open_occurrence(occurrence)
