--- /dev/null
+++ b/tests/replay.py
@@ -0,0 +1,41 @@
+"""Plays the days of ``deploy/seeds.toml`` again, where the users' kit is there."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+KIT = ROOT.parent / "given" / "kit" / "more" / "system"
+BENCH = KIT / "bin" / "fleetbench"
+
+
+def find_site(name: str) -> Path:
+    """Return the site file of a deployment."""
+    paths = [KIT / folder / f"{name}.toml" for folder in ("sites", "grown")]
+    return next(path for path in paths if path.exists())
+
+
+def main() -> int:
+    """Play each day; return 1 if a rule was broken."""
+    if not BENCH.exists():
+        print("the users' kit is not here; nothing was played")
+        return 0
+    broken = 0
+    for entry in tomllib.loads((ROOT / "deploy/seeds.toml").read_text())["seed"]:
+        command = [BENCH, "run", find_site(entry["site"]), entry["day"]]
+        if entry["seed"]:
+            command += ["--seed", str(entry["seed"])]
+        command += ["--why", f"replay: {entry['cause']}"]
+        played = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+        failed = "rules broken" in played.stdout or "ended by itself" in played.stdout
+        broken += failed
+        verdict = "BROKEN" if failed else "held"
+        print(entry["site"], entry["day"], entry["seed"], entry["rule"], verdict)
+    return int(broken > 0)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
