Plans of a full fleet cost little; room of stopped work is used once, and only when free

Cause, two of one kind. (1) A plan searched every worker for every waiting step and priced every worker anew for every task of an urgent job: 0.58 s for 176 waiting steps on a full fleet of 176 workers, 0.41 s for one urgent gang, 25 s at 1,200 (a loop of the decision code on a busy machine, one run each). A leader is deaf meanwhile: looks, renewals and answers wait. Every report asked for a plan, whether anything had changed. (2) Room that a plan's own stops will leave counted as free for the rest of that plan, so later steps were sent starts that workers reject (or, where workers do not guard their room, accept over it); in the next plan the same room counted as taken, so that a second urgent job stopped more work instead of sharing it.

What fitted nowhere is remembered within a plan; prices are shared between demands and dropped where a worker changes; runs are listed only when something is to be stopped; a link keeps its sums; runs are supervised four times a second; a report wakes the planner only if room came free or a worker became usable. Workers have room now (`free`) and room once all stops have ended (`later`): starts take the former, urgent work may be promised the latter.

Ruled out: shards first, since the cost was in the search and not in the number of looks.

Tests: comparisons are counted on a full fleet and in an urgent burst; room of stops in a plan is not started into, is shared by urgent work and kept for its claim. Seen failing on the code before (starts in plan.starts, one claim of twenty).

--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -26,6 +26,8 @@
     Usage,
 )
 
+NONE: frozenset[str] = frozenset()
+
 DOUBT_PATIENCE_S = 2.5
 """How long a task that failed before waits for a worker that is in no doubt."""
 
@@ -121,41 +123,39 @@
     slow: bool,
     now_s: float,
 ) -> WorkerView:
-    runs = []
-    serving = filling = False
-    for tracked in link.runs.values():
-        job = jobs[tracked.name.job_id]
-        step = job.request.steps[tracked.name.step]
-        serving |= bool(step.latency_target_ms)
-        filling |= step.filler
-        movable = tracked.name not in kept
-        runs.append(_view_run(link, tracked, job, catalogue, movable, now_s))
+    free = link.entry.capacity.minus(link.used)
+    later = free.plus(link.stopping).minus(promised)
     return WorkerView(
         name=link.name,
         service=link.entry.service,
         rack=link.entry.rack,
         labels=link.entry.labels,
         capacity=link.entry.capacity,
-        free=link.entry.capacity.minus(link.used).minus(promised),
+        free=free.least(later),
+        later=later,
         accepting=accepting,
         probing=probing,
         doubted=doubted,
         slow=slow,
-        serving=serving,
-        filling=filling,
-        runs=runs,
+        serving=link.serving > 0,
+        filling=link.filling > 0,
+        list_runs=lambda: [
+            _view_run(link, tracked, jobs, catalogue, tracked.name not in kept, now_s)
+            for tracked in link.runs.values()
+        ],
     )
 
 
 def _view_run(
     link: WorkerLink,
     tracked: TrackedRun,
-    job: JobProgress,
+    jobs: dict[str, JobProgress],
     catalogue: Catalogue,
     movable: bool,
     now_s: float,
 ) -> RunView:
     name = tracked.name
+    job = jobs[name.job_id]
     step = job.request.steps[name.step]
     group = f"{name.step_name}#" if step.gang else str(name)
     run = tracked.run
@@ -185,6 +185,11 @@
     are not at work already count, and only as many others as are left may be
     stopped; the rest is kept.
     """
+    bounded = any(
+        step.may_be_away for job in jobs.values() for step in job.request.steps
+    )
+    if not bounded:
+        return set()
     at_work: dict[str, list[TaskName]] = defaultdict(list)
     for link in links:
         for tracked in link.runs.values():
@@ -257,16 +262,19 @@
                         due_s=objective_s - age_s,
                         hopeless_s=WORTHLESS_OBJECTIVES * objective_s - age_s,
                         waited_s=waited_s,
-                        near=frozenset(
-                            racks.get(task.run.worker, "")
-                            for task in progress.tasks
-                            if task.run
-                        ),
+                        near=_find_racks(progress, racks) if step.same_rack else NONE,
                         careful=failed and waited_s < DOUBT_PATIENCE_S,
                         needs_advice=policy.needs_advice,
                     )
 
 
+def _find_racks(progress: StepProgress, racks: dict[str, str]) -> frozenset[str]:
+    """Return the racks on which tasks of a step run."""
+    return frozenset(
+        racks.get(task.run.worker, "") for task in progress.tasks if task.run
+    )
+
+
 def _split_failed(
     progress: StepProgress, waiting: tuple[int, ...], gang: bool
 ) -> Iterator[tuple[tuple[int, ...], bool]]:
--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -106,9 +106,9 @@
 
     def stop(self, link: WorkerLink, tracked: TrackedRun, why: str) -> None:
         """Stop a run; what it held is free once its end is listed."""
-        if tracked.stopping or _key(tracked) not in link.runs:
+        if tracked.stopping or tracked.key not in link.runs:
             return
-        tracked.stopping = True
+        link.note_stopping(tracked)
         tracked.run.stop_wanted = why
         self._log.write(
             "orders",
@@ -129,7 +129,7 @@
 
     def forget(self, link: WorkerLink, tracked: TrackedRun, why: str) -> None:
         """Take back a run that surely never started and never will."""
-        if link.runs.pop(_key(tracked), None) is None:
+        if not link.remove_run(tracked):
             return
         if tracked.task.run is tracked.run:
             tracked.task.run = None
@@ -159,12 +159,13 @@
 
     def find_runs(self, job: JobProgress) -> Started:
         """Return the job's open runs and their workers."""
-        return [
-            (link, tracked)
-            for link in self._links.values()
-            for tracked in list(link.runs.values())
-            if tracked.name.job_id == job.job_id
-        ]
+        found = []
+        for name, _, run in job.open_runs():
+            link = self._links.get(run.worker)
+            tracked = link.runs.get((str(name), run.number)) if link else None
+            if tracked is not None:
+                found.append((link, tracked))
+        return found
 
     async def _start(
         self, link: WorkerLink, tracked: TrackedRun, payload: str, checkpoint: str
@@ -186,7 +187,7 @@
                     tracked.name.step_name, link.name, link.born_ms
                 ),
             )
-            if tracked.stopping or _key(tracked) not in link.runs:
+            if tracked.stopping or tracked.key not in link.runs:
                 return False
             self._metrics.count("starts_sent")
             match await link.worker.start(order):
@@ -254,7 +255,7 @@
 
     async def _send_stop(self, link: WorkerLink, tracked: TrackedRun) -> None:
         order = StopOrder(str(tracked.name), tracked.run.number, self._leadership.epoch)
-        while _key(tracked) in link.runs:
+        while tracked.key in link.runs:
             match await link.worker.stop(order):
                 case Ok(_):
                     if tracked.settled_s is None:
@@ -267,10 +268,6 @@
                     await self._clock.sleep(STOP_RETRY_S)
 
 
-def _key(tracked: TrackedRun) -> tuple[str, int]:
-    return str(tracked.name), tracked.run.number
-
-
 def _choose_checkpoint(step: Step, started: Started) -> Callable[[TrackedRun], str]:
     """Return what gives each run its saved data; a gang's members share one."""
     if not step.checkpoints:
--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -22,14 +22,14 @@
     StepDemand,
     WorkerSpeeds,
     WorkerSuspicion,
+    charged_usage,
     make_plan,
     sort_demands,
 )
-from chiveledge.placement._fleet import charged_usage
 from chiveledge.workload import JobProgress, OpenRun, TaskName, Usage
 
 PLAN_AGAIN_S = 0.25
-"""Longest pause between two plans; times of rest and patience pass meanwhile."""
+"""Longest pause between two plans, and shortest between two looks at all runs."""
 
 GATHER_S = 0.005
 """Pause before a plan, in which events that come together gather."""
@@ -99,6 +99,7 @@
         self._wake = wake
         self._spawn = spawn
         self._claims: list[PendingClaim] = []
+        self._supervise_at_s = 0.0
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -111,12 +112,9 @@
 
     def _plan(self) -> None:
         now_s = self._clock.monotonic()
-        self._settlement.stop_stalled(self._links, now_s)
-        self._settlement.evacuate(self._links, now_s)
-        for name in self._speeds.update(
-            self._settlement.list_paces(self._links), now_s
-        ):
-            self._log.write("workers", "slow", worker=name)
+        if now_s >= self._supervise_at_s:
+            self._supervise_at_s = now_s + PLAN_AGAIN_S
+            self._supervise(now_s)
         promised, claimed = self._review_claims(now_s)
         fleet = view_fleet(
             self._links.values(),
@@ -143,6 +141,14 @@
             self._stop_for(claim, now_s)
         self._context.metrics.observe("plan_s", self._clock.monotonic() - now_s)
 
+    def _supervise(self, now_s: float) -> None:
+        """Look after what runs: stalls, slow workers and workers that leave."""
+        self._settlement.stop_stalled(self._links, now_s)
+        self._settlement.evacuate(self._links, now_s)
+        paces = self._settlement.list_paces(self._links)
+        for name in self._speeds.update(paces, now_s):
+            self._log.write("workers", "slow", worker=name)
+
     def _apply_advice(
         self, fleet: FleetView, demands: Iterable[StepDemand]
     ) -> list[StepDemand]:
@@ -259,8 +265,8 @@
             name = TaskName(
                 demand.job_id, demand.occurrence, demand.step_number, placement.index
             )
-            tracked = TrackedRun(name, task, run, charged_usage(demand.step))
-            link.runs[str(name), run.number] = tracked
+            tracked = TrackedRun(name, task, run, demand.step)
+            link.add_run(tracked)
             started.append((link, tracked))
         self._log.write(
             "coordinator",
--- a/chiveledge/coordinator/_reign.py
+++ b/chiveledge/coordinator/_reign.py
@@ -20,7 +20,6 @@
 from chiveledge.intake._desk import CANCEL_SUFFIX, INBOX_PREFIX
 from chiveledge.leadership import Leadership
 from chiveledge.placement import WorkerSuspicion
-from chiveledge.placement._fleet import charged_usage
 from chiveledge.services import Row
 from chiveledge.workload import (
     JobProgress,
@@ -235,11 +234,11 @@
             name,
             task,
             run,
-            charged_usage(job.request.steps[name.step]),
+            job.request.steps[name.step],
             settled_s=float("-inf"),
             adopted=True,
         )
-        link.runs[str(name), run.number] = tracked
+        link.add_run(tracked)
         if job.state.ended:
             self._orders.stop(link, tracked, "the job has ended")
 
--- a/chiveledge/coordinator/_settlement.py
+++ b/chiveledge/coordinator/_settlement.py
@@ -234,7 +234,7 @@
     def _close(
         self, link: WorkerLink, tracked: TrackedRun, how: RunEnd, checkpoint: str
     ) -> None:
-        link.runs.pop((str(tracked.name), tracked.run.number), None)
+        link.remove_run(tracked)
         task = tracked.task
         job = self._jobs[tracked.name.job_id]
         step = job.request.steps[tracked.name.step]
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -6,9 +6,10 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from chiveledge.placement import charged_usage
 from chiveledge.services.task_worker import TaskWorker, WorkerEntry
 from chiveledge.types import WorkerName
-from chiveledge.workload import OpenRun, TaskName, TaskProgress, Usage
+from chiveledge.workload import OpenRun, Step, TaskName, TaskProgress, Usage
 
 CLOCK_RATE = 0.98
 """A worker's clock may run this much slower than ours."""
@@ -38,7 +39,7 @@
     name: TaskName
     task: TaskProgress
     run: OpenRun
-    usage: Usage
+    step: Step
     settled_s: float | None = None
     stopping: bool = False
     adopted: bool = False
@@ -47,6 +48,26 @@
         default_factory=lambda: deque(maxlen=MARKS_KEPT)
     )
 
+    @property
+    def usage(self) -> Usage:
+        """What it takes of its worker's capacity."""
+        return charged_usage(self.step)
+
+    @property
+    def serves(self) -> bool:
+        """Whether it answers users of its own within a bound."""
+        return self.step.latency_target_ms > 0
+
+    @property
+    def fills(self) -> bool:
+        """Whether it uses only what the others leave."""
+        return self.step.filler
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Task and number of the run."""
+        return str(self.name), self.run.number
+
     def note_percent(self, percent: int, now_s: float) -> None:
         """Remember how far the run has come."""
         self.marks.append((now_s, percent))
@@ -87,6 +108,14 @@
         Number of the last end that was taken over.
     storing : asyncio.Task, optional
         Stores the ends that were taken over.
+    runs : dict
+        Open runs by task and number; changed by `add_run` and `remove_run`.
+    used : Usage
+        What all open runs take, those that are being stopped too.
+    stopping : Usage
+        What those that are being stopped take.
+    serving, filling : int
+        How many open runs serve users of their own, and how many fill up.
     """
 
     entry: WorkerEntry
@@ -107,19 +136,38 @@
     clock_read_s: float = 0.0
     born_ms: int = 0
     life_began_s: float = float("-inf")
+    used: Usage = Usage()
+    stopping: Usage = Usage()
+    serving: int = 0
+    filling: int = 0
 
     @property
     def name(self) -> WorkerName:
         """Name of the worker."""
         return self.entry.name
 
-    @property
-    def used(self) -> Usage:
-        """What all open runs take, those that are being stopped too."""
-        total = Usage()
-        for tracked in self.runs.values():
-            total = total.plus(tracked.usage)
-        return total
+    def add_run(self, tracked: TrackedRun) -> None:
+        """A run is, or will be, on the worker."""
+        self.runs[tracked.key] = tracked
+        self.used = self.used.plus(tracked.usage)
+        self.serving += tracked.serves
+        self.filling += tracked.fills
+
+    def note_stopping(self, tracked: TrackedRun) -> None:
+        """A stop of a run is on its way."""
+        tracked.stopping = True
+        self.stopping = self.stopping.plus(tracked.usage)
+
+    def remove_run(self, tracked: TrackedRun) -> bool:
+        """A run is gone; return whether it was there."""
+        if self.runs.pop(tracked.key, None) is None:
+            return False
+        self.used = self.used.minus(tracked.usage)
+        if tracked.stopping:
+            self.stopping = self.stopping.minus(tracked.usage)
+        self.serving -= tracked.serves
+        self.filling -= tracked.fills
+        return True
 
     def note_answer(self, clock_ms: int, now_s: float) -> None:
         """Take over the worker's clock from an answer."""
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -233,8 +233,12 @@
         await self._clock.sleep(LOOK_RETRY_S)
 
     def _settle(self, link: WorkerLink, report: HoldReport, sent_s: float) -> None:
+        was_usable = link.fence_raised and link.failing_since_s is None
+        held = len(link.runs)
         acknowledge = self._settlement.settle(link, report, sent_s)
-        self._wake()
+        if len(link.runs) < held or not was_usable:
+            # Most reports change nothing that a plan looks at.
+            self._wake()
         if acknowledge is not None:
             link.storing = self._spawn(acknowledge)
 
--- a/chiveledge/placement/__init__.py
+++ b/chiveledge/placement/__init__.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from chiveledge.placement._evacuation import should_leave
-from chiveledge.placement._fleet import FleetView, RunView, WorkerView
+from chiveledge.placement._fleet import (
+    FleetView,
+    RunView,
+    WorkerView,
+    charged_usage,
+)
 from chiveledge.placement._order import (
     StepDemand,
     find_guaranteed_jobs,
@@ -26,6 +31,7 @@
     "WorkerSpeeds",
     "WorkerSuspicion",
     "WorkerView",
+    "charged_usage",
     "choose_victims",
     "estimate_speeds",
     "find_guaranteed_jobs",
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
-from collections.abc import Iterable
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import NamedTuple
 
 from chiveledge.types import WorkerName
@@ -51,7 +52,10 @@
     Attributes
     ----------
     free : Usage
-        Capacity less all that runs, is being stopped or is promised.
+        Room now: capacity less all that runs, is being stopped or is promised.
+    later : Usage, optional
+        Room that is not promised once all that is being stopped has ended; at least
+        `free`, which it is by default.
     accepting : bool
         Whether new work may go there.
     probing : bool
@@ -60,6 +64,10 @@
         Whether something failed there since its last success.
     slow : bool
         Whether its runs come forward slowly now.
+    list_runs : callable
+        Returns what runs there.
+    prices : dict
+        What room for one task costs, by usage and priority; see `_preemption`.
     """
 
     name: WorkerName
@@ -68,13 +76,23 @@
     labels: frozenset[str]
     capacity: Usage
     free: Usage
+    later: Usage | None = None
     accepting: bool = True
     probing: bool = False
     doubted: bool = False
     slow: bool = False
     serving: bool = False
     filling: bool = False
-    runs: list[RunView] = field(default_factory=list)
+    list_runs: Callable[[], list[RunView]] = list
+    prices: dict[tuple[Usage, int], object] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.later = self.free if self.later is None else self.later
+
+    @cached_property
+    def runs(self) -> list[RunView]:
+        """What runs there; made at first use, since most plans stop nothing."""
+        return self.list_runs()
 
 
 class FleetView:
@@ -88,12 +106,48 @@
 
     def __init__(self, workers: Iterable[WorkerView]) -> None:
         self.workers = {worker.name: worker for worker in workers}
-        self.placed: dict[tuple[str, WorkerName], int] = defaultdict(int)
-        self.groups: dict[str, list[RunView]] = defaultdict(list)
+        self._accepting: dict[str, list[WorkerView]] = defaultdict(list)
+        for worker in self.workers.values():
+            if worker.accepting:
+                self._accepting[worker.service].append(worker)
+        self._taken: Counter[tuple[str, WorkerName]] = Counter()
+        self._too_large: dict[tuple[str, str], list[Usage]] = defaultdict(list)
+
+    @cached_property
+    def groups(self) -> dict[str, list[RunView]]:
+        """All runs by the group that they stop with."""
+        groups: dict[str, list[RunView]] = defaultdict(list)
         for worker in self.workers.values():
             for run in worker.runs:
-                self.placed[run.task.step_name, worker.name] += 1
-                self.groups[run.group].append(run)
+                groups[run.group].append(run)
+        return groups
+
+    def has_room(self, service: str, step: Step) -> bool:
+        """Whether a task of a step fits anywhere now.
+
+        Load answered: hundreds of steps that wait for a full fleet. Room only
+        shrinks while a plan is made, so what fitted nowhere is remembered, and
+        whatever needs as much or more is not tried again.
+        """
+        usage = charged_usage(step)
+        too_large = self._too_large[service, step.required_label]
+        if any(known.fits(usage) for known in too_large):
+            return False
+        label = step.required_label
+        for worker in self._accepting[service]:
+            if usage.fits(worker.free) and (not label or label in worker.labels):
+                return True
+        too_large.append(usage)
+        return False
+
+    def evict(self, groups: Iterable[str]) -> None:
+        """Give up groups of runs; what they hold is free once they have ended."""
+        for group in groups:
+            for run in self.groups.pop(group):
+                holder = self.workers[run.worker]
+                holder.later = holder.later.plus(run.usage)
+                holder.runs.remove(run)
+                holder.prices.clear()
 
     def candidates(
         self,
@@ -114,10 +168,8 @@
         """
         return [
             worker
-            for worker in self.workers.values()
-            if worker.service == service
-            and worker.accepting
-            and not (careful and worker.doubted)
+            for worker in self._accepting[service]
+            if not (careful and worker.doubted)
             and (not step.required_label or step.required_label in worker.labels)
             and (allowed is None or worker.name in allowed)
             and not (step.filler and worker.serving)
@@ -130,16 +182,28 @@
         """Return how many tasks of a step fit into `free` of a worker."""
         count = charged_usage(step).count_in(free)
         if step.max_per_worker:
-            placed = self.placed[step_name, worker.name]
+            placed = self.count_placed(worker, step_name)
             count = min(count, step.max_per_worker - placed)
         if worker.probing:
             count = min(count, 0 if worker.runs else 1)
         return max(0, count)
 
+    def count_placed(self, worker: WorkerView, step_name: str) -> int:
+        """Return how many tasks of a step a worker has or will get."""
+        running = sum(run.task.step_name == step_name for run in worker.runs)
+        return running + self._taken[step_name, worker.name]
+
     def take(self, worker: WorkerView, step: Step, step_name: str) -> None:
-        """Take the room of one task."""
+        """Take the room of a task that starts now."""
         worker.free = worker.free.minus(charged_usage(step))
-        self.placed[step_name, worker.name] += 1
+        self.promise(worker, step, step_name)
+
+    def promise(self, worker: WorkerView, step: Step, step_name: str) -> None:
+        """Take the room of a task that starts once what is stopped has ended."""
+        worker.later = worker.later.minus(charged_usage(step))
+        worker.free = worker.free.least(worker.later)
+        worker.prices.clear()
+        self._taken[step_name, worker.name] += 1
         worker.serving |= bool(step.latency_target_ms)
         worker.filling |= step.filler
 
--- a/chiveledge/placement/_packing.py
+++ b/chiveledge/placement/_packing.py
@@ -33,6 +33,8 @@
     list of Placement
         For a gang all tasks or none; else as many as there is room for.
     """
+    if not fleet.has_room(demand.service, demand.step):
+        return []
     candidates = fleet.candidates(
         demand.service, demand.step, allowed=demand.allowed, careful=demand.careful
     )
@@ -82,7 +84,8 @@
     """Return a worker for each of up to `wanted` tasks; `free` is used up."""
     usage = charged_usage(demand.step)
     chosen: list[WorkerView] = []
-    for worker in sorted(pool, key=lambda w: _tightness(w, free[w.name], usage)):
+    roomy = [worker for worker in pool if usage.fits(free[worker.name])]
+    for worker in sorted(roomy, key=lambda w: _tightness(w, free[w.name], usage)):
         count = fleet.room_for(worker, demand.step, demand.step_name, free[worker.name])
         for _ in range(min(count, wanted - len(chosen))):
             chosen.append(worker)
--- a/chiveledge/placement/_plan.py
+++ b/chiveledge/placement/_plan.py
@@ -64,13 +64,8 @@
     eviction = choose_victims(fleet, demand)
     if eviction is None:
         return None
+    fleet.evict(eviction.groups)
     for placement in eviction.placements:
         worker = fleet.workers[placement.worker]
-        fleet.take(worker, demand.step, demand.step_name)
-    for group in eviction.groups:
-        for run in fleet.groups[group]:
-            holder = fleet.workers[run.worker]
-            holder.free = holder.free.plus(run.usage)
-            holder.runs.remove(run)
-        del fleet.groups[group]
+        fleet.promise(worker, demand.step, demand.step_name)
     return Claim(demand, eviction.placements, eviction.groups)
--- a/chiveledge/placement/_preemption.py
+++ b/chiveledge/placement/_preemption.py
@@ -2,7 +2,8 @@
 
 Load answered: an urgent gang arrives while others have borrowed all the room.
 Members of a gang stop together, so stopping one counts the loss of all; work that
-saved its progress counts only what it did since.
+saved its progress counts only what it did since. Room that earlier stops will leave
+is used before more work is stopped.
 """
 
 from __future__ import annotations
@@ -31,29 +32,62 @@
     loss: float
 
 
+class _Price(NamedTuple):
+    """What room for one more task on a worker costs.
+
+    Attributes
+    ----------
+    loss : float
+        Core-seconds that the stops would lose.
+    groups : tuple of str
+        Groups of runs that would be stopped.
+    """
+
+    loss: float
+    groups: tuple[str, ...]
+
+
+NO_STOP = _Price(0.0, ())
+
+
 class _Trial:
-    """Room on workers as groups of runs are given up one by one."""
+    """Room on workers as groups of runs are given up one by one.
+
+    Prices of workers that the trial has not changed are shared between the demands
+    of a plan, as bursts of urgent jobs ask for the same room.
+    """
 
     def __init__(self, fleet: FleetView, demand: StepDemand) -> None:
         self._fleet = fleet
         self._demand = demand
         self._usage = charged_usage(demand.step)
+        self._prices: dict[str, _Price | None] = {}
+        self._placed: dict[str, int] = {}
         self.free: dict[str, Usage] = {}
         self.groups: set[str] = set()
         self.loss = 0.0
         self.placements: list[Placement] = []
-        self._placed: dict[str, int] = {}
 
     def room(self, worker: WorkerView) -> Usage:
-        return self.free.get(worker.name, worker.free)
+        return self.free.get(worker.name, worker.later)
 
-    def price(self, worker: WorkerView) -> tuple[float, list[str]] | None:
-        """Return the loss and the groups that make room for one more task."""
+    def price(self, worker: WorkerView) -> _Price | None:
+        """Return what one more task costs there; None if it can't have room."""
         if not self._admits(worker):
             return None
+        if worker.name in self.free:
+            if worker.name not in self._prices:
+                self._prices[worker.name] = self._find_price(worker)
+            return self._prices[worker.name]
+        shared = (self._usage, self._demand.priority)
+        if shared not in worker.prices:
+            worker.prices[shared] = self._find_price(worker)
+        return worker.prices[shared]
+
+    def _find_price(self, worker: WorkerView) -> _Price | None:
         free = self.room(worker)
         if self._usage.fits(free):
-            return 0.0, []
+            return NO_STOP
         chosen: list[str] = []
         loss = 0.0
         for group, cost, usage in self._cheapest_groups(worker):
@@ -64,24 +98,26 @@
                 return self._drop_needless(worker, free, chosen, loss)
         return None
 
-    def give(self, worker: WorkerView, groups: list[str], loss: float) -> None:
+    def give(self, worker: WorkerView, price: _Price) -> None:
         """Place the next task on a worker and give the groups up."""
-        for group in groups:
+        for group in price.groups:
             self.groups.add(group)
             for run in self._fleet.groups[group]:
                 holder = self._fleet.workers[run.worker]
                 self.free[holder.name] = self.room(holder).plus(run.usage)
+                self._prices.pop(holder.name, None)
         index = self._demand.indices[len(self.placements)]
         self.free[worker.name] = self.room(worker).minus(self._usage)
+        self._prices.pop(worker.name, None)
         self._placed[worker.name] = self._placed.get(worker.name, 0) + 1
         self.placements.append(Placement(index, worker.name))
-        self.loss += loss
+        self.loss += price.loss
 
     def _admits(self, worker: WorkerView) -> bool:
         bound = self._demand.step.max_per_worker
         if not bound:
             return not worker.probing
-        placed = self._fleet.placed[self._demand.step_name, worker.name]
+        placed = self._fleet.count_placed(worker, self._demand.step_name)
         return placed + self._placed.get(worker.name, 0) < bound
 
     def _cheapest_groups(self, worker: WorkerView) -> list[tuple[str, float, Usage]]:
@@ -102,7 +138,7 @@
 
     def _drop_needless(
         self, worker: WorkerView, free: Usage, chosen: list[str], loss: float
-    ) -> tuple[float, list[str]]:
+    ) -> _Price:
         for group in sorted(chosen, key=self._group_loss, reverse=True):
             usage = Usage()
             for run in worker.runs:
@@ -112,7 +148,7 @@
                 free = free.minus(usage)
                 chosen.remove(group)
                 loss -= self._group_loss(group)
-        return loss, chosen
+        return _Price(loss, tuple(chosen))
 
 
 def choose_victims(fleet: FleetView, demand: StepDemand) -> Eviction | None:
@@ -148,10 +184,10 @@
         priced = [(price, worker) for worker in pool if (price := trial.price(worker))]
         if not priced:
             break
-        (loss, groups), worker = min(
-            priced, key=lambda row: (row[0][0], trial.room(row[1]), row[1].name)
+        price, worker = min(
+            priced, key=lambda row: (row[0].loss, trial.room(row[1]), row[1].name)
         )
-        trial.give(worker, groups, loss)
+        trial.give(worker, price)
     missing = len(demand.indices) - len(trial.placements)
     if not trial.placements or (missing and demand.step.gang):
         return None
--- a/chiveledge/workload/_model.py
+++ b/chiveledge/workload/_model.py
@@ -56,6 +56,10 @@
             self.accelerators - other.accelerators,
         )
 
+    def least(self, other: Usage) -> Usage:
+        """Return the smaller of both, resource by resource."""
+        return Usage(*map(min, self, other))
+
     def fits(self, free: Usage) -> bool:
         """Whether `free` has room for this."""
         return (
--- a/tests/placement/fleets.py
+++ b/tests/placement/fleets.py
@@ -21,7 +21,7 @@
         labels=frozenset({"a", rack}),
         capacity=capacity,
         free=free,
-        runs=list(runs),
+        list_runs=lambda: list(runs),
         **options,
     )
 
--- a/tests/placement/test_packing.py
+++ b/tests/placement/test_packing.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from chiveledge.placement import place_step
+from chiveledge.placement import make_plan, place_step
 from chiveledge.workload import Usage
 from tests.placement.fleets import make_demand, make_fleet, make_run, make_worker
 
@@ -105,3 +105,45 @@
         make_worker("w2"),
     )
     assert places(fleet, make_demand(count=2)) == ["w2", "w2"]
+
+
+@pytest.fixture
+def comparisons(monkeypatch) -> list[Usage]:
+    """Return what was compared with the room of a worker, grown as a plan is made."""
+    seen: list[Usage] = []
+    compare = Usage.fits
+
+    def fits(self, free):
+        seen.append(self)
+        return compare(self, free)
+
+    monkeypatch.setattr(Usage, "fits", fits)
+    return seen
+
+
+def test_full_fleet_is_searched_once_for_each_size(comparisons):
+    fleet = make_fleet(
+        *(
+            make_worker(f"w{i}", runs=[make_run(f"a{i}", f"w{i}", 8)])
+            for i in range(100)
+        )
+    )
+    demands = [make_demand(f"j{i}", accelerators=1 + i % 3) for i in range(300)]
+    assert make_plan(fleet, demands).starts == []
+    assert len(comparisons) <= 3 * len(fleet.workers) + 3 * len(demands)
+
+
+def test_burst_of_urgent_jobs_prices_a_worker_once(comparisons):
+    fleet = make_fleet(
+        *(
+            make_worker(f"w{i}", runs=[make_run(f"a{i}", f"w{i}", 8)])
+            for i in range(100)
+        )
+    )
+    demands = [
+        make_demand(f"u{i}", priority=0, accelerators=8, due_s=float(i))
+        for i in range(20)
+    ]
+    assert len(make_plan(fleet, demands).claims) == 20
+    # A worker is compared twice while it is priced and once more when it is chosen.
+    assert len(comparisons) <= 10 * (len(fleet.workers) + len(demands))
--- a/tests/placement/test_preemption.py
+++ b/tests/placement/test_preemption.py
@@ -71,6 +71,44 @@
     assert plan.starts == []
 
 
+def test_room_of_stopped_work_is_not_used_before_it_has_ended():
+    gang = [
+        make_run("g", f"w{i}", 8, index=i, unsaved_s=1.0, gang=True) for i in (1, 2)
+    ]
+    fleet = make_fleet(
+        make_worker("w1", runs=gang[:1]), make_worker("w2", runs=gang[1:])
+    )
+    urgent = make_demand("u", priority=0, accelerators=8)
+    plan = make_plan(fleet, [urgent, make_demand("b", priority=2)])
+    assert [claim.groups for claim in plan.claims] == [{"g.0.0#"}]
+    assert plan.starts == []
+
+
+def test_urgent_work_shares_room_that_is_being_made():
+    gang = [
+        make_run("g", f"w{i}", 8, index=i, unsaved_s=1.0, gang=True) for i in (1, 2)
+    ]
+    fleet = make_fleet(
+        make_worker("w1", runs=gang[:1]),
+        make_worker("w2", runs=gang[1:]),
+        make_worker("w3", runs=[make_run("one", "w3", 8, unsaved_s=9.0)]),
+    )
+    demands = [
+        make_demand(f"u{i}", priority=0, accelerators=8, due_s=float(i))
+        for i in range(2)
+    ]
+    plan = make_plan(fleet, demands)
+    assert [claim.groups for claim in plan.claims] == [{"g.0.0#"}, set()]
+
+
+def test_room_kept_for_a_claim_is_given_to_nobody_else():
+    worker = make_worker("w1", runs=[make_run("a", "w1", 4)])
+    fleet = make_fleet(worker)
+    make_plan(fleet, [make_demand("u", priority=0, accelerators=8)])
+    assert worker.free.accelerators == 0
+    assert make_plan(fleet, [make_demand("b", priority=2)]).starts == []
+
+
 def search_exhaustively(fleet, demand) -> float | None:
     """Return the least loss over all sets of groups, or None if none is enough."""
     groups = [
