The pause before a plan is as long as the last plan took

Cause: with hundreds of workers an end wakes the planner tens of times a second; on a small host plans could take all of the processor while looks and renewals wait. Bounded to half of it, and to 0.1 s.

--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -32,7 +32,11 @@
 """Longest pause between two plans, and shortest between two looks at all runs."""
 
 GATHER_S = 0.005
-"""Pause before a plan, in which events that come together gather."""
+"""Shortest pause before a plan, in which events that come together gather."""
+
+LONGEST_GATHER_S = 0.1
+"""Longest such pause; it is as long as the last plan took, so that looks, renewals
+and orders get half of the processor at least."""
 
 CLAIM_PATIENCE_S = 2.5
 """How long stopped work may take to make room before a claim is decided anew."""
@@ -103,12 +107,16 @@
 
     async def run(self) -> None:
         """Plan until cancelled."""
+        took_s = 0.0
         while True:
             await run_with_timeout(self._clock, self._wake.wait(), PLAN_AGAIN_S)
-            await self._clock.sleep(GATHER_S)
+            await self._clock.sleep(min(max(GATHER_S, took_s), LONGEST_GATHER_S))
             self._wake.clear()
             if self._leadership.valid:
+                began_s = self._clock.monotonic()
                 self._plan()
+                took_s = self._clock.monotonic() - began_s
+                self._context.metrics.observe("plan_s", took_s)
 
     def _plan(self) -> None:
         now_s = self._clock.monotonic()
@@ -139,7 +147,6 @@
             self._begin(start.demand, start.placements)
         for claim in plan.claims:
             self._stop_for(claim, now_s)
-        self._context.metrics.observe("plan_s", self._clock.monotonic() - now_s)
 
     def _supervise(self, now_s: float) -> None:
         """Look after what runs: stalls, slow workers and workers that leave."""
