--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -3,26 +3,30 @@
 from __future__ import annotations
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable, Coroutine, Iterable
 from typing import NamedTuple
 
 from chiveledge.clock import run_with_timeout
 from chiveledge.coordinator._advice import AdviceBook, Candidate
 from chiveledge.coordinator._context import ReignContext
-from chiveledge.coordinator._demands import list_demands, view_fleet
+from chiveledge.coordinator._demands import find_policy, list_demands, view_fleet
 from chiveledge.coordinator._orders import OrderDesk
 from chiveledge.coordinator._runtimes import RunTimes
 from chiveledge.coordinator._settlement import Settlement
 from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
 from chiveledge.leadership import Leadership
 from chiveledge.placement import (
+    URGENT_PRIORITY,
     Claim,
     FleetView,
     Placement,
     StepDemand,
+    UrgentArrivals,
     WorkerSpeeds,
     WorkerSuspicion,
     charged_usage,
+    count_kept,
     make_plan,
     sort_demands,
 )
@@ -103,6 +107,7 @@
         self._wake = wake
         self._spawn = spawn
         self._claims: list[PendingClaim] = []
+        self._arrivals: dict[str, UrgentArrivals] = defaultdict(UrgentArrivals)
         self._supervise_at_s = 0.0
 
     async def run(self) -> None:
@@ -133,6 +138,7 @@
             promised,
             now_s,
         )
+        self._keep_for_urgent(fleet, now_s)
         demands = list_demands(
             self._jobs,
             self._context.catalogue(),
@@ -148,6 +154,23 @@
         for claim in plan.claims:
             self._stop_for(claim, now_s)
 
+    def note_admitted(self, job: JobProgress) -> None:
+        """A job was accepted lately."""
+        policy = find_policy(job, self._context.catalogue())
+        if policy.priority == URGENT_PRIORITY:
+            arrivals = self._arrivals[policy.service]
+            arrivals.note(job.request, self._clock.monotonic())
+
+    def _keep_for_urgent(self, fleet: FleetView, now_s: float) -> None:
+        span_s = self._context.timing.stop_s
+        for service, arrivals in self._arrivals.items():
+            workers = fleet.accepting(service)
+            if workers:
+                largest = max(worker.capacity for worker in workers)
+                expected = arrivals.expect(span_s, now_s)
+                count = count_kept(expected, largest, len(workers))
+                fleet.keep_for_urgent(service, count)
+
     def _supervise(self, now_s: float) -> None:
         """Look after what runs: stalls, slow workers and workers that leave."""
         self._settlement.stop_stalled(self._links, now_s)
--- a/chiveledge/coordinator/_reign.py
+++ b/chiveledge/coordinator/_reign.py
@@ -215,6 +215,7 @@
         stored = self._stored.pop(job_id, None)
         if stored is None:
             job = JobProgress(request)
+            self._planning.note_admitted(job)
         else:
             job = decode_progress(request, stored.value, stored.version)
         self.jobs[job_id] = job
--- a/chiveledge/placement/__init__.py
+++ b/chiveledge/placement/__init__.py
@@ -10,6 +10,7 @@
     charged_usage,
 )
 from chiveledge.placement._order import (
+    URGENT_PRIORITY,
     StepDemand,
     find_guaranteed_jobs,
     sort_demands,
@@ -17,10 +18,12 @@
 from chiveledge.placement._packing import Placement, place_step
 from chiveledge.placement._plan import Claim, Plan, make_plan
 from chiveledge.placement._preemption import choose_victims
+from chiveledge.placement._reserve import UrgentArrivals, count_kept
 from chiveledge.placement._speed import RunPace, WorkerSpeeds, estimate_speeds
 from chiveledge.placement._suspicion import WorkerSuspicion
 
 __all__ = [
+    "URGENT_PRIORITY",
     "Claim",
     "FleetView",
     "Placement",
@@ -28,11 +31,13 @@
     "RunPace",
     "RunView",
     "StepDemand",
+    "UrgentArrivals",
     "WorkerSpeeds",
     "WorkerSuspicion",
     "WorkerView",
     "charged_usage",
     "choose_victims",
+    "count_kept",
     "estimate_speeds",
     "find_guaranteed_jobs",
     "make_plan",
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -64,6 +64,8 @@
         Whether something failed there since its last success.
     slow : bool
         Whether its runs come forward slowly now.
+    kept : bool
+        Whether its free room is left to urgent work.
     list_runs : callable
         Returns what runs there.
     prices : dict
@@ -83,6 +85,7 @@
     slow: bool = False
     serving: bool = False
     filling: bool = False
+    kept: bool = False
     list_runs: Callable[[], list[RunView]] = list
     prices: dict[tuple[Usage, int], object] = field(default_factory=dict)
 
@@ -111,7 +114,7 @@
             if worker.accepting:
                 self._accepting[worker.service].append(worker)
         self._taken: Counter[tuple[str, WorkerName]] = Counter()
-        self._too_large: dict[tuple[str, str], list[Usage]] = defaultdict(list)
+        self._too_large: dict[tuple[str, str, bool], list[Usage]] = defaultdict(list)
 
     @cached_property
     def groups(self) -> dict[str, list[RunView]]:
@@ -122,7 +125,21 @@
                 groups[run.group].append(run)
         return groups
 
-    def has_room(self, service: str, step: Step) -> bool:
+    def keep_for_urgent(self, service: str, count: int) -> None:
+        """Leave the emptiest workers of a service to urgent work."""
+        emptiest = sorted(
+            self._accepting[service],
+            key=lambda worker: (worker.later, worker.free, worker.name),
+            reverse=True,
+        )
+        for worker in emptiest[:count]:
+            worker.kept = True
+
+    def accepting(self, service: str) -> list[WorkerView]:
+        """Return the workers of a service to which new work may go."""
+        return self._accepting[service]
+
+    def has_room(self, service: str, step: Step, *, urgent: bool) -> bool:
         """Whether a task of a step fits anywhere now.
 
         Load answered: hundreds of steps that wait for a full fleet. Room only
@@ -130,11 +147,13 @@
         whatever needs as much or more is not tried again.
         """
         usage = charged_usage(step)
-        too_large = self._too_large[service, step.required_label]
+        too_large = self._too_large[service, step.required_label, urgent]
         if any(known.fits(usage) for known in too_large):
             return False
         label = step.required_label
         for worker in self._accepting[service]:
+            if worker.kept and not urgent:
+                continue
             if usage.fits(worker.free) and (not label or label in worker.labels):
                 return True
         too_large.append(usage)
--- a/chiveledge/placement/_order.py
+++ b/chiveledge/placement/_order.py
@@ -13,6 +13,9 @@
 from chiveledge.types import Accelerators, WorkerName, WorkspaceName
 from chiveledge.workload import JobProgress, Step
 
+URGENT_PRIORITY = 0
+"""The priority whose jobs may have others stopped."""
+
 WORTHLESS_OBJECTIVES = 3.0
 """A job is worth nothing after this many times its objective."""
 
@@ -57,6 +60,11 @@
     careful: bool = False
     needs_advice: bool = False
 
+    @property
+    def urgent(self) -> bool:
+        """Whether other work may be stopped for it."""
+        return self.priority == URGENT_PRIORITY
+
     @property
     def step_name(self) -> str:
         """Name of the step of one occurrence."""
@@ -96,7 +104,7 @@
     """
     left = dict(guarantees)
     found = set()
-    urgent = [job for job in jobs if priorities[job.job_id] == 0]
+    urgent = [job for job in jobs if priorities[job.job_id] == URGENT_PRIORITY]
     for job in sorted(urgent, key=lambda job: (job.request.accepted_ms, job.job_id)):
         need = max(
             (step.count * step.usage.accelerators for step in job.request.steps),
--- a/chiveledge/placement/_packing.py
+++ b/chiveledge/placement/_packing.py
@@ -18,6 +18,9 @@
 """How long tasks wait for room on a rack on which they are not slowed down."""
 
 
+NO_ROOM = Usage(-1, -1, -1)
+
+
 class Placement(NamedTuple):
     """One task and the worker that it goes to."""
 
@@ -33,12 +36,15 @@
     list of Placement
         For a gang all tasks or none; else as many as there is room for.
     """
-    if not fleet.has_room(demand.service, demand.step):
+    if not fleet.has_room(demand.service, demand.step, urgent=demand.urgent):
         return []
     candidates = fleet.candidates(
         demand.service, demand.step, allowed=demand.allowed, careful=demand.careful
     )
-    free = {worker.name: worker.free for worker in candidates}
+    free = {
+        worker.name: worker.free if demand.urgent or not worker.kept else NO_ROOM
+        for worker in candidates
+    }
     pools = list_pools(candidates, demand)
     if demand.step.gang:
         for pool in pools:
--- a/chiveledge/placement/_plan.py
+++ b/chiveledge/placement/_plan.py
@@ -10,9 +10,6 @@
 from chiveledge.placement._packing import Placement, place_step
 from chiveledge.placement._preemption import choose_victims
 
-URGENT_PRIORITY = 0
-"""The priority whose jobs may have others stopped."""
-
 
 class Start(NamedTuple):
     """Tasks of a step that start now."""
@@ -53,7 +50,7 @@
             plan.starts.append(Start(demand, placements))
         placed = {placement.index for placement in placements}
         rest = tuple(index for index in demand.indices if index not in placed)
-        if rest and demand.priority == URGENT_PRIORITY:
+        if rest and demand.urgent:
             claim = _make_claim(fleet, demand._replace(indices=rest))
             if claim:
                 plan.claims.append(claim)
