--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,6 +8,7 @@
     capacity,
     configuration,
     control,
+    experiment,
     placement,
     requests,
     routing,
@@ -20,6 +21,7 @@
     "capacity": capacity.main,
     "requests": requests.main,
     "routing": routing.main,
+    "experiment": experiment.main,
 }
 
 
--- /dev/null
+++ b/tests/benchmarks/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of `benchmarks`."""
+
+from __future__ import annotations
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -313,3 +313,23 @@
     cluster.unlist_worker(worker.entry.name)
     await cluster.advance(1.5)
     assert len(cluster.starts("j1")) == 2
+
+
+async def count_stops_for_urgent_jobs(cluster) -> int:
+    """Return the runs stopped while urgent jobs arrive over a queue of short tasks."""
+    await cluster.advance(0.5)
+    await cluster.submit("b", Step(count=2000, usage=SMALL), queue="batch", work_s=2.0)
+    wide = SMALL._replace(accelerators=8)
+    for number in range(30):
+        await cluster.submit(f"u{number}", Step(usage=wide), queue="urgent", work_s=1.0)
+        await cluster.advance(0.45)
+    return cluster.leader.metrics.to_record()["counters"].get("runs_stopped", 0)
+
+
+async def test_room_left_to_urgent_jobs_spares_the_work_of_others(
+    make_cluster, monkeypatch
+):
+    with_room = await count_stops_for_urgent_jobs(make_cluster(workers=20))
+    monkeypatch.setattr("chiveledge.placement._reserve.LARGEST_SHARE", 0.0)
+    without = await count_stops_for_urgent_jobs(make_cluster(workers=20))
+    assert with_room <= without / 2
--- /dev/null
+++ b/tests/placement/test_reserve.py
@@ -0,0 +1,63 @@
+"""How much room is left to urgent jobs, and who may use it."""
+
+from __future__ import annotations
+
+import pytest
+
+from chiveledge.placement import UrgentArrivals, count_kept, make_plan
+from chiveledge.placement._reserve import MEMORY_S
+from chiveledge.workload import JobRequest, Step, Usage
+from tests.placement.fleets import CAPACITY, make_demand, make_fleet, make_worker
+
+TASK = Usage(4000, 8000, 2)
+
+
+def make_request(*steps: Step) -> JobRequest:
+    return JobRequest("j", "q", "team", "", steps, 0)
+
+
+def test_steady_arrivals_are_expected_to_go_on():
+    arrivals = UrgentArrivals()
+    for second in range(60):
+        arrivals.note(make_request(Step(count=3, usage=TASK)), float(second))
+    per_s = arrivals.expect(1.0, 60.0).accelerators
+    assert 5 <= per_s <= 7
+
+
+def test_nothing_is_expected_after_a_long_silence():
+    arrivals = UrgentArrivals()
+    arrivals.note(make_request(Step(count=30, usage=TASK)), 0.0)
+    assert arrivals.expect(1.0, 30 * MEMORY_S) == Usage()
+
+
+def test_only_first_steps_count_as_they_start_at_once():
+    arrivals = UrgentArrivals()
+    later = Step(count=50, usage=TASK, after=(0,))
+    arrivals.note(make_request(Step(count=4, usage=TASK), later), 0.0)
+    assert arrivals.expect(MEMORY_S, 0.0).accelerators == 8
+
+
+@pytest.mark.parametrize(
+    "expected,workers,kept",
+    [
+        (Usage(), 24, 0),
+        (Usage(1000, 1000, 7), 24, 0),
+        (Usage(1000, 1000, 8), 24, 1),
+        (Usage(1000, 130_000, 8), 24, 2),
+        (Usage(0, 0, 8000), 24, 3),
+        (Usage(0, 0, 8000), 3, 0),
+    ],
+)
+def test_scarcest_resource_counts_up_to_a_share_of_the_workers(expected, workers, kept):
+    assert count_kept(expected, CAPACITY, workers) == kept
+
+
+def test_kept_worker_is_the_emptiest_and_takes_urgent_work_only():
+    fleet = make_fleet(make_worker("w1"), make_worker("w2"), make_worker("w3"))
+    fleet.keep_for_urgent("pool", 1)
+    batch = make_demand("b", count=3, accelerators=8, priority=2)
+    urgent = make_demand("u", accelerators=8, priority=0)
+    plan = make_plan(fleet, [batch])
+    assert sorted(p.worker for p in plan.starts[0].placements) == ["w1", "w2"]
+    plan = make_plan(fleet, [urgent])
+    assert [p.worker for p in plan.starts[0].placements] == ["w3"]
