A mute watch is noticed sooner and the rows are read; removed jobs never run again

A watch now waits 0.5 s (was 1.0) and 0.6 s more for its answer (was 0.7); after one without an answer the rows themselves are read.

Reading rows anew more often showed two faults by inspection: a removal of an ended job's rows was taken for granted, so that a failed one let a later reading admit the job as new and run it again; and a reading that began before a removal could do the same after it. The job is now kept until its rows are gone, and its ID for a minute more.

Tests: three, all seen failing before.

--- a/chiveledge/coordinator/_ledger.py
+++ b/chiveledge/coordinator/_ledger.py
@@ -111,16 +111,22 @@
             while self._dirty:
                 await self._write_batch()
 
-    async def remove(self, job: JobProgress) -> None:
-        """Delete all rows of a job that ended long ago."""
+    async def remove(self, job: JobProgress) -> bool:
+        """Delete all rows of a job that ended long ago; return whether they are."""
         keys = (job_key, cancel_key, board_key, progress_key)
         transaction = Transaction(
             write_id=uuid.uuid4().hex,
             checks=(self._leadership.fence,),
             deletes=tuple(make_key(job.job_id) for make_key in keys),
         )
-        await self._table.transact(transaction)
+        result = await self._table.transact(transaction)
+        if result.is_err():
+            self._log.write(
+                "ledger", "not_removed", id=job.job_id, error=str(result.err())
+            )
+            return False
         self._posted.pop(job.job_id, None)
+        return True
 
     async def _write_batch(self) -> None:
         batch: list[JobProgress] = []
--- a/chiveledge/coordinator/_reign.py
+++ b/chiveledge/coordinator/_reign.py
@@ -33,6 +33,9 @@
 
 CLEAN_EVERY_S = 10.0
 
+READING_S = 60.0
+"""Longest time after which a reading may still show rows that were removed since."""
+
 
 class Reign:
     """Leads the jobs and workers of a shard.
@@ -59,6 +62,7 @@
         self._began_s = self._clock.monotonic()
         self._stored: dict[str, Row] = {}
         self._cancel_wanted: set[str] = set()
+        self._removed: dict[str, float] = {}
         suspicion = WorkerSuspicion()
         run_times = RunTimes()
         self._ledger = Ledger(
@@ -206,7 +210,7 @@
             job_id = row.key.removeprefix(INBOX_PREFIX)
             if is_cancel_key(row.key):
                 self._want_cancel(job_id.removesuffix(CANCEL_SUFFIX))
-            elif job_id not in self.jobs:
+            elif job_id not in self.jobs and job_id not in self._removed:
                 self._admit(job_id, row)
         self._wake.set()
 
@@ -256,10 +260,19 @@
     async def _clean_loop(self) -> None:
         while True:
             await self._clock.sleep(CLEAN_EVERY_S)
-            now_ms = self._clock.now().timestamp() * 1000
-            keep_ms = self._context.timing.keep_ended_s * 1000
+            now_s = self._clock.monotonic()
+            self._removed = {
+                job_id: removed_s
+                for job_id, removed_s in self._removed.items()
+                if now_s - removed_s < READING_S
+            }
             for job in list(self.jobs.values()):
-                old = job.state.ended and now_ms - job.ended_ms > keep_ms
-                if old and not any(job.open_runs()):
+                if self._is_outdated(job) and await self._ledger.remove(job):
+                    self._removed[job.job_id] = self._clock.monotonic()
                     del self.jobs[job.job_id]
-                    await self._ledger.remove(job)
+
+    def _is_outdated(self, job: JobProgress) -> bool:
+        now_ms = self._clock.now().timestamp() * 1000
+        keep_ms = self._context.timing.keep_ended_s * 1000
+        old = job.state.ended and now_ms - job.ended_ms > keep_ms
+        return old and not any(job.open_runs())
--- a/chiveledge/intake/_follower.py
+++ b/chiveledge/intake/_follower.py
@@ -44,7 +44,7 @@
         log: DecisionLog,
         on_rows: Callable[[Iterable[Row], Iterable[str], bool], None],
         *,
-        wait_s: float = 1.0,
+        wait_s: float = 0.5,
         pause_s: float = 0.0,
     ) -> None:
         self._table = table
@@ -57,6 +57,7 @@
         self._version: int | None = None
         self._confirmed_s: float | None = None
         self._lost = False
+        self._doubted = False
 
     @property
     def age_s(self) -> float:
@@ -72,13 +73,15 @@
                 await self._clock.sleep(RETRY_S)
 
     async def step(self) -> bool:
-        """Make one call; return whether the copy was confirmed."""
-        if self._version is None:
+        """Make one call; return whether the copy was confirmed.
+
+        A watch that is not answered in time may have gone mute while changes are
+        made, so the rows themselves are read after it.
+        """
+        if self._version is None or self._doubted:
             return await self._take_snapshot()
         sent_s = self._clock.monotonic()
-        # After a loss the first answer counts, not the first change.
-        wait_s = 0.0 if self._lost else self._wait_s
-        match await self._table.watch(self._prefix, self._version, wait_s):
+        match await self._table.watch(self._prefix, self._version, self._wait_s):
             case Ok(changes):
                 self._version = max(self._version, changes.version)
                 self._confirm(sent_s)
@@ -92,6 +95,7 @@
                 self._version = None
                 return await self._take_snapshot()
             case Err(error):
+                self._doubted = True
                 return self._note_error(error)
         raise AssertionError("unreachable")
 
@@ -100,6 +104,7 @@
         match await self._table.snapshot(self._prefix):
             case Ok(snapshot):
                 self._version = snapshot.version
+                self._doubted = False
                 self._confirm(sent_s)
                 self._on_rows(snapshot.rows, (), True)
                 return True
--- a/chiveledge/platform/_store.py
+++ b/chiveledge/platform/_store.py
@@ -39,7 +39,7 @@
 """Most rows that a reading returns."""
 
 CALL_TIMEOUT_S = 0.8
-WATCH_MARGIN_S = 0.7
+WATCH_MARGIN_S = 0.6
 """Time beyond its wait after which a watch counts as silent."""
 
 
--- a/standins/table.py
+++ b/standins/table.py
@@ -25,6 +25,11 @@
 
 LATE_TIMEOUT_S = 0.8
 
+MUTE_WATCHES = "mute_watches"
+"""Mode in which watches hear nothing and get no answer, while all else works."""
+
+MUTE_S = 0.6
+
 
 class MemoryTable:
     """A table service within one process; versions only grow.
@@ -84,7 +89,11 @@
                 if changed > version and key.startswith(prefix)
             }
             left_s = deadline - self._clock.monotonic()
-            if keys or left_s <= 0:
+            mute = self.faults.mode == MUTE_WATCHES
+            if mute and left_s <= 0:
+                await run_with_timeout(self._clock, asyncio.Event().wait(), MUTE_S)
+                return Err(Unsettled("the watch got no answer"))
+            if not mute and (keys or left_s <= 0):
                 return Ok(self._changes(list(keys)))
             await run_with_timeout(self._clock, self._changed.wait(), left_s)
 
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -5,8 +5,10 @@
 import pytest
 from result import Err
 
+from chiveledge.coordinator import CoordinatorTiming
+from chiveledge.coordinator._reign import CLEAN_EVERY_S
 from chiveledge.intake import Accepted
-from chiveledge.services import Unsettled
+from chiveledge.services import Unavailable, Unsettled
 from chiveledge.workload import JobState, Step
 from tests.coordinator.cluster import SMALL, Cluster
 
@@ -333,3 +335,38 @@
     monkeypatch.setattr("chiveledge.placement._reserve.LARGEST_SHARE", 0.0)
     without = await count_stops_for_urgent_jobs(make_cluster(workers=20))
     assert with_room <= without / 2
+
+
+async def test_job_that_was_removed_never_runs_again(make_cluster):
+    """A reading that began before the removal shows its rows after it."""
+    cluster = make_cluster(timing=CoordinatorTiming(keep_ended_s=0.5))
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(usage=SMALL), work_s=0.5)
+    await cluster.advance(1.5)
+    stale = cluster.table.find_all("inbox/")
+    await cluster.advance(CLEAN_EVERY_S + 1)
+    reign = cluster.leader.coordinator.reign
+    assert "j1" not in reign.jobs
+    reign._on_inbox_rows(stale, (), True)
+    await cluster.advance(2)
+    assert len(cluster.starts("j1")) == 1
+
+
+async def test_job_is_kept_until_its_rows_are_removed(make_cluster, monkeypatch):
+    cluster = make_cluster(timing=CoordinatorTiming(keep_ended_s=0.5))
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(usage=SMALL), work_s=0.5)
+    await cluster.advance(1.5)
+    reign = cluster.leader.coordinator.reign
+
+    class RefusingTable:
+        async def transact(self, transaction):
+            return Err(Unavailable("too many writes"))
+
+    with monkeypatch.context() as patched:
+        patched.setattr(reign._ledger, "_table", RefusingTable())
+        await cluster.advance(CLEAN_EVERY_S + 1)
+    reign._on_inbox_rows(cluster.table.find_all("inbox/"), (), True)
+    await cluster.advance(2)
+    assert len(cluster.starts("j1")) == 1
+    assert "j1" in reign.jobs
--- a/tests/intake/test_follower.py
+++ b/tests/intake/test_follower.py
@@ -7,8 +7,9 @@
 from chiveledge.clock import ManualClock
 from chiveledge.decision_log import SilentLog
 from chiveledge.intake import TableFollower
+from chiveledge.intake._follower import RETRY_S
 from chiveledge.services import Put, Transaction
-from standins.table import MemoryTable
+from standins.table import MUTE_S, MUTE_WATCHES, MemoryTable
 
 
 class Copy:
@@ -76,3 +77,14 @@
     task = asyncio.ensure_future(copy.follower.step())
     await copy.clock.advance(0.01)
     assert task.done()
+
+
+async def test_rows_are_read_when_watches_go_mute():
+    copy = Copy()
+    await copy.follower.step()
+    copy.table.faults.mode = MUTE_WATCHES
+    copy.write("a/1", "x")
+    task = asyncio.ensure_future(copy.follower.run())
+    await copy.clock.advance(MUTE_S + RETRY_S + 0.1)
+    assert copy.rows == {"a/1": "x"}
+    task.cancel()
