A host out of touch with the store closes its callers' connections

Each answer of such a host now ends its connection, and the host is not ready from 0.6 of the bound on applying configurations (was 0.85), since the balancer needs two misses. Test: seen failing (no close at age 3 s).

--- a/chiveledge/platform/_front.py
+++ b/chiveledge/platform/_front.py
@@ -98,6 +98,11 @@
         self._log = log
         self._metrics = metrics
 
+    @property
+    def _out_of_touch(self) -> bool:
+        """Whether the configuration in force may have changed unnoticed."""
+        return self._configuration_age_s() > self._trusted_age_s
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         self.in_progress += 1
@@ -111,7 +116,8 @@
             response = _plain(error.status, error.reason)
         finally:
             self.in_progress -= 1
-        if self._is_closing():
+        if self._is_closing() or self._out_of_touch:
+            # The caller's next request should reach another host.
             response.force_close()
         if response.status >= FIRST_ERROR_STATUS:
             self._note_error(request, response)
@@ -170,7 +176,7 @@
         body = await request.read()
         if len(body) > limit:
             return _plain(413, f"send at most {limit} bytes")
-        if self._configuration_age_s() > self._trusted_age_s:
+        if self._out_of_touch:
             return self._refuse("the configuration is not confirmed")
         accepted_ms = int(self._clock.now().timestamp() * 1000)
         match decode_job(body, job_id, queue, workspace, accepted_ms):
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -48,6 +48,10 @@
 CURRENT_SHARE = 0.85
 """Part of the bound on applying configurations up to which a copy is trusted."""
 
+READY_SHARE = 0.6
+"""Part of that bound up to which callers are wanted; the balancer needs two misses to
+turn them elsewhere."""
+
 WORK_LEASE_S = 6.0
 """Running work outlives the loss of all hosts for this long, if workers allow it."""
 
@@ -234,7 +238,8 @@
         ready = (
             not self._draining.is_set()
             and self._catalogue.revision > 0
-            and self._configuration.age_s < self._trusted_age_s
+            and self._configuration.age_s
+            < self._settings.bounds.config_apply_s * READY_SHARE
         )
         return web.Response(status=200 if ready else 503)
 
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -196,3 +196,13 @@
     front.table.faults.down = True
     status, _, headers = await front.call("POST", f"/q/{ID}", JOB)
     assert (status, headers["Retry-After"]) == (503, pause)
+
+
+@pytest.mark.parametrize("age_s,closes", [(0.1, False), (3.0, True)])
+async def test_host_out_of_touch_sends_its_callers_elsewhere(front, age_s, closes):
+    await front.call("POST", f"/q/{ID}", JOB)
+    await front.follower.step()
+    front.age_s = age_s
+    status, _, headers = await front.call("GET", f"/q/{ID}")
+    assert status == 200
+    assert (headers.get("Connection") == "close") is closes
