--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -42,10 +42,6 @@
 """Longest such pause; it is as long as the last plan took, so that looks, renewals
 and orders get half of the processor at least."""
 
-START_AFTER_STOP_S = 0.5
-"""Time from the end of stopped work to the start of what it made room for: a look, a
-commit and an order."""
-
 CLAIM_PATIENCE_S = 2.5
 """How long stopped work may take to make room before a claim is decided anew."""
 
@@ -166,7 +162,7 @@
             arrivals.note(job.request, self._clock.monotonic())
 
     def _keep_for_urgent(self, fleet: FleetView, now_s: float) -> None:
-        span_s = self._context.timing.stop_s + START_AFTER_STOP_S
+        span_s = self._context.timing.stop_s
         for service, arrivals in self._arrivals.items():
             workers = fleet.accepting(service)
             if workers:
