A failed task does not go back to the worker it failed on

Two failing workers were enough to take the job for the one at fault, and that took the doubt from both. Now a job has to fail on more than two workers to be at fault, and while it is careful it keeps off those that failed its step. Lasting tasks are not careful: they have no last attempt, and they must start again within seconds. Tests: a gang on two such workers, the doubt, the choice; seen failing.

--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -250,6 +250,10 @@
                 )
                 for indices, failed in _split_failed(progress, waiting, step.gang):
                     waited_s = _longest_wait_s(progress, indices, now_s)
+                    # Lasting tasks have no last attempt to lose.
+                    careful = (
+                        failed and not step.lasting and waited_s < DOUBT_PATIENCE_S
+                    )
                     yield StepDemand(
                         job_id=job.job_id,
                         occurrence=occurrence,
@@ -263,11 +267,17 @@
                         hopeless_s=WORTHLESS_OBJECTIVES * objective_s - age_s,
                         waited_s=waited_s,
                         near=_find_racks(progress, racks) if step.same_rack else NONE,
-                        careful=failed and waited_s < DOUBT_PATIENCE_S,
+                        careful=careful,
+                        failed_on=_find_failing(progress) if careful else NONE,
                         needs_advice=policy.needs_advice,
                     )
 
 
+def _find_failing(progress: StepProgress) -> frozenset[str]:
+    """Return the workers on which tasks of a step failed."""
+    return frozenset(worker for task in progress.tasks for worker in task.failed_on)
+
+
 def _find_racks(progress: StepProgress, racks: dict[str, str]) -> frozenset[str]:
     """Return the racks on which tasks of a step run."""
     return frozenset(
--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -189,7 +189,7 @@
             if not demand.needs_advice:
                 ready.append(demand)
                 continue
-            workers = fleet.candidates(demand.service, demand.step)
+            workers = fleet.candidates(demand)
             workers.sort(key=lambda worker: (worker.free, worker.name), reverse=True)
             candidates = [
                 Candidate(worker.name, self._links[worker.name].born_ms)
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -8,6 +8,7 @@
 from functools import cached_property
 from typing import NamedTuple
 
+from chiveledge.placement._order import StepDemand
 from chiveledge.types import WorkerName
 from chiveledge.workload import Step, TaskName, Usage
 
@@ -168,29 +169,16 @@
                 holder.runs.remove(run)
                 holder.prices.clear()
 
-    def candidates(
-        self,
-        service: str,
-        step: Step,
-        *,
-        allowed: frozenset[WorkerName] | None = None,
-        careful: bool = False,
-    ) -> list[WorkerView]:
-        """Return the workers on which a step's tasks may run, full or not.
-
-        Parameters
-        ----------
-        allowed : frozenset of str, optional
-            The only workers that may be chosen.
-        careful : bool, optional
-            Whether workers that are doubted are left out.
-        """
+    def candidates(self, demand: StepDemand) -> list[WorkerView]:
+        """Return the workers on which a demand's tasks may run, full or not."""
+        step = demand.step
         return [
             worker
-            for worker in self._accepting[service]
-            if not (careful and worker.doubted)
+            for worker in self._accepting[demand.service]
+            if (demand.allowed is None or worker.name in demand.allowed)
             and (not step.required_label or step.required_label in worker.labels)
-            and (allowed is None or worker.name in allowed)
+            and not (demand.careful and worker.doubted)
+            and not (demand.careful and worker.name in demand.failed_on)
             and not (step.filler and worker.serving)
             and not (step.latency_target_ms and worker.filling)
         ]
--- a/chiveledge/placement/_order.py
+++ b/chiveledge/placement/_order.py
@@ -40,6 +40,8 @@
     careful : bool
         Whether the tasks have failed before, so that a worker in doubt could
         cost them their last attempt.
+    failed_on : frozenset of str
+        Workers on which tasks of the step failed; left out while it is careful.
     needs_advice : bool
         Whether only the advice service knows the workers that may run it.
     """
@@ -58,6 +60,7 @@
     near: frozenset[str] = frozenset()
     allowed: frozenset[WorkerName] | None = None
     careful: bool = False
+    failed_on: frozenset[WorkerName] = frozenset()
     needs_advice: bool = False
 
     @property
--- a/chiveledge/placement/_packing.py
+++ b/chiveledge/placement/_packing.py
@@ -38,9 +38,7 @@
     """
     if not fleet.has_room(demand.service, demand.step, urgent=demand.urgent):
         return []
-    candidates = fleet.candidates(
-        demand.service, demand.step, allowed=demand.allowed, careful=demand.careful
-    )
+    candidates = fleet.candidates(demand)
     free = {
         worker.name: worker.free if demand.urgent or not worker.kept else NO_ROOM
         for worker in candidates
--- a/chiveledge/placement/_preemption.py
+++ b/chiveledge/placement/_preemption.py
@@ -161,9 +161,7 @@
         one with the least loss found; None if stopping everything weaker would
         not be enough.
     """
-    candidates = fleet.candidates(
-        demand.service, demand.step, allowed=demand.allowed, careful=demand.careful
-    )
+    candidates = fleet.candidates(demand)
     best: Eviction | None = None
     for pool in list_pools(candidates, demand):
         found = _try_pool(fleet, demand, pool)
--- a/chiveledge/placement/_suspicion.py
+++ b/chiveledge/placement/_suspicion.py
@@ -19,6 +19,10 @@
 AVOID_S = 6.0
 """How long a worker is avoided before it gets one task as a probe."""
 
+FAILING_WORKERS = 2
+"""Workers that may fail one job before the job is taken to be at fault: a wide gang
+easily meets two bad workers in a row."""
+
 AVOIDED_SHARE = 0.34
 """Most workers that may be avoided at the same time."""
 
@@ -36,7 +40,7 @@
 
     @property
     def at_fault(self) -> bool:
-        return len(self.failed_on) > 1 and not self.ended_well
+        return len(self.failed_on) > FAILING_WORKERS and not self.ended_well
 
 
 class WorkerSuspicion:
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -370,3 +370,16 @@
     await cluster.advance(2)
     assert len(cluster.starts("j1")) == 1
     assert "j1" in reign.jobs
+
+
+async def test_gang_survives_two_workers_that_fail_all(make_cluster):
+    """Two workers look like the best room and fail whatever they start."""
+    cluster = make_cluster(workers=4, capacity=SMALL._replace(accelerators=2))
+    await cluster.advance(0.5)
+    bad = [cluster.workers[name] for name in ("w0", "w1")]
+    for worker in bad:
+        worker.faults.fails = True
+    gang = Step(count=2, usage=SMALL, gang=True)
+    await cluster.submit("j1", gang, work_s=0.5)
+    await cluster.advance(8)
+    assert cluster.state("j1") is JobState.COMPLETED
--- a/tests/placement/test_packing.py
+++ b/tests/placement/test_packing.py
@@ -99,6 +99,13 @@
     assert places(fleet, make_demand()) == ["w1"]
 
 
+def test_task_never_goes_back_to_a_worker_that_failed_its_step():
+    tried = make_demand(careful=True, failed_on=frozenset({"w2"}))
+    for demand, worker in ((tried, "w1"), (tried._replace(careful=False), "w2")):
+        fuller = make_worker("w2", runs=[make_run("a", "w2")])
+        assert places(make_fleet(make_worker("w1"), fuller), demand) == [worker]
+
+
 def test_workers_in_doubt_come_last():
     fleet = make_fleet(
         make_worker("w1", doubted=True, runs=[make_run("a", "w1", 7)]),
--- a/tests/placement/test_suspicion.py
+++ b/tests/placement/test_suspicion.py
@@ -41,6 +41,13 @@
     assert suspicion.doubted() == set()
 
 
+def test_gang_that_meets_two_bad_workers_is_not_at_fault():
+    suspicion = WorkerSuspicion()
+    suspicion.note_failure("w1", task("gang", 1), 0.0)
+    suspicion.note_failure("w2", task("gang", 0), 0.3)
+    assert suspicion.doubted() == {"w1", "w2"}
+
+
 def test_success_between_failures_clears_a_worker():
     suspicion = WorkerSuspicion()
     suspicion.note_failure("w1", task("a"), 0.0)
