--- a/chiveledge/intake/__init__.py
+++ b/chiveledge/intake/__init__.py
@@ -24,16 +24,35 @@
     job_key,
 )
 from chiveledge.intake._follower import TableFollower
+from chiveledge.intake._relay import (
+    HOSTS_PREFIX,
+    RELAYED_HEADER,
+    MaybeDone,
+    NotTaken,
+    PeerDirectory,
+    PeerHost,
+    Relay,
+    Relayed,
+    make_host_put,
+)
 
 __all__ = [
+    "HOSTS_PREFIX",
+    "RELAYED_HEADER",
     "Accepted",
     "BoardEntry",
     "CancelOutcome",
     "JobBoard",
     "JobDesk",
+    "MaybeDone",
     "NotFound",
     "NotStored",
+    "NotTaken",
+    "PeerDirectory",
+    "PeerHost",
     "ReadOutcome",
+    "Relay",
+    "Relayed",
     "SubmitOutcome",
     "TableFollower",
     "UnknownOutcome",
@@ -44,4 +63,5 @@
     "encode_entry",
     "is_cancel_key",
     "job_key",
+    "make_host_put",
 ]
--- /dev/null
+++ b/chiveledge/intake/_relay.py
@@ -0,0 +1,203 @@
+"""Hands requests to a peer while this host is out of touch with the store.
+
+Load answered: the store turns some hosts away, or they lose the way to it, while the
+others serve. Callers would be refused until the balancer leaves those hosts out, and
+most come back only once or twice; a peer serves them at once. A request is handed on
+once: a peer that is out of touch too refuses it.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+import aiohttp
+
+from chiveledge.clock import Clock
+from chiveledge.decision_log import DecisionLog
+from chiveledge.services import Put, Row
+
+HOSTS_PREFIX = "hosts/"
+RELAYED_HEADER = "X-Relayed-By"
+"""Marks a request that was handed on, so that it is not handed on again."""
+
+MAX_PEERS = 3
+CONNECT_S = 0.2
+"""Bound on connecting: a few round trips between regions."""
+
+AVOID_S = 5.0
+"""How long a peer that could not be reached comes last."""
+
+REFUSED_STATUS = 503
+
+
+class PeerHost(NamedTuple):
+    """Where a process takes requests of its peers."""
+
+    name: str
+    region: str
+    address: str
+
+
+class Relayed(NamedTuple):
+    """A peer's answer, whole."""
+
+    status: int
+    body: bytes
+    retry_after: str | None
+
+
+class MaybeDone(NamedTuple):
+    """A peer may have done what was asked for; its answer is lost."""
+
+    reason: str
+
+
+class NotTaken(NamedTuple):
+    """Surely no peer has done what was asked for."""
+
+
+RelayOutcome = Relayed | MaybeDone | NotTaken
+
+
+def make_host_put(host: PeerHost) -> Put:
+    """Return the row that tells the peers of a host."""
+    return Put(HOSTS_PREFIX + host.name, json.dumps(list(host)))
+
+
+class PeerDirectory:
+    """Copy of the rows of all hosts; some of them may be gone.
+
+    Parameters
+    ----------
+    own : PeerHost
+        This process, which is not listed.
+    """
+
+    def __init__(self, own: PeerHost) -> None:
+        self._own = own
+        self._hosts: dict[str, PeerHost] = {}
+
+    def on_rows(self, rows: Iterable[Row], deleted: Iterable[str], whole: bool) -> None:
+        """Take changes in."""
+        if whole:
+            self._hosts.clear()
+        for row in rows:
+            host = PeerHost(*json.loads(row.value))
+            self._hosts[host.name] = host
+        for key in deleted:
+            self._hosts.pop(key.removeprefix(HOSTS_PREFIX), None)
+
+    def list_peers(self, avoided: set[str], rng: random.Random) -> list[PeerHost]:
+        """Return peers in the order to try them: reachable ones, near ones first."""
+        peers = [host for host in self._hosts.values() if host.name != self._own.name]
+        rng.shuffle(peers)
+        peers.sort(
+            key=lambda peer: (peer.name in avoided, peer.region != self._own.region)
+        )
+        return peers
+
+
+class Relay:
+    """Hands requests to peers.
+
+    Parameters
+    ----------
+    directory : PeerDirectory
+        Known peers.
+    own_name : str
+        Name that marks requests handed on by this host.
+    clock : Clock
+        Source of time.
+    log : DecisionLog
+        One line for each request handed on.
+    rng : random.Random
+        Spreads requests over the peers.
+    """
+
+    def __init__(
+        self,
+        directory: PeerDirectory,
+        own_name: str,
+        clock: Clock,
+        log: DecisionLog,
+        rng: random.Random,
+    ) -> None:
+        self._directory = directory
+        self._own_name = own_name
+        self._clock = clock
+        self._log = log
+        self._rng = rng
+        self._avoid_until_s: dict[str, float] = {}
+
+    async def forward(
+        self,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        patience_s: float,
+    ) -> RelayOutcome:
+        """Hand a request to one peer after another until one has an answer."""
+        deadline_s = self._clock.monotonic() + patience_s
+        now_s = self._clock.monotonic()
+        avoided = {name for name, s in self._avoid_until_s.items() if now_s < s}
+        outcome: RelayOutcome = NotTaken()
+        for peer in self._directory.list_peers(avoided, self._rng)[:MAX_PEERS]:
+            left_s = deadline_s - self._clock.monotonic()
+            if left_s <= CONNECT_S:
+                break
+            answer = await self._ask(peer, method, path, headers, body, left_s)
+            self._note(peer, method, path, answer)
+            match answer:
+                case Relayed(status=status) if status != REFUSED_STATUS:
+                    return answer
+                case MaybeDone():
+                    outcome = answer
+        return outcome
+
+    async def _ask(
+        self,
+        peer: PeerHost,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        left_s: float,
+    ) -> RelayOutcome:
+        timeout = aiohttp.ClientTimeout(total=left_s, sock_connect=CONNECT_S)
+        # A connection of its own: kept ones may have gone silent with the link.
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            try:
+                async with session.request(
+                    method,
+                    f"http://{peer.address}{path}",
+                    data=body or None,
+                    headers={**headers, RELAYED_HEADER: self._own_name},
+                ) as response:
+                    return Relayed(
+                        response.status,
+                        await response.read(),
+                        response.headers.get("Retry-After"),
+                    )
+            except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+                self._avoid_until_s[peer.name] = self._clock.monotonic() + AVOID_S
+                return NotTaken()
+            except (aiohttp.ClientError, OSError, TimeoutError) as error:
+                self._avoid_until_s[peer.name] = self._clock.monotonic() + AVOID_S
+                return MaybeDone(f"{peer.name}: {type(error).__name__}")
+
+    def _note(
+        self, peer: PeerHost, method: str, path: str, answer: RelayOutcome
+    ) -> None:
+        self._log.write(
+            "relay",
+            "handed_on",
+            id=path.rpartition("/")[2],
+            method=method,
+            peer=peer.name,
+            outcome=type(answer).__name__,
+            status=answer.status if isinstance(answer, Relayed) else None,
+        )
--- a/chiveledge/platform/_front.py
+++ b/chiveledge/platform/_front.py
@@ -13,12 +13,17 @@
 from chiveledge.clock import Clock
 from chiveledge.decision_log import DecisionLog
 from chiveledge.intake import (
+    RELAYED_HEADER,
     Accepted,
     BoardEntry,
     JobBoard,
     JobDesk,
+    MaybeDone,
     NotFound,
     NotStored,
+    NotTaken,
+    Relay,
+    Relayed,
     UnknownOutcome,
     choose_retry_after_s,
 )
@@ -28,6 +33,9 @@
 
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 DEADLINE_HEADER = "X-Deadline-Ms"
+RELAYED_NAMES = ("Host", "Authorization", "Content-Type", DEADLINE_HEADER)
+"""Headers of a request that a peer needs to answer it."""
+
 DEFAULT_PATIENCE_S = 3.0
 ANSWER_MARGIN_S = 0.15
 """Time that an answer needs on its way back to the caller."""
@@ -71,6 +79,8 @@
         Whether connections are to end after the present answer.
     desk, board
         Accepts and reads jobs; counts waiting ones.
+    relay : Relay
+        Hands requests to peers while the configuration can't be trusted.
     clock, log, metrics
         Time, lines and counters.
     """
@@ -83,6 +93,7 @@
         is_closing: Callable[[], bool],
         desk: JobDesk,
         board: JobBoard,
+        relay: Relay,
         clock: Clock,
         log: DecisionLog,
         metrics: Metrics,
@@ -94,6 +105,7 @@
         self._is_closing = is_closing
         self._desk = desk
         self._board = board
+        self._relay = relay
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -143,6 +155,10 @@
 
     async def _route(self, request: web.BaseRequest) -> web.Response:
         catalogue = self._catalogue()
+        if self._out_of_touch and RELAYED_HEADER not in request.headers:
+            relayed = await self._hand_on(request)
+            if relayed is not None:
+                return relayed
         if catalogue.revision == 0:
             return self._refuse("no configuration was read yet")
         host = request.headers.get("Host", "").rpartition(":")
@@ -166,6 +182,34 @@
                 return await self._cancel(request, rest)
         return _plain(405, "use POST, GET or DELETE")
 
+    async def _hand_on(self, request: web.BaseRequest) -> web.Response | None:
+        """Return a peer's answer; None if none has it and nothing was done."""
+        limit = self._catalogue().limits.body_bytes
+        if (request.content_length or 0) > limit:
+            return _plain(413, f"send at most {limit} bytes")
+        kept = {
+            name: request.headers[name]
+            for name in RELAYED_NAMES
+            if name in request.headers
+        }
+        body = await request.read()
+        outcome = await self._relay.forward(
+            request.method, request.path, kept, body, _patience_s(request)
+        )
+        match outcome:
+            case Relayed(status, answer, retry_after):
+                response = web.Response(
+                    status=status, body=answer, content_type="application/json"
+                )
+                if retry_after is not None:
+                    response.headers["Retry-After"] = retry_after
+                return response
+            case MaybeDone(reason) if request.method != "GET":
+                return _plain(504, reason)
+            case MaybeDone() | NotTaken():
+                return None
+        raise AssertionError("unreachable")
+
     async def _submit(
         self, request: web.BaseRequest, queue: Queue, workspace: str, job_id: str
     ) -> web.Response:
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import os
+import random
 import signal
 import sys
+import uuid
 from collections.abc import Iterable
 
 from absl import logging
@@ -16,7 +18,16 @@
 from chiveledge.coordinator import Coordinator, CoordinatorTiming, ReignContext
 from chiveledge.decision_log import JsonLog
 from chiveledge.events import Timeline
-from chiveledge.intake import JobBoard, JobDesk, TableFollower
+from chiveledge.intake import (
+    HOSTS_PREFIX,
+    JobBoard,
+    JobDesk,
+    PeerDirectory,
+    PeerHost,
+    Relay,
+    TableFollower,
+    make_host_put,
+)
 from chiveledge.intake._board import BOARD_PREFIX
 from chiveledge.leadership import Leadership, rank_candidate
 from chiveledge.metrics import Metrics
@@ -39,7 +50,7 @@
     PlatformWorker,
     WorkerDecoder,
 )
-from chiveledge.services import HttpCaller, Row, SessionPool
+from chiveledge.services import HttpCaller, Row, SessionPool, Transaction
 from chiveledge.workload import Catalogue
 
 EXIT_BAD_SETTINGS = 2
@@ -61,6 +72,8 @@
 
 EXIT_MARGIN_S = 1.0
 POLL_S = 0.05
+HOSTS_WAIT_S = 10.0
+"""Wait of one watch of the peers: hosts come seldom, and a gone one is tried last."""
 
 
 class Node:
@@ -99,12 +112,14 @@
             self._draining.is_set,
             JobDesk(store, self._board, self._clock, self._log, lambda: store.silent),
             self._board,
+            self._make_relay(store),
             self._clock,
             self._log,
             self._metrics,
         )
         runners = [
             await _listen(handler.handle, self._settings.front),
+            await _listen(handler.handle, self._settings.peers),
             await _listen(self._answer_ready, self._settings.ready),
             await _listen(self._answer_metrics, self._settings.metrics),
         ]
@@ -113,6 +128,7 @@
         tasks = [
             asyncio.create_task(self._configuration.run()),
             asyncio.create_task(self._jobs.run()),
+            asyncio.create_task(self._join_peers(store)),
             asyncio.create_task(coordinator.run()),
         ]
         draining = asyncio.create_task(self._draining.wait())
@@ -153,6 +169,34 @@
             pause_s=BOARD_PAUSE_S,
         )
 
+    def _make_relay(self, store: PlatformStore) -> Relay:
+        settings = self._settings
+        address = str(settings.peers) if settings.peers else ""
+        self._own = PeerHost(settings.node, settings.region, address)
+        directory = PeerDirectory(self._own)
+        self._hosts = TableFollower(
+            store,
+            HOSTS_PREFIX,
+            self._clock,
+            self._log,
+            directory.on_rows,
+            wait_s=HOSTS_WAIT_S,
+        )
+        rng = random.Random(settings.node)
+        return Relay(directory, settings.node, self._clock, self._log, rng)
+
+    async def _join_peers(self, store: PlatformStore) -> None:
+        """Tell the peers of this host, then follow theirs."""
+        if self._settings.peers is None:
+            return await asyncio.Event().wait()
+        while True:
+            put = make_host_put(self._own)
+            transaction = Transaction(write_id=uuid.uuid4().hex, puts=(put,))
+            if (await store.transact(transaction)).is_ok():
+                break
+            await self._clock.sleep(POLL_S * 10)
+        await self._hosts.run()
+
     async def _await_configuration(self) -> int:
         """Read the first configuration; return the rank as a candidate to lead."""
         while True:
--- a/chiveledge/platform/_settings.py
+++ b/chiveledge/platform/_settings.py
@@ -70,7 +70,13 @@
 
 
 class NodeSettings(NamedTuple):
-    """What a process learns at its start."""
+    """What a process learns at its start.
+
+    Attributes
+    ----------
+    peers : Endpoint, optional
+        Where requests that peers hand on are taken.
+    """
 
     node: str
     zone: str
@@ -78,6 +84,7 @@
     front: Endpoint | None
     ready: Endpoint | None
     metrics: Endpoint | None
+    peers: Endpoint | None
     store: Endpoint
     advice: Endpoint | None
     bounds: PlatformBounds
@@ -140,6 +147,7 @@
         front=_optional_endpoint(listen, "front", "listen.front"),
         ready=_optional_endpoint(listen, "ready", "listen.ready"),
         metrics=Endpoint(ip, int(ports[-1])) if ports else None,
+        peers=Endpoint(ip, int(ports[0])) if len(ports) > 1 else None,
         store=_endpoint(store.get("address"), "platform.address"),
         advice=_optional_endpoint(fields, "advice", "advice"),
         bounds=_decode_bounds(_table(fields.get("bounds", {}), "bounds")),
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import random
+from collections.abc import AsyncIterator
 
 import aiohttp
 import pytest
@@ -10,10 +13,19 @@
 
 from chiveledge.clock import SystemClock
 from chiveledge.decision_log import SilentLog
-from chiveledge.intake import JobBoard, JobDesk, TableFollower
+from chiveledge.intake import (
+    JobBoard,
+    JobDesk,
+    PeerDirectory,
+    PeerHost,
+    Relay,
+    TableFollower,
+    make_host_put,
+)
 from chiveledge.metrics import Metrics
 from chiveledge.platform._catalogue import decode_catalogue
 from chiveledge.platform._front import FrontHandler
+from chiveledge.services import Row
 from chiveledge.workload import Catalogue
 from standins.table import MemoryTable
 
@@ -73,11 +85,21 @@
             lambda: False,
             JobDesk(self.table, self.board, clock, SilentLog()),
             self.board,
+            self._make_relay(clock),
             clock,
             SilentLog(),
             Metrics(),
         )
 
+    def _make_relay(self, clock) -> Relay:
+        self.peers = PeerDirectory(PeerHost("n1", "east", ""))
+        return Relay(self.peers, "n1", clock, SilentLog(), random.Random(1))
+
+    def add_peer(self, name: str, url: str) -> None:
+        """Let requests be handed to a host."""
+        put = make_host_put(PeerHost(name, "east", url.removeprefix("http://")))
+        self.peers.on_rows([Row(put.key, 1, put.value, "w")], (), False)
+
     async def call(self, method, path, body=None, headers=AUTH):
         data = json.dumps(body) if isinstance(body, dict) else body
         async with self.session.request(
@@ -86,20 +108,26 @@
             return response.status, await response.json(), response.headers
 
 
-@pytest.fixture
-async def front():
-    front = Front()
-    runner = web.ServerRunner(web.Server(front.handler.handle, access_log=None))
+@contextlib.asynccontextmanager
+async def serve(handle) -> AsyncIterator[str]:
+    """Listen on a free port while inside; yield the URL."""
+    runner = web.ServerRunner(web.Server(handle, access_log=None))
     await runner.setup()
     site = web.TCPSite(runner, "127.0.0.1", 0)
     await site.start()
     port = site._server.sockets[0].getsockname()[1]
-    front.url = f"http://127.0.0.1:{port}"
-    async with aiohttp.ClientSession() as front.session:
-        yield front
+    yield f"http://127.0.0.1:{port}"
     await runner.cleanup()
 
 
+@pytest.fixture
+async def front():
+    front = Front()
+    async with serve(front.handler.handle) as front.url:
+        async with aiohttp.ClientSession() as front.session:
+            yield front
+
+
 async def test_job_is_accepted_read_and_counted(front):
     assert (await front.call("POST", f"/q/{ID}", JOB))[0] == 200
     assert (await front.call("POST", f"/q/{ID}", JOB))[0] == 200
@@ -206,3 +234,58 @@
     status, _, headers = await front.call("GET", f"/q/{ID}")
     assert status == 200
     assert (headers.get("Connection") == "close") is closes
+
+
+OUT_OF_TOUCH_S = 9.0
+
+
+async def test_host_out_of_touch_hands_requests_to_a_peer(front):
+    peer = Front()
+    async with serve(peer.handler.handle) as url:
+        front.age_s = OUT_OF_TOUCH_S
+        front.add_peer("n2", url)
+        assert (await front.call("POST", f"/q/{ID}", JOB))[0] == 200
+        assert peer.table.find(f"inbox/{ID}") is not None
+        assert front.table.find(f"inbox/{ID}") is None
+        assert (await front.call("GET", f"/q/{ID}"))[1] == {"state": "queued"}
+        assert (await front.call("DELETE", f"/q/{ID}"))[0] == 200
+
+
+async def test_request_is_handed_on_once(front):
+    """Two hosts out of touch do not send a request to and fro."""
+    peer = Front()
+    async with serve(peer.handler.handle) as url:
+        front.age_s = peer.age_s = OUT_OF_TOUCH_S
+        front.add_peer("n2", url)
+        peer.add_peer("n1", front.url)
+        status, _, headers = await front.call("POST", f"/q/{ID}", JOB)
+    assert status == 503
+    assert headers["Retry-After"] == "5"
+
+
+async def lose_reply(request: web.BaseRequest) -> web.Response:
+    """Read a request and break the connection."""
+    await request.read()
+    request.transport.close()
+    return web.Response()
+
+
+@pytest.mark.parametrize(
+    "method,status", [("POST", 504), ("DELETE", 504), ("GET", 200)]
+)
+async def test_lost_answer_of_a_peer_is_no_refusal(front, method, status):
+    await front.call("POST", f"/q/{ID}", JOB)
+    await front.follower.step()
+    async with serve(lose_reply) as url:
+        front.age_s = OUT_OF_TOUCH_S
+        front.add_peer("n2", url)
+        assert (await front.call(method, f"/q/{ID}", JOB))[0] == status
+
+
+async def test_peer_that_is_gone_costs_one_try(front):
+    peer = Front()
+    async with serve(peer.handler.handle) as url:
+        front.age_s = OUT_OF_TOUCH_S
+        front.add_peer("n3", "http://127.0.0.1:9")
+        front.add_peer("n2", url)
+        assert (await front.call("POST", f"/q/{ID}", JOB))[0] == 200
