Requests handed on carry revisions, so that callers never meet an older configuration

Answers of peers now tell their revision, a request handed on names the least one, and a host refuses rather than answer by a copy older than what its callers have seen. Tests: both ways.

--- a/chiveledge/intake/__init__.py
+++ b/chiveledge/intake/__init__.py
@@ -27,6 +27,7 @@
 from chiveledge.intake._relay import (
     HOSTS_PREFIX,
     RELAYED_HEADER,
+    REVISION_HEADER,
     MaybeDone,
     NotTaken,
     PeerDirectory,
@@ -39,6 +40,7 @@
 __all__ = [
     "HOSTS_PREFIX",
     "RELAYED_HEADER",
+    "REVISION_HEADER",
     "Accepted",
     "BoardEntry",
     "CancelOutcome",
--- a/chiveledge/intake/_relay.py
+++ b/chiveledge/intake/_relay.py
@@ -3,7 +3,9 @@
 Load answered: the store turns some hosts away, or they lose the way to it, while the
 others serve. Callers would be refused until the balancer leaves those hosts out, and
 most come back only once or twice; a peer serves them at once. A request is handed on
-once: a peer that is out of touch too refuses it.
+once: a peer that is out of touch too refuses it. Answers tell the revision of the
+configuration that they were given under, and a request the least one that it may be
+answered under, so that callers of one host never meet an older one after a newer one.
 """
 
 from __future__ import annotations
@@ -18,11 +20,16 @@
 from chiveledge.clock import Clock
 from chiveledge.decision_log import DecisionLog
 from chiveledge.services import Put, Row
+from chiveledge.types import Revision
 
 HOSTS_PREFIX = "hosts/"
 RELAYED_HEADER = "X-Relayed-By"
 """Marks a request that was handed on, so that it is not handed on again."""
 
+REVISION_HEADER = "X-Revision"
+"""On a request handed on the least revision to answer under, on its answer the one
+that it was given under."""
+
 MAX_PEERS = 3
 CONNECT_S = 0.2
 """Bound on connecting: a few round trips between regions."""
@@ -42,9 +49,10 @@
 
 
 class Relayed(NamedTuple):
-    """A peer's answer, whole."""
+    """A peer's answer, whole, and the revision that it was given under."""
 
     status: int
+    revision: Revision
     body: bytes
     retry_after: str | None
 
@@ -138,9 +146,15 @@
         path: str,
         headers: Mapping[str, str],
         body: bytes,
+        least_revision: Revision,
         patience_s: float,
     ) -> RelayOutcome:
         """Hand a request to one peer after another until one has an answer."""
+        sent_headers = {
+            **headers,
+            RELAYED_HEADER: self._own_name,
+            REVISION_HEADER: str(least_revision),
+        }
         deadline_s = self._clock.monotonic() + patience_s
         now_s = self._clock.monotonic()
         avoided = {name for name, s in self._avoid_until_s.items() if now_s < s}
@@ -149,7 +163,7 @@
             left_s = deadline_s - self._clock.monotonic()
             if left_s <= CONNECT_S:
                 break
-            answer = await self._ask(peer, method, path, headers, body, left_s)
+            answer = await self._ask(peer, method, path, sent_headers, body, left_s)
             self._note(peer, method, path, answer)
             match answer:
                 case Relayed(status=status) if status != REFUSED_STATUS:
@@ -175,10 +189,11 @@
                     method,
                     f"http://{peer.address}{path}",
                     data=body or None,
-                    headers={**headers, RELAYED_HEADER: self._own_name},
+                    headers=headers,
                 ) as response:
                     return Relayed(
                         response.status,
+                        int(response.headers.get(REVISION_HEADER, 0)),
                         await response.read(),
                         response.headers.get("Retry-After"),
                     )
--- a/chiveledge/platform/_front.py
+++ b/chiveledge/platform/_front.py
@@ -14,6 +14,7 @@
 from chiveledge.decision_log import DecisionLog
 from chiveledge.intake import (
     RELAYED_HEADER,
+    REVISION_HEADER,
     Accepted,
     BoardEntry,
     JobBoard,
@@ -109,6 +110,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._shown_revision = 0
 
     @property
     def _out_of_touch(self) -> bool:
@@ -128,6 +130,8 @@
             response = _plain(error.status, error.reason)
         finally:
             self.in_progress -= 1
+        if RELAYED_HEADER in request.headers:
+            response.headers[REVISION_HEADER] = str(self._catalogue().revision)
         if self._is_closing() or self._out_of_touch:
             # The caller's next request should reach another host.
             response.force_close()
@@ -161,6 +165,8 @@
                 return relayed
         if catalogue.revision == 0:
             return self._refuse("no configuration was read yet")
+        if catalogue.revision < max(self._shown_revision, _least_revision(request)):
+            return self._refuse("a newer configuration was shown to callers")
         host = request.headers.get("Host", "").rpartition(":")
         queue = catalogue.find_queue(host[0] or host[2], request.path)
         if queue is None:
@@ -194,10 +200,16 @@
         }
         body = await request.read()
         outcome = await self._relay.forward(
-            request.method, request.path, kept, body, _patience_s(request)
+            request.method,
+            request.path,
+            kept,
+            body,
+            max(self._shown_revision, self._catalogue().revision),
+            _patience_s(request),
         )
         match outcome:
-            case Relayed(status, answer, retry_after):
+            case Relayed(status, revision, answer, retry_after):
+                self._shown_revision = max(self._shown_revision, revision)
                 response = web.Response(
                     status=status, body=answer, content_type="application/json"
                 )
@@ -275,6 +287,12 @@
     return catalogue.owners.get(key.strip()) if scheme == "Bearer" else None
 
 
+def _least_revision(request: web.BaseRequest) -> int:
+    """Return the least revision under which a peer wants its request answered."""
+    text = request.headers.get(REVISION_HEADER, "")
+    return int(text) if RELAYED_HEADER in request.headers and text.isdecimal() else 0
+
+
 def _patience_s(request: web.BaseRequest) -> float:
     text = request.headers.get(DEADLINE_HEADER, "")
     if not text.isdecimal():
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -289,3 +289,28 @@
         front.add_peer("n3", "http://127.0.0.1:9")
         front.add_peer("n2", url)
         assert (await front.call("POST", f"/q/{ID}", JOB))[0] == 200
+
+
+async def test_callers_never_meet_an_older_configuration_after_a_newer_one(front):
+    """A peer's answer shows revision 9; the peer goes, and revision 7 is left."""
+    peer = Front()
+    peer.catalogue = peer.catalogue._replace(revision=9)
+    front.age_s = OUT_OF_TOUCH_S
+    async with serve(peer.handler.handle) as url:
+        front.add_peer("n2", url)
+        assert (await front.call("GET", "/q/"))[0] == 200
+    assert (await front.call("GET", "/q/"))[0] == 503
+    front.age_s = 0.0
+    assert (await front.call("GET", "/q/"))[0] == 503
+    front.catalogue = front.catalogue._replace(revision=9)
+    assert (await front.call("GET", "/q/"))[0] == 200
+
+
+async def test_peer_with_an_older_configuration_refuses(front):
+    peer = Front()
+    peer.catalogue = peer.catalogue._replace(revision=6)
+    front.age_s = OUT_OF_TOUCH_S
+    async with serve(peer.handler.handle) as url:
+        front.add_peer("n2", url)
+        assert (await front.call("POST", f"/q/{ID}", JOB))[0] == 503
+    assert peer.table.find(f"inbox/{ID}") is None
