Settings that change without a signal are read; peers and serving have modules of their own

The node module had grown: listening and metrics text are in `platform/_serving.py`, what hosts tell their peers in `intake/_peers.py`. Task names of ends are parsed where task names are parsed.

--- a/chiveledge/coordinator/_settlement.py
+++ b/chiveledge/coordinator/_settlement.py
@@ -13,7 +13,7 @@
 from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
 from chiveledge.placement import RunPace, WorkerSuspicion, should_leave
 from chiveledge.services.task_worker import EndedTask, HoldReport, RunningTask
-from chiveledge.workload import JobProgress, JobState, RunEnd, RunState
+from chiveledge.workload import JobProgress, JobState, RunEnd, RunState, TaskName
 
 ALL_DONE_PERCENT = 100
 
@@ -297,7 +297,8 @@
             self._orders.end_job(job, JobState.COMPLETED, "")
 
     def _jobs_of(self, ends: list[EndedTask]) -> list[JobProgress]:
-        ids = {end.task.rsplit(".", 3)[0] for end in ends}
+        names = [TaskName.parse(end.task) for end in ends]
+        ids = {name.job_id for name in names if name is not None}
         return [self._jobs[job_id] for job_id in ids if job_id in self._jobs]
 
     async def _acknowledge(
--- a/chiveledge/intake/__init__.py
+++ b/chiveledge/intake/__init__.py
@@ -24,21 +24,22 @@
     job_key,
 )
 from chiveledge.intake._follower import TableFollower
+from chiveledge.intake._peers import (
+    PeerDirectory,
+    PeerHost,
+    join_peers,
+    make_host_put,
+)
 from chiveledge.intake._relay import (
-    HOSTS_PREFIX,
     RELAYED_HEADER,
     REVISION_HEADER,
     MaybeDone,
     NotTaken,
-    PeerDirectory,
-    PeerHost,
     Relay,
     Relayed,
-    make_host_put,
 )
 
 __all__ = [
-    "HOSTS_PREFIX",
     "RELAYED_HEADER",
     "REVISION_HEADER",
     "Accepted",
@@ -65,5 +66,6 @@
     "encode_entry",
     "is_cancel_key",
     "job_key",
+    "join_peers",
     "make_host_put",
 ]
--- a/chiveledge/intake/_relay.py
+++ b/chiveledge/intake/_relay.py
@@ -10,19 +10,17 @@
 
 from __future__ import annotations
 
-import json
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import NamedTuple
 
 import aiohttp
 
 from chiveledge.clock import Clock
 from chiveledge.decision_log import DecisionLog
-from chiveledge.services import Put, Row
+from chiveledge.intake._peers import PeerDirectory, PeerHost
 from chiveledge.types import Revision
 
-HOSTS_PREFIX = "hosts/"
 RELAYED_HEADER = "X-Relayed-By"
 """Marks a request that was handed on, so that it is not handed on again."""
 
@@ -40,14 +38,6 @@
 REFUSED_STATUS = 503
 
 
-class PeerHost(NamedTuple):
-    """Where a process takes requests of its peers."""
-
-    name: str
-    region: str
-    address: str
-
-
 class Relayed(NamedTuple):
     """A peer's answer, whole, and the revision that it was given under."""
 
@@ -70,44 +60,6 @@
 RelayOutcome = Relayed | MaybeDone | NotTaken
 
 
-def make_host_put(host: PeerHost) -> Put:
-    """Return the row that tells the peers of a host."""
-    return Put(HOSTS_PREFIX + host.name, json.dumps(list(host)))
-
-
-class PeerDirectory:
-    """Copy of the rows of all hosts; some of them may be gone.
-
-    Parameters
-    ----------
-    own : PeerHost
-        This process, which is not listed.
-    """
-
-    def __init__(self, own: PeerHost) -> None:
-        self._own = own
-        self._hosts: dict[str, PeerHost] = {}
-
-    def on_rows(self, rows: Iterable[Row], deleted: Iterable[str], whole: bool) -> None:
-        """Take changes in."""
-        if whole:
-            self._hosts.clear()
-        for row in rows:
-            host = PeerHost(*json.loads(row.value))
-            self._hosts[host.name] = host
-        for key in deleted:
-            self._hosts.pop(key.removeprefix(HOSTS_PREFIX), None)
-
-    def list_peers(self, avoided: set[str], rng: random.Random) -> list[PeerHost]:
-        """Return peers in the order to try them: reachable ones, near ones first."""
-        peers = [host for host in self._hosts.values() if host.name != self._own.name]
-        rng.shuffle(peers)
-        peers.sort(
-            key=lambda peer: (peer.name in avoided, peer.region != self._own.region)
-        )
-        return peers
-
-
 class Relay:
     """Hands requests to peers.
 
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -7,7 +7,6 @@
 import random
 import signal
 import sys
-import uuid
 from collections.abc import Iterable
 
 from absl import logging
@@ -19,14 +18,13 @@
 from chiveledge.decision_log import JsonLog
 from chiveledge.events import Timeline
 from chiveledge.intake import (
-    HOSTS_PREFIX,
     JobBoard,
     JobDesk,
     PeerDirectory,
     PeerHost,
     Relay,
     TableFollower,
-    make_host_put,
+    join_peers,
 )
 from chiveledge.intake._board import BOARD_PREFIX
 from chiveledge.leadership import Leadership, rank_candidate
@@ -38,11 +36,12 @@
     decode_catalogue,
 )
 from chiveledge.platform._front import FrontHandler
+from chiveledge.platform._serving import listen, render_metrics
 from chiveledge.platform._settings import (
     SETTINGS_VARIABLE,
-    Endpoint,
     NodeSettings,
     load_settings,
+    stat_settings,
 )
 from chiveledge.platform._store import PlatformStore
 from chiveledge.platform._workers import (
@@ -50,7 +49,7 @@
     PlatformWorker,
     WorkerDecoder,
 )
-from chiveledge.services import HttpCaller, Row, SessionPool, Transaction
+from chiveledge.services import HttpCaller, Row, SessionPool
 from chiveledge.workload import Catalogue
 
 EXIT_BAD_SETTINGS = 2
@@ -72,8 +71,7 @@
 
 EXIT_MARGIN_S = 1.0
 POLL_S = 0.05
-HOSTS_WAIT_S = 10.0
-"""Wait of one watch of the peers: hosts come seldom, and a gone one is tried last."""
+SETTINGS_POLL_S = 2.0
 
 
 class Node:
@@ -112,25 +110,30 @@
             self._draining.is_set,
             JobDesk(store, self._board, self._clock, self._log, lambda: store.silent),
             self._board,
-            self._make_relay(store),
+            self._make_relay(),
             self._clock,
             self._log,
             self._metrics,
         )
         runners = [
-            await _listen(handler.handle, self._settings.front),
-            await _listen(handler.handle, self._settings.peers),
-            await _listen(self._answer_ready, self._settings.ready),
-            await _listen(self._answer_metrics, self._settings.metrics),
+            await listen(handler.handle, self._settings.front),
+            await listen(handler.handle, self._settings.peers),
+            await listen(self._answer_ready, self._settings.ready),
+            await listen(self._answer_metrics, self._settings.metrics),
         ]
         rank = await self._await_configuration()
         coordinator = self._make_coordinator(store, rank)
         tasks = [
             asyncio.create_task(self._configuration.run()),
             asyncio.create_task(self._jobs.run()),
-            asyncio.create_task(self._join_peers(store)),
+            asyncio.create_task(self._watch_settings()),
             asyncio.create_task(coordinator.run()),
         ]
+        if self._settings.peers is not None:
+            joining = join_peers(
+                self._own_host, self._peers, store, self._clock, self._log
+            )
+            tasks.append(asyncio.create_task(joining))
         draining = asyncio.create_task(self._draining.wait())
         await asyncio.wait([*tasks, draining], return_when=asyncio.FIRST_COMPLETED)
         for task in tasks:
@@ -169,33 +172,17 @@
             pause_s=BOARD_PAUSE_S,
         )
 
-    def _make_relay(self, store: PlatformStore) -> Relay:
+    def _make_relay(self) -> Relay:
         settings = self._settings
-        address = str(settings.peers) if settings.peers else ""
-        self._own = PeerHost(settings.node, settings.region, address)
-        directory = PeerDirectory(self._own)
-        self._hosts = TableFollower(
-            store,
-            HOSTS_PREFIX,
-            self._clock,
-            self._log,
-            directory.on_rows,
-            wait_s=HOSTS_WAIT_S,
-        )
+        self._peers = PeerDirectory(self._own_host)
         rng = random.Random(settings.node)
-        return Relay(directory, settings.node, self._clock, self._log, rng)
+        return Relay(self._peers, settings.node, self._clock, self._log, rng)
 
-    async def _join_peers(self, store: PlatformStore) -> None:
-        """Tell the peers of this host, then follow theirs."""
-        if self._settings.peers is None:
-            return await asyncio.Event().wait()
-        while True:
-            put = make_host_put(self._own)
-            transaction = Transaction(write_id=uuid.uuid4().hex, puts=(put,))
-            if (await store.transact(transaction)).is_ok():
-                break
-            await self._clock.sleep(POLL_S * 10)
-        await self._hosts.run()
+    @property
+    def _own_host(self) -> PeerHost:
+        settings = self._settings
+        address = str(settings.peers) if settings.peers else ""
+        return PeerHost(settings.node, settings.region, address)
 
     async def _await_configuration(self) -> int:
         """Read the first configuration; return the rank as a candidate to lead."""
@@ -288,7 +275,17 @@
         return web.Response(status=200 if ready else 503)
 
     async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
-        return web.Response(text=_render_metrics(self._metrics))
+        return web.Response(text=render_metrics(self._metrics))
+
+    async def _watch_settings(self) -> None:
+        """Notice settings that change without a signal."""
+        seen = stat_settings()
+        while True:
+            await self._clock.sleep(SETTINGS_POLL_S)
+            present = stat_settings()
+            if present != seen:
+                seen = present
+                self._reload()
 
     def _reload(self) -> None:
         match load_settings(os.environ.get(SETTINGS_VARIABLE)):
@@ -308,29 +305,6 @@
             await self._clock.sleep(POLL_S)
 
 
-def _render_metrics(metrics: Metrics) -> str:
-    record = metrics.to_record()
-    lines = [f"chiveledge_{name} {n}" for name, n in record["counters"].items()]
-    for name, summary in record["histograms"].items():
-        lines += [f"chiveledge_{name}_{key} {value}" for key, value in summary.items()]
-    lines.append(f"chiveledge_resident_mb {record['resident_mb']}")
-    lines.append(f"chiveledge_processor_s {record['processor_s']}")
-    return "\n".join(lines) + "\n"
-
-
-async def _listen(handle, endpoint: Endpoint | None) -> web.ServerRunner | None:
-    if endpoint is None:
-        return None
-    runner = web.ServerRunner(
-        web.Server(handle, access_log=None, keepalive_timeout=75), shutdown_timeout=0.5
-    )
-    await runner.setup()
-    await web.TCPSite(
-        runner, endpoint.address, endpoint.port, reuse_address=True, backlog=512
-    ).start()
-    return runner
-
-
 def main() -> int:
     """Run a node; return the exit code."""
     match load_settings(os.environ.get(SETTINGS_VARIABLE)):
--- a/chiveledge/platform/_settings.py
+++ b/chiveledge/platform/_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, NamedTuple, TypeVar
@@ -129,6 +130,15 @@
         return Err(error.error)
 
 
+def stat_settings() -> tuple[int, int] | None:
+    """Return time and size of the settings file, or None if there is none now."""
+    try:
+        status = os.stat(os.environ.get(SETTINGS_VARIABLE, ""))
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_size
+
+
 def _decode(fields: Mapping[str, Any]) -> NodeSettings:
     orders = fields.get("orders", "call")
     if orders != "call":
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -132,6 +132,7 @@
             "zone": "z",
             "ip": "127.0.0.1",
             "listen": {"front": f"127.0.0.1:{port}"},
+            "port_range": [free_port(), free_port()],
             "platform": {"address": self._address, "form": "table"},
             "bounds": {"grace_s": 4},
         }
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
 import signal
 
 import pytest
 
+from chiveledge.clock import ManualClock
+from chiveledge.platform._node import SETTINGS_POLL_S, Node
+from chiveledge.platform._settings import SETTINGS_VARIABLE, load_settings
 from chiveledge.workload import Usage
 from standins.deployment import Deployment
 from standins.task_worker import StandInTask
@@ -43,4 +48,31 @@
     assert [deployment.starts(path) for path in paths] == [3] * 4
     events = [line["event"] for line in deployment.read_events(other)]
     assert events[0] == "start"
+    assert "joined" in events
     assert events[-1] == "stop"
+
+
+async def test_settings_that_change_without_a_signal_are_read(tmp_path, monkeypatch):
+    """Good ones are taken over; bad ones leave the present ones in force."""
+    fields = {
+        "node": "n1",
+        "zone": "z",
+        "ip": "127.0.0.1",
+        "platform": {"address": "127.0.0.1:9", "form": "table"},
+        "bounds": {"grace_s": 4},
+    }
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(fields))
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    node = Node(load_settings(str(path)).unwrap())
+    node._clock = clock = ManualClock()
+    watching = asyncio.create_task(node._watch_settings())
+    await clock.advance(SETTINGS_POLL_S + 0.1)
+    for text, grace_s in (
+        (json.dumps(fields | {"bounds": {"grace_s": 17}}), 17),
+        ("{", 17),
+    ):
+        path.write_text(text)
+        await clock.advance(SETTINGS_POLL_S + 0.1)
+        assert node._settings.bounds.grace_s == grace_s
+    watching.cancel()
