Waves of upkeep: machines are emptied in turn and taken down within the bound

Operators ask for waves in the store; until now they were not read. The leader picks the machines with least to lose, keeps new work off them, stops in time what would not end, stores each order before it sends it, and tells operators `completed` only when every machine that stays was answered. A new leader waits out the lease on machines first.

Found on the way by the test with lasting tasks: which tasks of a step may be away was chosen by name alone, so that a task whose worker leaves was kept there to its end unless it came first. Now those on leaving workers come first.

--- a/chiveledge/coordinator/_context.py
+++ b/chiveledge/coordinator/_context.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from chiveledge.clock import Clock
@@ -11,6 +11,7 @@
 from chiveledge.decision_log import DecisionLog
 from chiveledge.metrics import Metrics
 from chiveledge.services import Row, WatchedTable
+from chiveledge.services.machines import MachineService, Wave
 from chiveledge.services.task_worker import TaskWorker, WorkerEntry
 from chiveledge.workload import Catalogue
 
@@ -29,6 +30,10 @@
         Returns the configuration in force.
     advice : AdviceService, optional
         Knows the workers of queues with a policy of their own.
+    machines : MachineService, optional
+        Lists machines and takes them down; without it no upkeep is done.
+    waves : callable
+        Returns the waves of upkeep that operators ask for.
     """
 
     table: WatchedTable
@@ -41,3 +46,5 @@
     metrics: Metrics
     timing: CoordinatorTiming
     advice: AdviceService | None = None
+    machines: MachineService | None = None
+    waves: Callable[[], Iterable[Wave]] = tuple
--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -108,6 +108,7 @@
         and link.fence_raised
         and link.failing_since_s is None
         and now_s >= link.avoid_until_s
+        and not link.emptying
     )
 
 
@@ -140,13 +141,13 @@
         serving=link.serving > 0,
         filling=link.filling > 0,
         list_runs=lambda: [
-            _view_run(link, tracked, jobs, catalogue, tracked.name not in kept, now_s)
+            view_run(link, tracked, jobs, catalogue, tracked.name not in kept, now_s)
             for tracked in link.runs.values()
         ],
     )
 
 
-def _view_run(
+def view_run(
     link: WorkerLink,
     tracked: TrackedRun,
     jobs: dict[str, JobProgress],
@@ -154,6 +155,7 @@
     movable: bool,
     now_s: float,
 ) -> RunView:
+    """Return a run with what a stop would lose."""
     name = tracked.name
     job = jobs[name.job_id]
     step = job.request.steps[name.step]
@@ -190,20 +192,23 @@
     )
     if not bounded:
         return set()
-    at_work: dict[str, list[TaskName]] = defaultdict(list)
+    at_work: dict[str, list[tuple[bool, TaskName]]] = defaultdict(list)
     for link in links:
         for tracked in link.runs.values():
             step = jobs[tracked.name.job_id].request.steps[tracked.name.step]
             if not step.lasting or not step.may_be_away:
                 continue
             if tracked.run.percent >= AT_WORK_PERCENT and not tracked.stopping:
-                at_work[tracked.name.step_name].append(tracked.name)
+                stays = not link.entry.draining and not link.emptying
+                at_work[tracked.name.step_name].append((stays, tracked.name))
     kept: set[TaskName] = set()
-    for names in at_work.values():
-        step = jobs[names[0].job_id].request.steps[names[0].step]
-        away = step.count - len(names)
+    for rows in at_work.values():
+        _, first = rows[0]
+        step = jobs[first.job_id].request.steps[first.step]
+        away = step.count - len(rows)
         stoppable = max(0, step.may_be_away - away)
-        kept.update(sorted(names)[stoppable:])
+        # Those whose workers go or are emptied may be stopped first.
+        kept.update(name for _, name in sorted(rows)[stoppable:])
     return kept
 
 
--- a/chiveledge/coordinator/_reign.py
+++ b/chiveledge/coordinator/_reign.py
@@ -14,6 +14,7 @@
 from chiveledge.coordinator._planning import PlanningDesk
 from chiveledge.coordinator._runtimes import RunTimes
 from chiveledge.coordinator._settlement import Settlement
+from chiveledge.coordinator._upkeep import UpkeepDesk
 from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
 from chiveledge.coordinator._workers import LOOK_RETRY_S, WorkerDirectory
 from chiveledge.intake import TableFollower, is_cancel_key
@@ -100,6 +101,9 @@
             self.end,
             self._ended.is_set,
         )
+        self._upkeep = UpkeepDesk(
+            context, leadership, self.links, self.jobs, self._orders
+        )
         self._planning = PlanningDesk(
             context,
             leadership,
@@ -191,6 +195,8 @@
         self._spawn(inbox.run())
         self._spawn(self._clean_loop())
         self._spawn(self._advice.run())
+        if self._context.machines is not None:
+            self._spawn(self._upkeep.run())
         await self._planning.run()
 
     async def _load_progress(self) -> None:
--- a/chiveledge/coordinator/_timing.py
+++ b/chiveledge/coordinator/_timing.py
@@ -33,6 +33,10 @@
         How long the state of ended jobs can be read.
     drain_s : float
         Time that a worker serves at least after it said that it drains.
+    machine_lease_s : float
+        How long orders of a former leader to machines may still be under way.
+    upkeep_s : float
+        How long a machine is down for its upkeep.
     stall_s : float
         Time without any progress after which a run is taken for stalled.
     """
@@ -48,6 +52,8 @@
     stop_s: float = 0.9
     keep_ended_s: float = 180.0
     drain_s: float = 2.5
+    machine_lease_s: float = 3.0
+    upkeep_s: float = 2.0
     stall_s: float = 3.0
 
     def look_wait_s(self, workers: int, *, busy: bool) -> float:
--- /dev/null
+++ b/chiveledge/coordinator/_upkeep.py
@@ -0,0 +1,325 @@
+"""Carries waves of upkeep out: empties machines in turn and takes them down.
+
+An order that got no answer may be carried out late, so it is stored before it is sent
+and counts as down until it is answered. Nothing is ordered while a former leader's
+orders may still be under way.
+"""
+
+from __future__ import annotations
+
+import json
+import uuid
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from chiveledge.coordinator._context import ReignContext
+from chiveledge.coordinator._demands import find_kept_runs, view_run
+from chiveledge.coordinator._orders import OrderDesk
+from chiveledge.coordinator._worker_link import WorkerLink
+from chiveledge.leadership import Leadership
+from chiveledge.placement import choose_next, find_patience_s
+from chiveledge.services import Check, Conflict, Put, Row, Transaction
+from chiveledge.services.machines import (
+    Machine,
+    MachineName,
+    MachineState,
+    UpkeepOrder,
+    UpkeepRefusal,
+    UpkeepRefused,
+    Wave,
+)
+from chiveledge.workload import JobProgress
+
+PROGRESS_PREFIX = "upkeep/"
+STATUS_PREFIX = "status/wave/"
+STEP_S = 0.5
+"""Pause between two readings of the machines while a wave is open."""
+
+
+@dataclass
+class WaveProgress:
+    """How far a wave has come.
+
+    Attributes
+    ----------
+    version : int
+        Version of the stored row, 0 while there is none.
+    sent : set of str
+        Machines whose order may be under way.
+    begun : set of str
+        Machines that had or have their upkeep, or are none of the wave.
+    """
+
+    version: int = 0
+    completed: bool = False
+    sent: set[MachineName] = field(default_factory=set)
+    begun: set[MachineName] = field(default_factory=set)
+
+
+class UpkeepDesk:
+    """Waves of one reign.
+
+    Parameters
+    ----------
+    context : ReignContext
+        Stores, clients, clock and bounds.
+    leadership : Leadership
+        Names holder and fence; nothing is ordered while it is not valid.
+    links, jobs : dict
+        Workers and jobs of the reign.
+    orders : OrderDesk
+        Stops what does not end in time.
+    """
+
+    def __init__(
+        self,
+        context: ReignContext,
+        leadership: Leadership,
+        links: dict[str, WorkerLink],
+        jobs: dict[str, JobProgress],
+        orders: OrderDesk,
+    ) -> None:
+        self._context = context
+        self._clock = context.clock
+        self._log = context.log
+        self._timing = context.timing
+        self._leadership = leadership
+        self._links = links
+        self._jobs = jobs
+        self._orders = orders
+        self._progress: dict[int, WaveProgress] = {}
+        self._emptying: dict[MachineName, float] = {}
+        self._ordered_s: dict[MachineName, float] = {}
+
+    async def run(self) -> None:
+        """Carry waves out until cancelled."""
+        await self._clock.sleep(self._timing.machine_lease_s)
+        loaded = False
+        while True:
+            waves = list(self._context.waves())
+            loaded = loaded or (bool(waves) and await self._load())
+            waves = [wave for wave in waves if loaded and self._is_open(wave)]
+            if waves:
+                await self._step(waves)
+            self._release(waves)
+            await self._clock.sleep(STEP_S)
+
+    def _is_open(self, wave: Wave) -> bool:
+        progress = self._progress.get(wave.number)
+        return progress is None or not progress.completed
+
+    async def _load(self) -> bool:
+        match await self._context.table.snapshot(PROGRESS_PREFIX):
+            case Ok(snapshot):
+                for row in snapshot.rows:
+                    number = int(row.key.removeprefix(PROGRESS_PREFIX))
+                    self._progress[number] = _decode(row)
+                return True
+            case Err(error):
+                self._log.write("upkeep", "not_loaded", error=str(error))
+                return False
+        raise AssertionError("unreachable")
+
+    async def _step(self, waves: list[Wave]) -> None:
+        asked_s = self._clock.monotonic()
+        match await self._context.machines.list_machines():
+            case Ok(machines):
+                known = {machine.name: machine for machine in machines}
+            case Err(error):
+                self._log.write("upkeep", "machines_unknown", error=str(error))
+                return
+        for wave in waves:
+            await self._advance(wave, known, asked_s)
+
+    async def _advance(
+        self, wave: Wave, known: dict[MachineName, Machine], asked_s: float
+    ) -> None:
+        progress = self._progress.setdefault(wave.number, WaveProgress())
+        if progress.version == 0 and not await self._save(wave, progress):
+            return
+        staying = [known[name] for name in wave.machines if name in known]
+        left = [machine for machine in staying if machine.name not in progress.begun]
+        if not left:
+            progress.completed = True
+            if not await self._save(wave, progress):
+                progress.completed = False
+            return
+        self._choose(wave, progress, staying, left, asked_s)
+        for machine in left:
+            if machine.name in self._emptying:
+                await self._empty(wave, progress, machine)
+
+    def _choose(
+        self,
+        wave: Wave,
+        progress: WaveProgress,
+        staying: list[Machine],
+        left: list[Machine],
+        asked_s: float,
+    ) -> None:
+        """Pick further machines to be emptied, up to what may be down at a time."""
+        now_s = self._clock.monotonic()
+        for name in progress.sent:
+            # A former leader's order may not have been carried out.
+            self._emptying.setdefault(name, now_s)
+        down = {m.name for m in staying if self._may_be_down(m, asked_s)}
+        down |= progress.sent
+        taken = down | {m.name for m in left if m.name in self._emptying}
+        losses = {
+            machine.name: self._loss(machine)
+            for machine in left
+            if machine.name not in taken and machine.state is MachineState.UP
+        }
+        for name in choose_next(losses, wave.most_down - len(taken)):
+            self._emptying[name] = now_s
+            self._log.write(
+                "upkeep",
+                "emptying",
+                wave=wave.number,
+                machine=name,
+                loss=round(losses[name], 1),
+                down=sorted(down),
+            )
+
+    def _may_be_down(self, machine: Machine, asked_s: float) -> bool:
+        ordered_s = self._ordered_s.get(machine.name, float("-inf"))
+        if asked_s < ordered_s + self._timing.upkeep_s:
+            return True
+        return machine.state is MachineState.UPKEEP
+
+    def _loss(self, machine: Machine) -> float:
+        link = self._links.get(machine.worker)
+        if link is None:
+            return 0.0
+        catalogue = self._context.catalogue()
+        now_s = self._clock.monotonic()
+        return sum(
+            view_run(link, tracked, self._jobs, catalogue, True, now_s).loss
+            for tracked in link.runs.values()
+        )
+
+    async def _empty(
+        self, wave: Wave, progress: WaveProgress, machine: Machine
+    ) -> None:
+        """Keep new work off a machine, stop the rest in time, then take it down."""
+        link = self._links.get(machine.worker)
+        if link is not None:
+            link.emptying = True
+            if link.runs:
+                self._stop_rest(wave, machine, link)
+                return
+        if machine.name not in progress.sent:
+            progress.sent.add(machine.name)
+            if not await self._save(wave, progress):
+                # Perhaps stored all the same; it is stored again with the next try.
+                progress.sent.discard(machine.name)
+                return
+        await self._order(wave, progress, machine)
+
+    def _stop_rest(self, wave: Wave, machine: Machine, link: WorkerLink) -> None:
+        """Stop what would not end in time; tasks that must not be away stay."""
+        timing = self._timing
+        patience_s = find_patience_s(wave, timing.upkeep_s, timing.stop_s)
+        waited_s = self._clock.monotonic() - self._emptying[machine.name]
+        kept = find_kept_runs(list(self._links.values()), self._jobs)
+        for tracked in list(link.runs.values()):
+            if tracked.name in kept:
+                continue
+            if tracked.step.lasting or waited_s >= patience_s:
+                self._orders.stop(link, tracked, f"upkeep of {machine.name} is due")
+
+    async def _order(
+        self, wave: Wave, progress: WaveProgress, machine: Machine
+    ) -> None:
+        """Take a machine down; it is tried again until it is answered."""
+        if not self._leadership.valid:
+            return
+        order = UpkeepOrder(
+            machine.name, wave.number, self._leadership.process, self._leadership.epoch
+        )
+        self._ordered_s[machine.name] = self._clock.monotonic()
+        result = await self._context.machines.begin_upkeep(order)
+        self._log.write(
+            "upkeep",
+            "ordered",
+            wave=wave.number,
+            machine=machine.name,
+            fence=order.fence,
+            outcome="begun" if result.is_ok() else str(result.err()),
+        )
+        match result:
+            case Ok(_):
+                self._ordered_s[machine.name] = self._clock.monotonic()
+                progress.begun.add(machine.name)
+            case Err(UpkeepRefused(UpkeepRefusal.BUSY)):
+                pass
+            case Err(UpkeepRefused(UpkeepRefusal.FENCE)):
+                return
+            case Err(UpkeepRefused()):
+                progress.begun.add(machine.name)
+            case Err(_):
+                return
+        progress.sent.discard(machine.name)
+        self._emptying.pop(machine.name, None)
+        await self._save(wave, progress)
+
+    async def _save(self, wave: Wave, progress: WaveProgress) -> bool:
+        """Store the progress and what operators see; return whether it is stored."""
+        key = f"{PROGRESS_PREFIX}{wave.number}"
+        state = "completed" if progress.completed else "running"
+        status = json.dumps({"state": state})
+        transaction = Transaction(
+            uuid.uuid4().hex,
+            (self._leadership.fence, Check(key, progress.version)),
+            (
+                Put(key, _encode(progress)),
+                Put(STATUS_PREFIX + str(wave.number), status),
+            ),
+        )
+        match await self._context.table.transact(transaction):
+            case Ok(version):
+                progress.version = version
+                return True
+            case Err(error):
+                self._log.write(
+                    "upkeep", "not_stored", wave=wave.number, error=str(error)
+                )
+                if isinstance(error, Conflict):
+                    await self._reread(key, progress)
+                return False
+        raise AssertionError("unreachable")
+
+    async def _reread(self, key: str, progress: WaveProgress) -> None:
+        """Take over the version that a write of ours without an answer has made."""
+        match await self._context.table.read(key):
+            case Ok(row):
+                progress.version = row.version if row else 0
+            case Err(error):
+                self._log.write("upkeep", "not_read", key=key, error=str(error))
+
+    def _release(self, waves: list[Wave]) -> None:
+        """Let work return to machines that are in no open wave any more."""
+        wanted = {name for wave in waves for name in wave.machines}
+        for name in [name for name in self._emptying if name not in wanted]:
+            del self._emptying[name]
+        if not self._emptying and not waves:
+            for link in self._links.values():
+                link.emptying = False
+
+
+def _encode(progress: WaveProgress) -> str:
+    return json.dumps(
+        {
+            "completed": progress.completed,
+            "sent": sorted(progress.sent),
+            "begun": sorted(progress.begun),
+        }
+    )
+
+
+def _decode(row: Row) -> WaveProgress:
+    fields = json.loads(row.value)
+    return WaveProgress(
+        row.version, fields["completed"], set(fields["sent"]), set(fields["begun"])
+    )
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -108,6 +108,8 @@
         Number of the last end that was taken over.
     storing : asyncio.Task, optional
         Stores the ends that were taken over.
+    emptying : bool
+        Whether its machine is about to have its upkeep, so that nothing starts there.
     runs : dict
         Open runs by task and number; changed by `add_run` and `remove_run`.
     used : Usage
@@ -136,6 +138,7 @@
     clock_read_s: float = 0.0
     born_ms: int = 0
     life_began_s: float = float("-inf")
+    emptying: bool = False
     used: Usage = Usage()
     stopping: Usage = Usage()
     serving: int = 0
@@ -229,5 +232,6 @@
         self.answered_s = None
         self.clock_ms = 0
         self.drains_since_s = None
+        self.emptying = False
         for tracked in self.runs.values():
             tracked.marks.clear()
--- a/chiveledge/leadership.py
+++ b/chiveledge/leadership.py
@@ -158,6 +158,11 @@
         """The epoch held, 0 while another process leads."""
         return self._epoch
 
+    @property
+    def process(self) -> ProcessName:
+        """This process's name, by which others know the holder."""
+        return self._process
+
     @property
     def fence(self) -> Check:
         """The check that every transaction of the leader carries.
--- a/chiveledge/placement/__init__.py
+++ b/chiveledge/placement/__init__.py
@@ -21,6 +21,7 @@
 from chiveledge.placement._reserve import UrgentArrivals, count_kept
 from chiveledge.placement._speed import RunPace, WorkerSpeeds, estimate_speeds
 from chiveledge.placement._suspicion import WorkerSuspicion
+from chiveledge.placement._upkeep import choose_next, find_patience_s
 
 __all__ = [
     "URGENT_PRIORITY",
@@ -36,10 +37,12 @@
     "WorkerSuspicion",
     "WorkerView",
     "charged_usage",
+    "choose_next",
     "choose_victims",
     "count_kept",
     "estimate_speeds",
     "find_guaranteed_jobs",
+    "find_patience_s",
     "make_plan",
     "place_step",
     "should_leave",
--- /dev/null
+++ b/chiveledge/platform/_machines.py
@@ -0,0 +1,128 @@
+"""Client of the platform's machines, and the waves that operators ask for."""
+
+from __future__ import annotations
+
+import json
+
+from result import Err, Ok, Result
+
+from chiveledge.services import CallError, HttpCaller, Unavailable, Unsettled
+from chiveledge.services._http import HttpReply
+from chiveledge.services.machines import (
+    Machine,
+    MachineState,
+    UpkeepOrder,
+    UpkeepRefusal,
+    UpkeepRefused,
+    Wave,
+)
+
+WAVE_PREFIX = "op/wave/"
+
+HTTP_OK = 200
+HTTP_BAD = 400
+HTTP_CONFLICT = 409
+CALL_TIMEOUT_S = 2.0
+
+_REFUSALS = {
+    "fence": UpkeepRefusal.FENCE,
+    "busy": UpkeepRefusal.BUSY,
+    "wave": UpkeepRefusal.OTHER_WAVE,
+}
+
+
+class PlatformMachines:
+    """Lists machines and takes them down for upkeep.
+
+    Parameters
+    ----------
+    caller : HttpCaller
+        Connections to the service.
+    """
+
+    def __init__(self, caller: HttpCaller) -> None:
+        self._caller = caller
+
+    async def list_machines(self) -> Result[tuple[Machine, ...], CallError]:
+        """Return all machines, page by page."""
+        machines: list[Machine] = []
+        params: dict[str, str] = {}
+        while True:
+            reply = await self._caller.call(
+                "GET", "/machines", params=params, timeout_s=CALL_TIMEOUT_S
+            )
+            match reply:
+                case Ok(HttpReply(status=status, body=body)) if status == HTTP_OK:
+                    page = _decode_page(body)
+                case Ok(HttpReply(status=status)):
+                    return Err(Unavailable(f"the list of machines got {status}"))
+                case Err(error):
+                    return Err(error)
+            match page:
+                case Ok(found):
+                    machines += found
+                case Err(error):
+                    return Err(error)
+            if not body.get("next_token"):
+                return Ok(tuple(machines))
+            params = {"page_token": str(body["next_token"])}
+
+    async def begin_upkeep(
+        self, order: UpkeepOrder
+    ) -> Result[None, UpkeepRefused | CallError]:
+        """Begin an upkeep; succeeds also if it was begun or done before."""
+        reply = await self._caller.call(
+            "POST",
+            "/machine-upkeep",
+            {"machine": order.machine, "wave": order.wave},
+            headers={
+                "X-Lease-Holder": order.holder,
+                "X-Fencing-Token": str(order.fence),
+            },
+            timeout_s=CALL_TIMEOUT_S,
+        )
+        match reply:
+            case Ok(HttpReply(status=status)) if status == HTTP_OK:
+                return Ok(None)
+            case Ok(HttpReply(status=status, body=body)) if status == HTTP_CONFLICT:
+                reason = body.get("reason") if isinstance(body, dict) else None
+                return Err(UpkeepRefused(_REFUSALS.get(reason, UpkeepRefusal.BUSY)))
+            case Ok(HttpReply(status=status)) if status == HTTP_BAD:
+                return Err(UpkeepRefused(UpkeepRefusal.UNKNOWN_MACHINE))
+            case Ok(HttpReply(status=status)):
+                return Err(Unsettled(f"the upkeep got {status}"))
+            case Err(error):
+                return Err(error)
+        raise AssertionError("unreachable")
+
+
+def decode_wave(text: str) -> Result[Wave, str]:
+    """Return the wave of an operators' row, or why it can't be read."""
+    try:
+        fields = json.loads(text)
+        return Ok(
+            Wave(
+                number=int(fields["wave"]),
+                machines=tuple(str(name) for name in fields["machines"]),
+                within_s=float(fields["within_s"]),
+                most_down=max(1, int(fields["cap"])),
+            )
+        )
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        return Err(repr(error))
+
+
+def _decode_page(body: object) -> Result[list[Machine], CallError]:
+    try:
+        return Ok(
+            [
+                Machine(
+                    str(entry["machine"]),
+                    MachineState(entry["state"]),
+                    str(entry.get("id") or ""),
+                )
+                for entry in body["machines"]
+            ]
+        )
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        return Err(Unsettled(f"the list of machines can't be read: {error!r}"))
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -36,6 +36,11 @@
     decode_catalogue,
 )
 from chiveledge.platform._front import FrontHandler
+from chiveledge.platform._machines import (
+    WAVE_PREFIX,
+    PlatformMachines,
+    decode_wave,
+)
 from chiveledge.platform._serving import listen, render_metrics
 from chiveledge.platform._settings import (
     SETTINGS_VARIABLE,
@@ -50,6 +55,7 @@
     WorkerDecoder,
 )
 from chiveledge.services import HttpCaller, Row, SessionPool
+from chiveledge.services.machines import Wave
 from chiveledge.workload import Catalogue
 
 EXIT_BAD_SETTINGS = 2
@@ -89,6 +95,7 @@
         self._log = JsonLog(settings.node, self._clock)
         self._metrics = Metrics()
         self._catalogue = Catalogue()
+        self._waves: dict[str, Wave] = {}
         self._board = JobBoard()
         self._draining = asyncio.Event()
 
@@ -161,7 +168,7 @@
             CONFIGURATION_PREFIX,
             self._clock,
             self._log,
-            self._on_configuration,
+            self._on_operators_rows,
         )
         self._jobs = TableFollower(
             store,
@@ -205,6 +212,8 @@
             stop_s=bounds.stop_s,
             drain_s=bounds.drain_s,
             keep_ended_s=bounds.keep_status_s * 1.5,
+            machine_lease_s=bounds.machine_lease_s,
+            upkeep_s=bounds.upkeep_s,
         )
         context = ReignContext(
             table=store,
@@ -217,6 +226,8 @@
             metrics=self._metrics,
             timing=timing,
             advice=self._make_advice(),
+            machines=self._make_machines(),
+            waves=lambda: list(self._waves.values()),
         )
         leadership = Leadership(
             SHARD,
@@ -236,9 +247,42 @@
         pool = SessionPool(limit=1)
         return PlatformAdvice(HttpCaller(pool, url, metrics=self._metrics))
 
-    def _on_configuration(
+    def _make_machines(self) -> PlatformMachines | None:
+        if self._settings.machines is None:
+            return None
+        url = f"http://{self._settings.machines}"
+        pool = SessionPool(limit=2)
+        return PlatformMachines(HttpCaller(pool, url, metrics=self._metrics))
+
+    def _on_operators_rows(
         self, rows: Iterable[Row], deleted: Iterable[str], whole: bool
     ) -> None:
+        rows = list(rows)
+        if whole:
+            self._waves.clear()
+        for key in deleted:
+            self._waves.pop(key, None)
+        for row in rows:
+            if row.key.startswith(WAVE_PREFIX):
+                self._note_wave(row)
+        self._note_configuration(rows)
+
+    def _note_wave(self, row: Row) -> None:
+        match decode_wave(row.value):
+            case Ok(wave):
+                self._waves[row.key] = wave
+                self._log.write(
+                    "upkeep",
+                    "wave",
+                    wave=wave.number,
+                    machines=len(wave.machines),
+                    within_s=wave.within_s,
+                    most_down=wave.most_down,
+                )
+            case Err(reason):
+                self._log.write("upkeep", "unreadable", key=row.key, reason=reason)
+
+    def _note_configuration(self, rows: list[Row]) -> None:
         for row in rows:
             if row.key != CONFIGURATION_KEY:
                 continue
--- a/chiveledge/platform/_settings.py
+++ b/chiveledge/platform/_settings.py
@@ -53,6 +53,7 @@
     drain_s: float = 2.5
     keep_status_s: float = 120.0
     machine_lease_s: float = 3.0
+    upkeep_s: float = 2.0
 
 
 class HostLimits(NamedTuple):
@@ -88,6 +89,7 @@
     peers: Endpoint | None
     store: Endpoint
     advice: Endpoint | None
+    machines: Endpoint | None
     bounds: PlatformBounds
     limits: HostLimits = HostLimits()
 
@@ -160,6 +162,9 @@
         peers=Endpoint(ip, int(ports[0])) if len(ports) > 1 else None,
         store=_endpoint(store.get("address"), "platform.address"),
         advice=_optional_endpoint(fields, "advice", "advice"),
+        machines=_optional_endpoint(
+            _table(fields.get("cloud") or {}, "cloud"), "address", "cloud.address"
+        ),
         bounds=_decode_bounds(_table(fields.get("bounds", {}), "bounds")),
         limits=_decode_limits(_table(fields.get("limits", {}), "limits")),
     )
@@ -185,6 +190,7 @@
         drain_s=_number(fields, "drain_ms", 2500) / 1000,
         keep_status_s=_number(fields, "status_s", default.keep_status_s),
         machine_lease_s=_number(fields, "lease_ms", 3000) / 1000,
+        upkeep_s=_number(fields, "upkeep_s", default.upkeep_s),
     )
 
 
--- a/chiveledge/platform/_store.py
+++ b/chiveledge/platform/_store.py
@@ -22,6 +22,7 @@
     Conflict,
     HistoryGone,
     HttpCaller,
+    Put,
     Row,
     Snapshot,
     Transaction,
@@ -35,6 +36,9 @@
 HTTP_GONE = 410
 HTTP_CONFLICT = 412
 
+STATUS_TABLE = "status"
+"""Rows that operators read."""
+
 PAGE_ROWS = 500
 """Most rows that a reading returns."""
 
@@ -131,15 +135,13 @@
 
     async def transact(self, transaction: Transaction) -> Result[int, CallError]:
         """Commit a transaction; return the version of the rows it wrote."""
+        puts = transaction.puts
         body = {
             "expected_rev": [
                 _address(check.key) | {"ver": check.version}
                 for check in transaction.checks
             ],
-            "set_keys": [
-                _address(put.key) | {"value": _encode(transaction.write_id, put.value)}
-                for put in transaction.puts
-            ],
+            "set_keys": [_encode_put(put, transaction.write_id) for put in puts],
             "remove": [_address(key) for key in transaction.deletes],
         }
         reply = await self._call(
@@ -205,8 +207,12 @@
     return f"{row['table']}/{row['key']}"
 
 
-def _encode(write_id: str, text: str) -> str:
-    return base64.b64encode(f"{write_id}\n{text}".encode()).decode()
+def _encode_put(put: Put, write_id: str) -> dict[str, object]:
+    """Return a written row; those that operators read have their text alone."""
+    address = _address(put.key)
+    marked = address["table"] != STATUS_TABLE
+    text = f"{write_id}\n{put.value}" if marked else put.value
+    return address | {"value": base64.b64encode(text.encode()).decode()}
 
 
 def _decode_row(row: dict) -> Row:
--- a/tests/coordinator/cluster.py
+++ b/tests/coordinator/cluster.py
@@ -18,6 +18,7 @@
 from chiveledge.leadership import Leadership
 from chiveledge.metrics import Metrics
 from chiveledge.services import Put, Row, Transaction, Unsettled
+from chiveledge.services.machines import Wave
 from chiveledge.services.task_worker import WorkerEntry
 from chiveledge.workload import (
     Catalogue,
@@ -29,6 +30,7 @@
     Usage,
     Workspace,
 )
+from standins.machines import MemoryMachines
 from standins.table import MemoryTable
 from standins.task_worker import FleetRecord, MemoryTaskWorker, StandInTask
 
@@ -113,6 +115,8 @@
             log=self.log,
             metrics=self.metrics,
             timing=cluster.timing,
+            machines=cluster.machines,
+            waves=lambda: cluster.waves,
         )
         leadership = Leadership(
             "all",
@@ -180,6 +184,8 @@
             fleet.append(worker)
             self.workers[entry.name] = worker
             self.list_worker(entry)
+        self.machines = MemoryMachines(fleet, self.clock)
+        self.waves: list[Wave] = []
         self._movers = [asyncio.create_task(w.run()) for w in fleet]
         self.nodes = [Node(self, f"n{i}", i) for i in range(nodes)]
 
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -383,3 +383,20 @@
     await cluster.submit("j1", gang, work_s=0.5)
     await cluster.advance(8)
     assert cluster.state("j1") is JobState.COMPLETED
+
+
+@pytest.mark.parametrize("leaving", ["w0", "w1"])
+async def test_lasting_task_leaves_its_worker_whichever_it_is(make_cluster, leaving):
+    """One of two may be away: it is the one whose worker goes."""
+    cluster = make_cluster(workers=3)
+    await cluster.advance(0.5)
+    step = LASTING._replace(count=2, may_be_away=1, max_per_worker=1)
+    await cluster.submit("l1", step, work_s=1e9)
+    cluster.tasks["l1"].ready_at_once = True
+    await cluster.advance(1.5)
+    worker = cluster.workers[leaving]
+    assert worker.runs
+    cluster.list_worker(worker.entry._replace(draining=True, leaves_s=3.0))
+    await cluster.advance(2.5)
+    assert not worker.runs
+    assert sum(len(w.runs) for w in cluster.workers.values()) == 2
--- /dev/null
+++ b/tests/coordinator/test_upkeep.py
@@ -0,0 +1,117 @@
+"""Waves of upkeep: in time, within their bound, and without killing work."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from chiveledge.services.machines import Wave
+from chiveledge.workload import JobState, Step
+from tests.coordinator.cluster import SMALL, Cluster
+
+WAVE = Wave(1, ("m-w0", "m-w1", "m-w2", "m-w3"), within_s=24.0, most_down=1)
+SETTLE_S = 4.0
+"""Longest time until a leader gives its first order for a machine."""
+
+
+@pytest.fixture
+async def cluster():
+    cluster = Cluster(workers=4, nodes=2)
+    cluster.waves = [WAVE]
+    yield cluster
+    await cluster.close()
+    assert not cluster.double_runs
+
+
+def read_state(cluster) -> str | None:
+    row = cluster.table.find(f"status/wave/{WAVE.number}")
+    return json.loads(row.value)["state"] if row else None
+
+
+def check_upkeeps(cluster, wave: Wave = WAVE) -> None:
+    upkeeps = cluster.machines.upkeeps
+    assert [upkeep.killed for upkeep in upkeeps] == [0] * len(wave.machines)
+    assert sorted(upkeep.order.machine for upkeep in upkeeps) == sorted(wave.machines)
+    assert all(upkeep.others_down < wave.most_down for upkeep in upkeeps)
+
+
+async def test_idle_machines_have_their_upkeep_in_time(cluster):
+    await cluster.advance(SETTLE_S)
+    assert read_state(cluster) == "running"
+    await cluster.advance(WAVE.within_s - SETTLE_S)
+    check_upkeeps(cluster)
+    assert read_state(cluster) == "completed"
+
+
+async def test_running_work_ends_or_moves_but_is_not_killed(cluster):
+    await cluster.advance(0.5)
+    await cluster.submit("short", Step(count=12, usage=SMALL), work_s=2.0)
+    long = Step(count=6, usage=SMALL, checkpoints=True)
+    await cluster.submit("long", long, work_s=30.0)
+    await cluster.advance(WAVE.within_s + SETTLE_S)
+    check_upkeeps(cluster)
+    assert read_state(cluster) == "completed"
+    assert cluster.state("short") is JobState.COMPLETED
+    await cluster.advance(30.0)
+    assert cluster.state("long") is JobState.COMPLETED
+
+
+@pytest.mark.parametrize("kill_at_s", [3.2, 4.0, 6.0, 9.0])
+async def test_next_leader_finishes_the_wave_within_its_bound(cluster, kill_at_s):
+    await cluster.advance(kill_at_s)
+    await cluster.nodes[0].kill()
+    await cluster.advance(WAVE.within_s + SETTLE_S)
+    check_upkeeps(cluster)
+    assert read_state(cluster) == "completed"
+    lease_s = cluster.timing.machine_lease_s
+    orders = cluster.machines.upkeeps
+    for earlier, later in zip(orders, orders[1:], strict=False):
+        if earlier.order.holder != later.order.holder:
+            assert later.at_s - earlier.at_s >= lease_s
+            assert later.order.fence > earlier.order.fence
+
+
+async def test_orders_without_an_answer_count_as_down(cluster):
+    cluster.machines.lose_replies = 3
+    await cluster.advance(WAVE.within_s + SETTLE_S)
+    check_upkeeps(cluster)
+    assert read_state(cluster) == "completed"
+
+
+async def test_store_that_loses_replies_does_not_end_a_wave_early(cluster):
+    await cluster.advance(SETTLE_S)
+    for _ in range(5):
+        cluster.table.faults.lose_replies = 2
+        await cluster.advance(2.0)
+        if read_state(cluster) == "completed":
+            assert len(cluster.machines.upkeeps) == len(WAVE.machines)
+    await cluster.advance(WAVE.within_s)
+    check_upkeeps(cluster)
+    assert read_state(cluster) == "completed"
+
+
+async def test_lasting_tasks_are_away_only_as_their_step_allows(cluster):
+    await cluster.advance(0.5)
+    step = Step(count=4, usage=SMALL, lasting=True, may_be_away=1, max_per_worker=2)
+    await cluster.submit("serve", step, work_s=1e9)
+    cluster.tasks["serve"].ready_at_once = True
+    fewest = step.count
+    await cluster.advance(1.5)
+    for _ in range(600):
+        await cluster.advance(0.05)
+        running = sum(
+            task.startswith("serve.")
+            for worker in cluster.workers.values()
+            for task, _ in worker.runs
+        )
+        fewest = min(fewest, running)
+    check_upkeeps(cluster)
+    assert fewest >= step.count - step.may_be_away
+
+
+async def test_machines_that_are_gone_are_not_waited_for(cluster):
+    cluster.waves = [WAVE._replace(machines=("m-w0", "m-gone"))]
+    await cluster.advance(SETTLE_S + 6.0)
+    assert read_state(cluster) == "completed"
+    assert [u.order.machine for u in cluster.machines.upkeeps] == ["m-w0"]
--- /dev/null
+++ b/tests/platform/test_machines.py
@@ -0,0 +1,94 @@
+"""Machines and waves in the platform's words, against the stand-in over HTTP."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from result import Err, Ok
+
+from chiveledge.clock import SystemClock
+from chiveledge.platform._machines import PlatformMachines, decode_wave
+from chiveledge.services import HttpCaller, SessionPool, Unsettled
+from chiveledge.services.machines import (
+    Machine,
+    MachineState,
+    UpkeepOrder,
+    UpkeepRefusal,
+    UpkeepRefused,
+    Wave,
+)
+from standins.deployment import serve
+from standins.machines import MemoryMachines, make_machines_app
+from standins.task_worker import MemoryTaskWorker, StandInTask
+from tests.platform.test_workers import ENTRY
+
+
+@pytest.fixture
+async def machines():
+    """The stand-in, and the adapter's client of its HTTP form."""
+    clock = SystemClock()
+    workers = [
+        MemoryTaskWorker(
+            ENTRY._replace(name=f"i-{number}"), clock, lambda _: StandInTask()
+        )
+        for number in range(3)
+    ]
+    fake = MemoryMachines(workers, clock, upkeep_s=30.0)
+    runner, address = await serve(make_machines_app(fake))
+    pool = SessionPool()
+    yield fake, PlatformMachines(HttpCaller(pool, f"http://{address}"))
+    await pool.close()
+    await runner.cleanup()
+
+
+def make_order(machine: str, wave: int = 1) -> UpkeepOrder:
+    return UpkeepOrder(machine, wave, "n1", 7)
+
+
+async def test_all_pages_are_read(machines):
+    _, client = machines
+    rows = (await client.list_machines()).unwrap()
+    assert rows[2] == Machine("m-i-2", MachineState.UP, "i-2")
+    assert len(rows) == 3
+
+
+async def test_order_names_holder_and_fence_and_may_be_repeated(machines):
+    fake, client = machines
+    assert await client.begin_upkeep(make_order("m-i-0")) == Ok(None)
+    assert await client.begin_upkeep(make_order("m-i-0")) == Ok(None)
+    assert [upkeep.order for upkeep in fake.upkeeps] == [make_order("m-i-0")]
+
+
+@pytest.mark.parametrize(
+    "machine,wave,reason",
+    [
+        ("m-i-0", 2, UpkeepRefusal.BUSY),
+        ("m-i-9", 1, UpkeepRefusal.UNKNOWN_MACHINE),
+    ],
+)
+async def test_refusals_say_that_nothing_was_done(machines, machine, wave, reason):
+    _, client = machines
+    await client.begin_upkeep(make_order("m-i-0"))
+    refused = await client.begin_upkeep(make_order(machine, wave))
+    assert refused == Err(UpkeepRefused(reason))
+
+
+async def test_lost_reply_is_unsettled(machines):
+    fake, client = machines
+    fake.lose_replies = 1
+    result = await client.begin_upkeep(make_order("m-i-1"))
+    assert isinstance(result.err(), Unsettled)
+    assert len(fake.upkeeps) == 1
+
+
+def test_wave_is_decoded():
+    row = {"wave": 3, "machines": ["m1", "m2"], "within_s": 20, "cap": 2, "new": 1}
+    assert decode_wave(json.dumps(row)) == Ok(Wave(3, ("m1", "m2"), 20.0, 2))
+
+
+@pytest.mark.parametrize(
+    "text", ["", "[]", "{}", '{"wave":1,"machines":5,"within_s":1,"cap":1}', "null"]
+)
+def test_wave_that_cannot_be_read_is_told(text):
+    assert decode_wave(text).is_err()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import base64
+
 import pytest
 from result import Err, Ok
 
@@ -120,3 +122,9 @@
             pass
         case other:
             raise AssertionError(other)
+
+
+async def test_rows_that_operators_read_have_their_text_alone(platform_store, stand_in):
+    await platform_store.transact(write("status/wave/1", '{"state":"running"}'))
+    row = stand_in.table.find("status/wave/1")
+    assert base64.b64decode(row.value) == b'{"state":"running"}'
