Soak: real processes behind proxies, faults from outside, promises checked meanwhile

`python -m soak` (make soak SEED=1-50) starts processes of the system against the stand-in of the platform, each behind a loopback proxy to the store and to each worker, and injects delays, resets, silence, one-way cuts, SIGSTOP, SIGTERM, SIGKILL, a store that is down, slow or loses replies, and workers that start anew; faults overlap. It checks that no task runs twice or starts after a noted end, that refused jobs never ran, that accepted ones are known and end as they should.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format bench replay clean
+.PHONY: demo test lint format bench replay soak clean
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -32,5 +32,8 @@
 replay: $(STAMP)
 	$(BIN)/python -m tests.replay
 
+soak: $(STAMP)
+	$(BIN)/python -m soak --seeds $(or $(SEED),1-50)
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -8,7 +8,7 @@
 import os
 import socket
 import sys
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -72,6 +72,10 @@
     return runner, f"{host}:{port}"
 
 
+async def _keep_address(name: str, address: str) -> str:
+    return address
+
+
 class Deployment:
     """The store, two workers and any number of processes on this machine.
 
@@ -79,9 +83,14 @@
     ----------
     folder : Path
         Where settings and logs lie.
+    wrap : callable, optional
+        Returns the address under which a part is to be reached, by its name and its
+        real address; a place for faults on the way.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(
+        self, folder: Path, wrap: Callable[[str, str], Awaitable[str]] | None = None
+    ) -> None:
         self.clock = SystemClock()
         self.store = StoreStandIn(self.clock)
         self.record = FleetRecord()
@@ -89,6 +98,9 @@
         self.tasks: dict[str, StandInTask] = {}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._folder = folder
+        self._wrap = wrap or _keep_address
+        self._store_addresses: dict[str, str] = {}
+        self._worker_addresses: dict[str, str] = {}
         self._ports: dict[str, int] = {}
         self._runners: list[web.AppRunner] = []
         self._movers: list[asyncio.Task[None]] = []
@@ -118,22 +130,37 @@
         self.workers.append(worker)
         runner, address = await serve(make_worker_app(worker))
         self._runners.append(runner)
-        self.store.write(f"servers/{name}", describe_worker(worker, address))
+        self._worker_addresses[name] = await self._wrap(name, address)
+        self.publish(worker)
         self._movers.append(asyncio.create_task(worker.run()))
 
+    def publish(self, worker: MemoryTaskWorker) -> None:
+        """Write a worker's row as it is now."""
+        name = worker.entry.name
+        row = describe_worker(worker, self._worker_addresses[name])
+        self.store.write(f"servers/{name}", row)
+
+    def url(self, name: str) -> str:
+        """Return where a process takes callers' requests."""
+        return f"http://127.0.0.1:{self._ports[name]}"
+
     def _describe(self, task: str) -> StandInTask:
         return self.tasks[task.partition(".")[0]]
 
     async def launch(self, name: str) -> None:
         """Start a process, or start it again at its address."""
         port = self._ports.setdefault(name, free_port())
+        if name not in self._store_addresses:
+            self._store_addresses[name] = await self._wrap(
+                f"{name}-store", self._address
+            )
         settings = {
             "node": name,
             "zone": "z",
             "ip": "127.0.0.1",
             "listen": {"front": f"127.0.0.1:{port}"},
             "port_range": [free_port(), free_port()],
-            "platform": {"address": self._address, "form": "table"},
+            "platform": {"address": self._store_addresses[name], "form": "table"},
             "bounds": {"grace_s": 4},
         }
         path = self._folder / f"{name}.json"
@@ -164,7 +191,7 @@
         self, name: str, method: str, path: str, body: object = None
     ) -> tuple[int, dict[str, Any]]:
         """Make a caller's call; status 0 means no answer."""
-        url = f"http://127.0.0.1:{self._ports[name]}{path}"
+        url = self.url(name) + path
         data = json.dumps(body) if body else None
         async with aiohttp.ClientSession() as session:
             try:
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,83 @@
+"""A short soak with a fixed seed, the proxy alone, and what the checks find."""
+
+from __future__ import annotations
+
+import random
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from soak.__main__ import play
+from soak.callers import JobRecord
+from soak.checks import Watcher
+from soak.faults import draw_fault
+from soak.proxy import LinkMode, LinkProxy
+from standins.deployment import Deployment, serve
+
+IMPATIENT = aiohttp.ClientTimeout(total=0.3)
+
+
+async def test_short_soak_breaks_no_promise():
+    assert await play(1, seconds=6.0, nodes=2, callers=2) == []
+
+
+async def greet(request: web.Request) -> web.Response:
+    """Answer any request."""
+    return web.Response(text="hello")
+
+
+@pytest.mark.parametrize(
+    "mode,reached",
+    [
+        (LinkMode.PASS, True),
+        (LinkMode.DELAY, True),
+        (LinkMode.RESET, False),
+        (LinkMode.SILENT, False),
+        (LinkMode.ONE_WAY, False),
+    ],
+)
+async def test_link_does_what_its_mode_says(mode, reached):
+    app = web.Application()
+    app.router.add_get("/", greet)
+    runner, address = await serve(app)
+    proxy = LinkProxy(address)
+    url = f"http://{await proxy.start()}/"
+    proxy.set_mode(mode)
+    answered = False
+    try:
+        async with aiohttp.ClientSession(timeout=IMPATIENT) as session:
+            async with session.get(url) as response:
+                answered = await response.text() == "hello"
+    except (aiohttp.ClientError, TimeoutError):
+        pass
+    assert answered is reached
+    await proxy.close()
+    await runner.cleanup()
+
+
+def test_a_seed_draws_the_same_faults():
+    def draw(seed: int) -> list:
+        rng = random.Random(seed)
+        return [draw_fault(rng, ["n1", "n2"], ["l1"], 2) for _ in range(20)]
+
+    assert draw(7) == draw(7)
+    assert draw(7) != draw(8)
+
+
+@pytest.mark.parametrize(
+    "record,found",
+    [
+        (JobRecord("/q/a", 1, accepted=True, states=["running", "completed"]), True),
+        (JobRecord("/q/a", 1, accepted=True, states=["failed"]), True),
+        (JobRecord("/q/a", 1, accepted=True, states=["410"]), True),
+        (JobRecord("/q/a", 1, accepted=True, states=["cancelled"]), True),
+        (JobRecord("/q/a", 0, accepted=True, states=["completed"]), False),
+        (JobRecord("/q/a", 1, refused=True), False),
+    ],
+)
+def test_checks_find_broken_promises(tmp_path, record, found):
+    """No task of the job has started anywhere."""
+    watcher = Watcher(Deployment(tmp_path))
+    watcher._check_end(record)
+    assert bool(watcher.broken) is found
