Connections are closed at the end of a process; the soak notes a cancel before it is sent

Seen in the soak: processes that were told to stop wrote "Unclosed client session" to standard error; all pools of a process are closed now, replaced sessions too. The cancel is noted before it is sent now, a 410 to it counts as broken, and all log lines of a job in a broken promise are printed.

--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -96,6 +96,7 @@
         self._metrics = Metrics()
         self._catalogue = Catalogue()
         self._waves: dict[str, Wave] = {}
+        self._pools: list[SessionPool] = []
         self._board = JobBoard()
         self._draining = asyncio.Event()
 
@@ -154,13 +155,20 @@
         for runner in runners:
             if runner is not None:
                 await runner.cleanup()
+        for pool in self._pools:
+            await pool.close()
         self._log.write("node", "stop")
 
     def _make_store(self) -> PlatformStore:
         url = f"http://{self._settings.store}"
-        self._pools = (SessionPool(limit=32), SessionPool(limit=32))
-        callers = [HttpCaller(pool, url, metrics=self._metrics) for pool in self._pools]
-        return PlatformStore(*callers, self._clock)
+        caller, watcher = self._make_caller(url, 32), self._make_caller(url, 32)
+        return PlatformStore(caller, watcher, self._clock)
+
+    def _make_caller(self, url: str, limit: int) -> HttpCaller:
+        """Return a client with a bound on its connections, closed at the end."""
+        pool = SessionPool(limit=limit)
+        self._pools.append(pool)
+        return HttpCaller(pool, url, metrics=self._metrics)
 
     def _follow(self, store: PlatformStore) -> None:
         self._configuration = TableFollower(
@@ -244,15 +252,13 @@
         if self._settings.advice is None:
             return None
         url = f"http://{self._settings.advice}"
-        pool = SessionPool(limit=1)
-        return PlatformAdvice(HttpCaller(pool, url, metrics=self._metrics))
+        return PlatformAdvice(self._make_caller(url, 1))
 
     def _make_machines(self) -> PlatformMachines | None:
         if self._settings.machines is None:
             return None
         url = f"http://{self._settings.machines}"
-        pool = SessionPool(limit=2)
-        return PlatformMachines(HttpCaller(pool, url, metrics=self._metrics))
+        return PlatformMachines(self._make_caller(url, 2))
 
     def _on_operators_rows(
         self, rows: Iterable[Row], deleted: Iterable[str], whole: bool
--- a/chiveledge/services/_http.py
+++ b/chiveledge/services/_http.py
@@ -62,14 +62,19 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        for task in self._closing:
+            task.cancel()
+        await asyncio.gather(*self._closing, return_exceptions=True)
         if self._session is not None:
             await self._session.close()
             self._session = None
 
 
 async def _close_later(session: aiohttp.ClientSession) -> None:
-    await asyncio.sleep(REPLACED_SESSION_S)
-    await session.close()
+    try:
+        await asyncio.sleep(REPLACED_SESSION_S)
+    finally:
+        await session.close()
 
 
 class HttpCaller:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import re
 import sys
 import tempfile
 from pathlib import Path
@@ -16,6 +17,8 @@
 from soak.proxy import LinkProxy
 from standins.deployment import Deployment
 
+JOB_ID = re.compile(r"[0-9a-f]{16}")
+
 
 async def play(seed: int, *, seconds: float, nodes: int, callers: int) -> list[str]:
     """Play one seed; return the promises that were broken."""
@@ -33,13 +36,24 @@
         try:
             for name in names:
                 await deployment.launch(name)
-            return await _disturb(deployment, links, names, rng, seconds, callers)
+            broken = await _disturb(deployment, links, names, rng, seconds, callers)
+            _print_traces(deployment, names, broken)
+            return broken
         finally:
             for link in links.values():
                 await link.close()
             await deployment.close()
 
 
+def _print_traces(deployment: Deployment, names: list[str], broken: list[str]) -> None:
+    """Print what all processes logged of the jobs named in broken promises."""
+    job_ids = {job_id for text in broken for job_id in JOB_ID.findall(text)}
+    lines = [line for name in names for line in deployment.read_events(name)]
+    for line in sorted(lines, key=lambda line: line["t"]):
+        if line.get("id") in job_ids:
+            print(f"  {line}", flush=True)
+
+
 async def _disturb(
     deployment: Deployment,
     links: dict[str, LinkProxy],
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -16,6 +16,7 @@
 CALL_S = 3.0
 ACCEPTED = 200
 REFUSALS = (429, 503)
+NOT_KNOWN = 410
 
 
 @dataclass
@@ -26,6 +27,10 @@
     ----------
     refused : bool
         Whether every try was answered as surely not run.
+    cancelled : bool
+        Whether its cancelling was asked for.
+    states : list of str
+        What was read of it, statuses of answers without a state too.
     """
 
     path: str
@@ -95,8 +100,10 @@
             await asyncio.sleep(self._rng.uniform(0.1, 0.6))
         record.refused = all(answer in REFUSALS for answer in answers)
         if record.accepted and self._rng.random() < 0.1:
-            status = await self._call(session, "DELETE", record.path)
-            record.cancelled = True if status != 410 else record.cancelled
+            # Also if the answer is never seen, as at the end of the soak.
+            record.cancelled = True
+            if await self._call(session, "DELETE", record.path) == NOT_KNOWN:
+                record.states.append(str(NOT_KNOWN))
 
     async def _call(
         self, session: aiohttp.ClientSession, method: str, path: str, body=None
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections import Counter
 
-from soak.callers import JobRecord
+from soak.callers import NOT_KNOWN, JobRecord
 from standins.deployment import Deployment
 
 CHECK_S = 0.02
@@ -50,7 +50,7 @@
         while accepted and self._deployment.clock.monotonic() < deadline_s:
             for job in list(accepted):
                 status, answer = await self._deployment.call(node, "GET", job.path)
-                state = answer.get("state", str(status))
+                state = answer.get("state") or str(status)
                 job.states.append(state)
                 if state in ("completed", "cancelled", "failed"):
                     accepted.remove(job)
@@ -67,7 +67,7 @@
             self._note([f"{job.path} was refused and ran"])
         if not job.accepted or not job.states:
             return
-        if "410" in job.states:
+        if str(NOT_KNOWN) in job.states:
             self._note([f"{job.path} was accepted and is not known"])
         if job.states[-1] == "failed":
             self._note([f"{job.path} failed, though none of its tasks did"])
