A transaction without time left is given up, not waited for

It is now refused as not stored, which is true; a transaction whose sends were all refused is too. Tests: three, seen failing.

--- a/chiveledge/services/hedging.py
+++ b/chiveledge/services/hedging.py
@@ -85,6 +85,8 @@
                 send = _send(table, transaction, clock, pacer)
                 pending.add(asyncio.ensure_future(send))
                 sends += 1
+            if not pending:
+                return _give_up(may_have_committed)
             wait_s = min(pacer.pause_s if sends < MAX_SENDS else left_s, left_s)
             await run_with_timeout(clock, _first(pending), max(wait_s, 0.0))
             done = {task for task in pending if task.done()}
@@ -97,14 +99,19 @@
                         may_have_committed = True
                     case Err(Unavailable()) if not pending and not may_have_committed:
                         return result
-            given_up = clock.monotonic() >= deadline
-            if given_up or (sends >= MAX_SENDS and not pending):
-                return Err(Unsettled("the commit is not settled yet"))
+            if clock.monotonic() >= deadline:
+                return _give_up(may_have_committed or bool(pending))
     finally:
         for task in pending:
             task.cancel()
 
 
+def _give_up(may_have_committed: bool) -> Err[CallError]:
+    if may_have_committed:
+        return Err(Unsettled("the commit is not settled yet"))
+    return Err(Unavailable("no time is left to store it"))
+
+
 async def _send(
     table: TableService, transaction: Transaction, clock: Clock, pacer: HedgePacer
 ) -> Result[int, CallError]:
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -314,3 +314,9 @@
         front.add_peer("n2", url)
         assert (await front.call("POST", f"/q/{ID}", JOB))[0] == 503
     assert peer.table.find(f"inbox/{ID}") is None
+
+
+async def test_caller_without_time_left_is_refused_as_not_stored(front):
+    headers = AUTH | {"X-Deadline-Ms": "100"}
+    assert (await front.call("POST", f"/q/{ID}", JOB, headers))[0] == 503
+    assert front.table.find(f"inbox/{ID}") is None
--- /dev/null
+++ b/tests/services/test_hedging.py
@@ -0,0 +1,66 @@
+"""A conditional transaction that is sent again, and what its outcome says."""
+
+from __future__ import annotations
+
+import pytest
+from result import Err, Ok
+
+from chiveledge.clock import ManualClock
+from chiveledge.services import (
+    Check,
+    HedgePacer,
+    Put,
+    Transaction,
+    Unavailable,
+    Unsettled,
+    transact_hedged,
+)
+from standins.table import MemoryTable
+
+WRITE = Transaction("w", (Check("a/1", 0),), (Put("a/1", "x"),))
+
+
+@pytest.mark.parametrize("patience_s", [0.0, -0.2])
+async def test_without_time_nothing_is_sent_and_the_outcome_says_so(patience_s):
+    """A caller's deadline is shorter than the way back of the answer."""
+    clock = ManualClock()
+    table = MemoryTable(clock)
+    result = await transact_hedged(
+        table, WRITE, clock, HedgePacer(), patience_s=patience_s
+    )
+    assert isinstance(result.err(), Unavailable)
+    assert table.find("a/1") is None
+
+
+class ScriptedTable:
+    """Answers each send with the next result, after some time."""
+
+    def __init__(self, clock: ManualClock, *script) -> None:
+        self._clock = clock
+        self._script = list(script)
+
+    async def transact(self, transaction):
+        took_s, result = self._script.pop(0)
+        self._clock.jump(took_s)
+        return result
+
+
+@pytest.mark.parametrize(
+    "script,outcome",
+    [
+        ([(0.1, Ok(7))], Ok(7)),
+        ([(2.0, Err(Unavailable("busy")))], Err(Unavailable("busy"))),
+        ([(0.1, Err(Unsettled("lost"))), (0.1, Ok(8))], Ok(8)),
+        ([(2.0, Err(Unsettled("lost")))], Unsettled),
+        ([(0.999, Err(Unsettled("lost"))), (0.1, Err(Unavailable("busy")))], Unsettled),
+        ([(0.0, Err(Unsettled("lost")))] * 4, Unsettled),
+    ],
+)
+async def test_refusal_is_told_only_if_no_send_can_have_taken_effect(script, outcome):
+    clock = ManualClock()
+    table = ScriptedTable(clock, *script)
+    result = await transact_hedged(table, WRITE, clock, HedgePacer(), patience_s=1.0)
+    if outcome is Unsettled:
+        assert isinstance(result.err(), Unsettled)
+    else:
+        assert result == outcome
