--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -152,11 +152,13 @@
         if any(known.fits(usage) for known in too_large):
             return False
         label = step.required_label
-        for worker in self._accepting[service]:
-            if worker.kept and not urgent:
-                continue
-            if usage.fits(worker.free) and (not label or label in worker.labels):
-                return True
+        able = [
+            worker
+            for worker in self._accepting[service]
+            if not label or label in worker.labels
+        ]
+        if any(usage.fits(w.free) for w in (able if urgent else without_kept(able))):
+            return True
         too_large.append(usage)
         return False
 
@@ -215,6 +217,14 @@
         worker.filling |= step.filler
 
 
+def without_kept(workers: list[WorkerView]) -> list[WorkerView]:
+    """Return the workers open to all work; all of them if each is kept for urgent work.
+
+    Work that can run nowhere else would otherwise wait as long as urgent jobs come.
+    """
+    return [worker for worker in workers if not worker.kept] or workers
+
+
 def charged_usage(step: Step) -> Usage:
     """Return what a task of a step takes of a worker's capacity."""
     if step.filler:
--- a/chiveledge/placement/_packing.py
+++ b/chiveledge/placement/_packing.py
@@ -9,7 +9,12 @@
 
 from typing import NamedTuple
 
-from chiveledge.placement._fleet import FleetView, WorkerView, charged_usage
+from chiveledge.placement._fleet import (
+    FleetView,
+    WorkerView,
+    charged_usage,
+    without_kept,
+)
 from chiveledge.placement._order import StepDemand
 from chiveledge.types import WorkerName
 from chiveledge.workload import Usage
@@ -39,10 +44,9 @@
     if not fleet.has_room(demand.service, demand.step, urgent=demand.urgent):
         return []
     candidates = fleet.candidates(demand)
-    free = {
-        worker.name: worker.free if demand.urgent or not worker.kept else NO_ROOM
-        for worker in candidates
-    }
+    usable = candidates if demand.urgent else without_kept(candidates)
+    free = dict.fromkeys((worker.name for worker in candidates), NO_ROOM)
+    free |= {worker.name: worker.free for worker in usable}
     pools = list_pools(candidates, demand)
     if demand.step.gang:
         for pool in pools:
--- a/tests/placement/test_reserve.py
+++ b/tests/placement/test_reserve.py
@@ -7,7 +7,13 @@
 from chiveledge.placement import UrgentArrivals, count_kept, make_plan
 from chiveledge.placement._reserve import MEMORY_S
 from chiveledge.workload import JobRequest, Step, Usage
-from tests.placement.fleets import CAPACITY, make_demand, make_fleet, make_worker
+from tests.placement.fleets import (
+    CAPACITY,
+    make_demand,
+    make_fleet,
+    make_run,
+    make_worker,
+)
 
 TASK = Usage(4000, 8000, 2)
 
@@ -52,12 +58,33 @@
     assert count_kept(expected, CAPACITY, workers) == kept
 
 
+def make_busy_fleet(*free: int, labels=()):
+    """Return workers with some accelerators free, the first few with a label each."""
+    workers = [
+        make_worker(f"w{number}", runs=[make_run(f"a{number}", f"w{number}", 8 - left)])
+        for number, left in enumerate(free)
+    ]
+    for worker, label in zip(workers, labels, strict=False):
+        worker.labels |= {label}
+    return make_fleet(*workers)
+
+
+def places(plan) -> list[str]:
+    return sorted(p.worker for start in plan.starts for p in start.placements)
+
+
 def test_kept_worker_is_the_emptiest_and_takes_urgent_work_only():
-    fleet = make_fleet(make_worker("w1"), make_worker("w2"), make_worker("w3"))
+    fleet = make_busy_fleet(0, 2, 0, 8)
     fleet.keep_for_urgent("pool", 1)
-    batch = make_demand("b", count=3, accelerators=8, priority=2)
+    batch = make_demand("b", count=3, accelerators=2, priority=2)
     urgent = make_demand("u", accelerators=8, priority=0)
-    plan = make_plan(fleet, [batch])
-    assert sorted(p.worker for p in plan.starts[0].placements) == ["w1", "w2"]
-    plan = make_plan(fleet, [urgent])
-    assert [p.worker for p in plan.starts[0].placements] == ["w3"]
+    assert places(make_plan(fleet, [batch])) == ["w1"]
+    assert places(make_plan(fleet, [urgent])) == ["w3"]
+
+
+@pytest.mark.parametrize("label,placed", [("rare", ["w0"]), ("", [])])
+def test_work_that_can_run_only_on_kept_workers_may(label, placed):
+    fleet = make_busy_fleet(8, 0, 0, labels=["rare"])
+    fleet.keep_for_urgent("pool", 1)
+    batch = make_demand("b", priority=2, required_label=label)
+    assert places(make_plan(fleet, [batch])) == placed
