--- a/chiveledge/platform/_front.py
+++ b/chiveledge/platform/_front.py
@@ -190,15 +190,14 @@
 
     async def _hand_on(self, request: web.BaseRequest) -> web.Response | None:
         """Return a peer's answer; None if none has it and nothing was done."""
-        limit = self._catalogue().limits.body_bytes
-        if (request.content_length or 0) > limit:
-            return _plain(413, f"send at most {limit} bytes")
+        body = await self._read_body(request)
+        if body is None:
+            return self._refuse_size()
         kept = {
             name: request.headers[name]
             for name in RELAYED_NAMES
             if name in request.headers
         }
-        body = await request.read()
         outcome = await self._relay.forward(
             request.method,
             request.path,
@@ -222,16 +221,25 @@
                 return None
         raise AssertionError("unreachable")
 
+    async def _read_body(self, request: web.BaseRequest) -> bytes | None:
+        """Return a request's body, or None if it is larger than operators allow."""
+        limit = self._catalogue().limits.body_bytes
+        if (request.content_length or 0) > limit:
+            return None
+        body = await request.read()
+        return body if len(body) <= limit else None
+
+    def _refuse_size(self) -> web.Response:
+        limit = self._catalogue().limits.body_bytes
+        return _plain(413, f"send at most {limit} bytes")
+
     async def _submit(
         self, request: web.BaseRequest, queue: Queue, workspace: str, job_id: str
     ) -> web.Response:
         began_s = self._clock.monotonic()
-        limit = self._catalogue().limits.body_bytes
-        if (request.content_length or 0) > limit:
-            return _plain(413, f"send at most {limit} bytes")
-        body = await request.read()
-        if len(body) > limit:
-            return _plain(413, f"send at most {limit} bytes")
+        body = await self._read_body(request)
+        if body is None:
+            return self._refuse_size()
         if self._out_of_touch:
             return self._refuse("the configuration is not confirmed")
         accepted_ms = int(self._clock.now().timestamp() * 1000)
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -320,3 +320,16 @@
     headers = AUTH | {"X-Deadline-Ms": "100"}
     assert (await front.call("POST", f"/q/{ID}", JOB, headers))[0] == 503
     assert front.table.find(f"inbox/{ID}") is None
+
+
+@pytest.mark.parametrize("age_s", [0.0, OUT_OF_TOUCH_S])
+async def test_body_beyond_the_limit_is_refused_without_its_length_too(front, age_s):
+    front.age_s = age_s
+    limits = front.catalogue.limits._replace(body_bytes=1000)
+    front.catalogue = front.catalogue._replace(limits=limits)
+
+    async def pieces():
+        for _ in range(20):
+            yield b"x" * 100
+
+    assert (await front.call("POST", f"/q/{ID}", pieces()))[0] == 413
