A tracked run's step is read from the run, not looked up again through its job

Found in the last read of the change: runs carry their step since plans were made cheap, and five places still looked it up by job and number, some of them for each run of each plan. Behaviour is the same.

--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -158,7 +158,7 @@
     """Return a run with what a stop would lose."""
     name = tracked.name
     job = jobs[name.job_id]
-    step = job.request.steps[name.step]
+    step = tracked.step
     group = f"{name.step_name}#" if step.gang else str(name)
     run = tracked.run
     ran_s = now_s - run.began_s if run.state is RunState.RUNNING else 0.0
@@ -195,7 +195,7 @@
     at_work: dict[str, list[tuple[bool, TaskName]]] = defaultdict(list)
     for link in links:
         for tracked in link.runs.values():
-            step = jobs[tracked.name.job_id].request.steps[tracked.name.step]
+            step = tracked.step
             if not step.lasting or not step.may_be_away:
                 continue
             if tracked.run.percent >= AT_WORK_PERCENT and not tracked.stopping:
--- a/chiveledge/coordinator/_settlement.py
+++ b/chiveledge/coordinator/_settlement.py
@@ -138,7 +138,7 @@
 
     def _has_to_leave(self, tracked: TrackedRun, leaves_s: float, now_s: float) -> bool:
         request = self._jobs[tracked.name.job_id].request
-        step = request.steps[tracked.name.step]
+        step = tracked.step
         if step.lasting:
             return True
         rate = tracked.percent_per_s
@@ -164,7 +164,7 @@
                 if rate is None or tracked.stopping or percent >= ALL_DONE_PERCENT:
                     continue
                 request = self._jobs[tracked.name.job_id].request
-                if request.steps[tracked.name.step].lasting:
+                if tracked.step.lasting:
                     continue
                 usual_s = self._run_times.usual_s(request)
                 usual = ALL_DONE_PERCENT / usual_s if usual_s else 0.0
@@ -173,7 +173,7 @@
 
     def _is_stalled(self, tracked: TrackedRun, now_s: float) -> bool:
         run = tracked.run
-        step = self._jobs[tracked.name.job_id].request.steps[tracked.name.step]
+        step = tracked.step
         return (
             run.state is RunState.RUNNING
             and not tracked.stopping
