Which route took a request is told from its ID and the logs alone

Cause: operators whose configuration has grown searched the file to learn which route had picked a request up, where. The submit line named the queue, but neither the routes that match too, nor the revision, nor the zone of the host. Now: a line front/routed for each job handed in, the failure domain in every line, and `chiveledge trace ID LOG...`, which tells route and reason, waits, runs, stops and what happened around them. Finding a route looks at the routes of its host alone; before, each request was compared with every route. Ruled out: explaining from the configuration as it is now, as it may have changed since the request.

--- a/chiveledge/cli/_main.py
+++ b/chiveledge/cli/_main.py
@@ -26,6 +26,7 @@
     result,
     status,
     timeline,
+    trace,
 )
 
 COMMANDS = {
@@ -44,6 +45,7 @@
     "hosts": hosts,
     "configuration": configuration,
     "timeline": timeline,
+    "trace": trace,
     "metrics": metrics,
 }
 
--- a/chiveledge/cli/_queries.py
+++ b/chiveledge/cli/_queries.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import fileinput
 import json as json_codec
+import sys
+from pathlib import Path
 
 from chiveledge.cli._client import (
+    EXIT_BAD_INPUT,
     EXIT_DONE,
     EXIT_NOT_DONE,
     Call,
@@ -17,6 +21,7 @@
     read_urls,
 )
 from chiveledge.events import EventRecord, merge_records
+from chiveledge.log_trace import describe, trace_job
 
 
 def status(
@@ -73,6 +78,27 @@
     return print_reply((answers or replies)[0], as_json=json)
 
 
+def trace(job_id: str, *logs: Path, json: bool = False) -> int:
+    """Tell a job's way from the logs of all hosts: its route and why, waits and runs.
+
+    :param job_id: the job
+    :param logs: log files of the processes; standard input if none is given
+    :param json: print its lines as JSON
+    """
+    for path in logs:
+        if not path.is_file():
+            print(f"{path}: no such file; name log files of the hosts", file=sys.stderr)
+            return EXIT_BAD_INPUT
+    with fileinput.input(logs or ("-",), encoding="utf-8", errors="replace") as texts:
+        found = trace_job(texts, job_id)
+    if json:
+        for line in found.lines:
+            print(json_codec.dumps(line._asdict()))
+    else:
+        print("\n".join(describe(found)))
+    return EXIT_DONE if found.lines else EXIT_NOT_DONE
+
+
 def configuration(*, url: str = "", token: str = "", json: bool = False) -> int:
     """Show the configuration in force and its revision.
 
--- a/chiveledge/decision_log.py
+++ b/chiveledge/decision_log.py
@@ -1,7 +1,8 @@
 """Structured log of decisions: one JSON object a line, bounded and never blocking.
 
-Fields that every line has: ``t`` (wall time), ``node``, ``part``, ``event`` and,
-where it concerns one job, ``id``. All others are the inputs and the outcome.
+Fields that every line has: ``t`` (wall time), ``node``, ``domain`` (its failure
+domain), ``part``, ``event`` and, where it concerns one job, ``id``. All others are the
+inputs and the outcome. `chiveledge.log_trace` reads them.
 """
 
 from __future__ import annotations
@@ -33,6 +34,8 @@
         Name of this process in all lines.
     clock : Clock
         Time of the lines and of the budget.
+    domain : str, optional
+        Failure domain of this process in all lines.
     descriptor : int, optional
         Where lines go; standard output by default.
     lines_per_second : int, optional
@@ -44,10 +47,12 @@
         node: str,
         clock: Clock,
         *,
+        domain: str = "",
         descriptor: int | None = None,
         lines_per_second: int = LINES_PER_SECOND,
     ) -> None:
         self._node = node
+        self._domain = domain
         self._clock = clock
         self._descriptor = sys.stdout.fileno() if descriptor is None else descriptor
         os.set_blocking(self._descriptor, False)
@@ -80,6 +85,7 @@
         line = {
             "t": self._clock.now().isoformat(timespec="milliseconds"),
             "node": self._node,
+            "domain": self._domain,
             "part": part,
             "event": event,
             **fields,
--- a/chiveledge/platform/_front.py
+++ b/chiveledge/platform/_front.py
@@ -30,7 +30,7 @@
 )
 from chiveledge.metrics import Metrics
 from chiveledge.platform._catalogue import decode_job
-from chiveledge.workload import Catalogue, Queue
+from chiveledge.workload import Catalogue, Queue, RouteMatch
 
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 DEADLINE_HEADER = "X-Deadline-Ms"
@@ -168,9 +168,10 @@
         if catalogue.revision < max(self._shown_revision, _least_revision(request)):
             return self._refuse("a newer configuration was shown to callers")
         host = request.headers.get("Host", "").rpartition(":")
-        queue = catalogue.find_queue(host[0] or host[2], request.path)
-        if queue is None:
+        match = catalogue.find_route(host[0] or host[2], request.path)
+        if match is None:
             return _plain(404, "no such queue")
+        queue = match.queue
         workspace = "" if queue.open else _find_owner(request, catalogue)
         if workspace is None:
             return _plain(401, "unknown key")
@@ -181,6 +182,7 @@
             return _plain(404, "a job's ID is 16 hexadecimal digits")
         match request.method:
             case "POST":
+                self._note_route(rest, match, workspace)
                 return await self._submit(request, queue, workspace, rest)
             case "GET":
                 return await self._read(rest, workspace)
@@ -188,6 +190,20 @@
                 return await self._cancel(request, rest)
         return _plain(405, "use POST, GET or DELETE")
 
+    def _note_route(self, job_id: str, match: RouteMatch, workspace: str) -> None:
+        self._log.write(
+            "front",
+            "routed",
+            id=job_id,
+            queue=match.queue.key,
+            shorter=match.shorter,
+            service=match.queue.service,
+            priority=match.queue.priority,
+            workspace=workspace,
+            revision=self._catalogue().revision,
+            age_s=round(self._configuration_age_s(), 3),
+        )
+
     async def _hand_on(self, request: web.BaseRequest) -> web.Response | None:
         """Return a peer's answer; None if none has it and nothing was done."""
         body = await self._read_body(request)
--- a/chiveledge/workload/__init__.py
+++ b/chiveledge/workload/__init__.py
@@ -7,6 +7,7 @@
     Catalogue,
     EntryLimits,
     Queue,
+    RouteMatch,
     Service,
     Workspace,
 )
@@ -41,6 +42,7 @@
     "JobState",
     "OpenRun",
     "Queue",
+    "RouteMatch",
     "RunEnd",
     "RunState",
     "Service",
--- a/chiveledge/workload/_catalogue.py
+++ b/chiveledge/workload/_catalogue.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+from dataclasses import dataclass, field
+from functools import cached_property
 from typing import NamedTuple
 
 from chiveledge.types import Accelerators, Revision, WorkspaceName
@@ -79,7 +82,23 @@
     idle_s: float = 15.0
 
 
-class Catalogue(NamedTuple):
+class RouteMatch(NamedTuple):
+    """The queue that takes a request, and why it does.
+
+    Attributes
+    ----------
+    queue : Queue
+        The one with the longest prefix of the path at the host.
+    shorter : tuple of str
+        Keys of other queues whose prefixes match too.
+    """
+
+    queue: Queue
+    shorter: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Catalogue:
     """One version of the configuration, decoded once.
 
     Attributes
@@ -91,18 +110,39 @@
     """
 
     revision: Revision = 0
-    queues: dict[str, Queue] = {}
-    services: dict[str, Service] = {}
-    workspaces: dict[WorkspaceName, Workspace] = {}
-    owners: dict[str, WorkspaceName] = {}
+    queues: dict[str, Queue] = field(default_factory=dict)
+    services: dict[str, Service] = field(default_factory=dict)
+    workspaces: dict[WorkspaceName, Workspace] = field(default_factory=dict)
+    owners: dict[str, WorkspaceName] = field(default_factory=dict)
     limits: EntryLimits = EntryLimits()
 
-    def find_queue(self, host: str, path: str) -> Queue | None:
-        """Return the queue with the longest prefix of `path` at `host`."""
-        best = None
+    @cached_property
+    def _by_host(self) -> dict[str, list[Queue]]:
+        """Queues of each host, the longest prefix first."""
+        found: dict[str, list[Queue]] = defaultdict(list)
         for queue in self.queues.values():
-            if queue.host != host or not path.startswith(queue.path_prefix):
-                continue
-            if best is None or len(queue.path_prefix) > len(best.path_prefix):
-                best = queue
-        return best
+            found[queue.host].append(queue)
+        for queues in found.values():
+            queues.sort(key=lambda queue: len(queue.path_prefix), reverse=True)
+        return dict(found)
+
+    def find_route(self, host: str, path: str) -> RouteMatch | None:
+        """Return the queue with the longest prefix of `path` at `host`.
+
+        Examples
+        --------
+        >>> short = Queue("h/a/", "h", "/a/", "s")
+        >>> long = Queue("h/a/b/", "h", "/a/b/", "s")
+        >>> catalogue = Catalogue(queues={queue.key: queue for queue in (short, long)})
+        >>> match = catalogue.find_route("h", "/a/b/c")
+        >>> match.queue.key, match.shorter
+        ('h/a/b/', ('h/a/',))
+        """
+        found = [
+            queue
+            for queue in self._by_host.get(host, ())
+            if path.startswith(queue.path_prefix)
+        ]
+        if not found:
+            return None
+        return RouteMatch(found[0], tuple(queue.key for queue in found[1:]))
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -6,6 +6,7 @@
 import json
 import random
 from collections.abc import AsyncIterator
+from dataclasses import replace
 
 import aiohttp
 import pytest
@@ -212,8 +213,8 @@
 
 
 async def test_body_over_the_limit_is_refused(front):
-    front.catalogue = front.catalogue._replace(
-        limits=front.catalogue.limits._replace(body_bytes=100)
+    front.catalogue = replace(
+        front.catalogue, limits=front.catalogue.limits._replace(body_bytes=100)
     )
     assert (await front.call("POST", f"/q/{ID}", JOB))[0] == 413
 
@@ -294,7 +295,7 @@
 async def test_callers_never_meet_an_older_configuration_after_a_newer_one(front):
     """A peer's answer shows revision 9; the peer goes, and revision 7 is left."""
     peer = Front()
-    peer.catalogue = peer.catalogue._replace(revision=9)
+    peer.catalogue = replace(peer.catalogue, revision=9)
     front.age_s = OUT_OF_TOUCH_S
     async with serve(peer.handler.handle) as url:
         front.add_peer("n2", url)
@@ -302,13 +303,13 @@
     assert (await front.call("GET", "/q/"))[0] == 503
     front.age_s = 0.0
     assert (await front.call("GET", "/q/"))[0] == 503
-    front.catalogue = front.catalogue._replace(revision=9)
+    front.catalogue = replace(front.catalogue, revision=9)
     assert (await front.call("GET", "/q/"))[0] == 200
 
 
 async def test_peer_with_an_older_configuration_refuses(front):
     peer = Front()
-    peer.catalogue = peer.catalogue._replace(revision=6)
+    peer.catalogue = replace(peer.catalogue, revision=6)
     front.age_s = OUT_OF_TOUCH_S
     async with serve(peer.handler.handle) as url:
         front.add_peer("n2", url)
@@ -326,7 +327,7 @@
 async def test_body_beyond_the_limit_is_refused_without_its_length_too(front, age_s):
     front.age_s = age_s
     limits = front.catalogue.limits._replace(body_bytes=1000)
-    front.catalogue = front.catalogue._replace(limits=limits)
+    front.catalogue = replace(front.catalogue, limits=limits)
 
     async def pieces():
         for _ in range(20):
