A host's calls to the store do not grow with the fleet

Each followed the public rows of all jobs with a pause of 0.1 s, so each change woke each host; each standby read the lease every 0.4 s; each watch of the configuration waited 0.5 s whatever the bound on applying it was. Now: the state of an open job is read from the store when a caller asks, so the copy, which is left to counts, to ended jobs and to outages, gathers changes for a second. Standbys look at 30 a second in all, whatever their number, and some looks are followed at the moment at which the lease lapses, so that a takeover takes as long in a large fleet as in a small one. The watch of the configuration waits a fifth of the bound. Ruled out: counts kept in one row by the leader, as jobs accepted while nobody leads would be missing; a reader in each region that hands on, as callers of a frozen reader would see old states. Tests seen failing: takeover and looks at 6, 30 and 100 hosts; a state that is newer than the copy.

--- a/chiveledge/coordinator/_coordinator.py
+++ b/chiveledge/coordinator/_coordinator.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from chiveledge.coordinator._context import ReignContext
 from chiveledge.coordinator._reign import Reign
-from chiveledge.leadership import Leadership
+from chiveledge.leadership import Leadership, choose_look_period_s
 
 
 class Coordinator:
@@ -16,11 +18,19 @@
         All that a reign works with.
     leadership : Leadership
         This process's challenge.
+    count_hosts : callable, optional
+        Returns how many hosts challenge.
     """
 
-    def __init__(self, context: ReignContext, leadership: Leadership) -> None:
+    def __init__(
+        self,
+        context: ReignContext,
+        leadership: Leadership,
+        count_hosts: Callable[[], int] = lambda: 1,
+    ) -> None:
         self._context = context
         self._leadership = leadership
+        self._count_hosts = count_hosts
         self._reign: Reign | None = None
         self._stopping = False
 
@@ -34,7 +44,10 @@
         context = self._context
         while not self._stopping:
             if not await self._leadership.challenge():
-                await context.clock.sleep(context.timing.challenge_s)
+                period_s = choose_look_period_s(
+                    context.timing.challenge_s, self._count_hosts()
+                )
+                await context.clock.sleep(self._leadership.next_look_s(period_s))
                 continue
             context.log.write("leadership", "taken_over", epoch=self._leadership.epoch)
             self._reign = Reign(context, self._leadership)
--- a/chiveledge/intake/_desk.py
+++ b/chiveledge/intake/_desk.py
@@ -146,17 +146,21 @@
         raise AssertionError("unreachable")
 
     async def read(self, job_id: JobId) -> ReadOutcome:
-        """Return a job's public entry from the copy, else from the store."""
-        entry = self._board.find(job_id)
-        if entry is not None:
-            return entry
+        """Return a job's public entry.
+
+        The copy lags behind, so it answers for jobs that have ended; others are read
+        from the store, and from the copy if the store gives no answer.
+        """
+        copied = self._board.find(job_id)
+        if copied is not None and (copied.state.ended or self._is_silent()):
+            return copied
         match await self._table.read(board_key(job_id)):
             case Ok(None):
                 return NotFound()
             case Ok(row):
                 return decode_entry(row.value)
             case Err(error):
-                return UnknownOutcome(str(error))
+                return copied or UnknownOutcome(str(error))
         raise AssertionError("unreachable")
 
     async def cancel(self, job_id: JobId, patience_s: float) -> CancelOutcome:
--- a/chiveledge/intake/_peers.py
+++ b/chiveledge/intake/_peers.py
@@ -46,6 +46,10 @@
         self._own = own
         self._hosts: dict[str, PeerHost] = {}
 
+    def __len__(self) -> int:
+        """Return how many hosts told of themselves, this one too."""
+        return len(self._hosts)
+
     def on_rows(self, rows: Iterable[Row], deleted: Iterable[str], whole: bool) -> None:
         """Take changes in."""
         if whole:
--- a/chiveledge/leadership.py
+++ b/chiveledge/leadership.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import json
+import random
 import uuid
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
@@ -30,6 +31,9 @@
 from chiveledge.types import Epoch, ProcessName, RegionName
 
 LEASE_MARGIN_SHARE = 0.2
+LAPSE_MARGIN_S = 0.001
+"""Added to the time until a lease lapses, as timers may fire a little early."""
+
 STANDBY_DELAY_S = 0.15
 """Extra wait of a challenger for each place behind in the region's order."""
 
@@ -43,9 +47,21 @@
 
 FURTHEST_PLACES = 3
 
+STANDBY_LOOKS_PER_S = 30.0
+"""Looks of all standbys together in a second; each costs the store one reading."""
+
+SPREAD_SHARE = 0.5
+"""How far a standby's looks are spread around their period, so that many hosts that
+started together do not all look at the same moment."""
+
 log = PartLogger("leadership")
 
 
+FOLLOWED_SHARE = 1 / 3
+"""Share of looks at a new renewal that are followed when its lease lapses. Of a large
+fleet, some standby makes such a look soon after the last renewal of a lost leader."""
+
+
 class LeaseTiming(Protocol):
     """What leadership needs of the timing settings."""
 
@@ -98,6 +114,27 @@
     return rank
 
 
+def choose_look_period_s(shortest_s: float, hosts: int) -> float:
+    """Return the time between two looks of a standby at the lease.
+
+    Load answered: hundreds of standbys. All together look at a steady rate, so that
+    the first of them sees the last renewal as soon in a large fleet as in a small one.
+
+    Parameters
+    ----------
+    shortest_s : float
+        Period of a standby in a small fleet.
+    hosts : int
+        Hosts that look.
+
+    Examples
+    --------
+    >>> choose_look_period_s(0.4, 6), choose_look_period_s(0.4, 300)
+    (0.4, 10.0)
+    """
+    return max(shortest_s, hosts / STANDBY_LOOKS_PER_S)
+
+
 def leadership_key(region: RegionName) -> str:
     """Return the key of a region's leadership row."""
     return f"leadership/{region}/holder"
@@ -146,6 +183,8 @@
         self._timeline = timeline
         self._timing = timing
         self._rank = standby_rank
+        self._rng = random.Random(process)
+        self._looked_s = float("-inf")
         self._knows_holder = False
         self._epoch = 0
         self._fence: Check | None = None
@@ -178,6 +217,23 @@
         """Whether the lease allows outward effects now."""
         return self._epoch > 0 and self._clock.monotonic() < self._valid_until_s
 
+    def next_look_s(self, period_s: float) -> float:
+        """Return how long to wait before the next challenge.
+
+        Looks are spread around the period. One that met a renewal for the second time,
+        and some of those that met a new one, are followed at the very moment at which
+        the lease lapses.
+        """
+        pause_s = period_s * self._rng.uniform(1 - SPREAD_SHARE, 1 + SPREAD_SHARE)
+        if self._sighting is None:
+            return pause_s
+        stands = self._looked_s > self._sighting.since_s
+        if not stands and self._rng.random() >= FOLLOWED_SHARE:
+            return pause_s
+        now_s = self._clock.monotonic()
+        lapses_s = self._sighting.since_s + self._lapse_wait_s(self._sighting.version)
+        return max(0.0, min(pause_s, lapses_s - now_s)) + LAPSE_MARGIN_S
+
     def lose(self, why: str) -> None:
         """Give up the region, since another process has or may have it."""
         if self._epoch == 0:
@@ -254,13 +310,17 @@
 
     def _has_lapsed(self, renewal: Row | None, asked_s: float) -> bool:
         version = renewal.version if renewal else 0
+        self._looked_s = self._clock.monotonic()
         if self._sighting is None or version != self._sighting.version:
-            self._sighting = _Sighting(version, self._clock.monotonic())
-        wait_s = self._rank * STANDBY_DELAY_S
-        if renewal is not None:
-            wait_s += self._timing.leader_lease_s
+            self._sighting = _Sighting(version, self._looked_s)
+        wait_s = self._lapse_wait_s(version)
         return wait_s == 0.0 or asked_s - self._sighting.since_s >= wait_s
 
+    def _lapse_wait_s(self, version: int) -> float:
+        """Return how long a renewal has to stand still; version 0 is none at all."""
+        wait_s = self._rank * STANDBY_DELAY_S
+        return wait_s + self._timing.leader_lease_s if version else wait_s
+
     def _was_own(self, holder: Row | None) -> bool:
         """Whether an earlier life of this process held the lease; it is gone."""
         record = _decode(holder)
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -71,7 +71,16 @@
 WORK_LEASE_S = 6.0
 """Running work outlives the loss of all hosts for this long, if workers allow it."""
 
-BOARD_PAUSE_S = 0.1
+CONFIGURATION_WATCH_SHARE = 0.2
+"""Longest wait of a watch in parts of the bound on applying configurations: one mute
+watch, its margin and a reading after it fit before callers are sent elsewhere."""
+
+BOARD_WATCH_S = 1.0
+BOARD_PAUSE_S = 1.0
+"""Changes gather this long, so that a host wakes no oftener in a larger fleet. Both
+times, the margin of a mute watch and a reading stay below the age that counts of
+waiting jobs may have."""
+
 STOP_LISTENING_S = 3.0
 """Time until the balancer has surely seen that this process is not ready."""
 
@@ -92,7 +101,7 @@
     def __init__(self, settings: NodeSettings) -> None:
         self._settings = settings
         self._clock = SystemClock()
-        self._log = JsonLog(settings.node, self._clock)
+        self._log = JsonLog(settings.node, self._clock, domain=settings.zone)
         self._metrics = Metrics()
         self._catalogue = Catalogue()
         self._waves: dict[str, Wave] = {}
@@ -108,7 +117,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._draining.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        self._log.write("node", "start", zone=self._settings.zone, pid=os.getpid())
+        self._log.write("node", "start", pid=os.getpid())
         store = self._make_store()
         self._follow(store)
         handler = FrontHandler(
@@ -177,6 +186,7 @@
             self._clock,
             self._log,
             self._on_operators_rows,
+            wait_s=self._settings.bounds.config_apply_s * CONFIGURATION_WATCH_SHARE,
         )
         self._jobs = TableFollower(
             store,
@@ -184,6 +194,7 @@
             self._clock,
             self._log,
             self._board.on_rows,
+            wait_s=BOARD_WATCH_S,
             pause_s=BOARD_PAUSE_S,
         )
 
@@ -246,7 +257,7 @@
             timing,
             standby_rank=rank,
         )
-        return Coordinator(context, leadership)
+        return Coordinator(context, leadership, lambda: len(self._peers))
 
     def _make_advice(self) -> PlatformAdvice | None:
         if self._settings.advice is None:
--- /dev/null
+++ b/tests/coordinator/test_standby.py
@@ -0,0 +1,114 @@
+"""Standbys of a large fleet cost no more than those of a small one, and act as soon."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from chiveledge.clock import ManualClock
+from chiveledge.coordinator import Coordinator, CoordinatorTiming
+from chiveledge.coordinator import _coordinator as module
+from chiveledge.events import Timeline
+from chiveledge.leadership import FOLLOWED_SHARE, STANDBY_LOOKS_PER_S, Leadership
+from standins.table import MemoryTable
+
+STEP_S = 0.02
+SETTLE_S = 15.0
+OBSERVED_S = 10.0
+
+RANKS = 4
+TAKEOVER_BOUND_S = 2.0
+"""What the brief allows for a new leader, and the renewal that was just due."""
+
+
+class Reign:
+    """Renews and does nothing else."""
+
+    def __init__(self, context, leadership):
+        self._context = context
+        self._leadership = leadership
+
+    async def run(self):
+        while self._leadership.epoch:
+            await self._leadership.renew()
+            await self._context.clock.sleep(self._context.timing.renew_s)
+        return "lost"
+
+
+class Context:
+    def __init__(self, clock):
+        self.clock = clock
+        self.timing = CoordinatorTiming()
+        self.log = self
+
+    def write(self, *parts, **fields):
+        pass
+
+
+class CountingTable(MemoryTable):
+    """Counts readings."""
+
+    looks = 0
+
+    async def read(self, key):
+        self.looks += 1
+        return await super().read(key)
+
+
+class Fleet:
+    def __init__(self, hosts):
+        self.clock = ManualClock()
+        self.table = CountingTable(self.clock)
+        context = Context(self.clock)
+        self.holds = []
+        self.tasks = []
+        for number in range(hosts):
+            leadership = Leadership(
+                "all",
+                f"host-{number}",
+                self.table,
+                self.clock,
+                Timeline(f"host-{number}", self.clock),
+                context.timing,
+                standby_rank=number % RANKS,
+            )
+            coordinator = Coordinator(context, leadership, lambda: hosts)
+            self.holds.append(leadership)
+            self.tasks.append(asyncio.create_task(coordinator.run()))
+
+    async def advance(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            await self.clock.advance(STEP_S)
+
+    def leader(self):
+        valid = [number for number, hold in enumerate(self.holds) if hold.valid]
+        assert len(valid) <= 1
+        return valid[0] if valid else None
+
+    def kill(self, number):
+        self.tasks[number].cancel()
+        self.holds[number].lose("killed")
+
+
+@pytest.mark.parametrize("hosts", [6, 30, 100])
+async def test_takeover_and_looks_do_not_grow_with_the_fleet(monkeypatch, hosts):
+    monkeypatch.setattr(module, "Reign", Reign)
+    fleet = Fleet(hosts)
+    await fleet.advance(SETTLE_S)
+    before = fleet.table.looks
+    await fleet.advance(OBSERVED_S)
+    # A third of the looks is followed by one that does not wait for the period.
+    most = STANDBY_LOOKS_PER_S / (1 - FOLLOWED_SHARE) * OBSERVED_S
+    assert fleet.table.looks - before <= most
+    # The bound holds as long as a host of the best rank stands by.
+    for _ in range(min(5, (hosts - 1) // RANKS)):
+        first = fleet.leader()
+        fleet.kill(first)
+        killed_s = fleet.clock.monotonic()
+        while fleet.leader() is None:
+            await fleet.advance(STEP_S)
+            assert fleet.clock.monotonic() - killed_s <= TAKEOVER_BOUND_S
+        await fleet.advance(3.0)
+    for task in fleet.tasks:
+        task.cancel()
--- a/tests/intake/test_desk.py
+++ b/tests/intake/test_desk.py
@@ -6,9 +6,19 @@
 
 from chiveledge.clock import ManualClock
 from chiveledge.decision_log import SilentLog
-from chiveledge.intake import Accepted, JobBoard, JobDesk, NotStored, UnknownOutcome
+from chiveledge.intake import (
+    Accepted,
+    BoardEntry,
+    JobBoard,
+    JobDesk,
+    NotStored,
+    UnknownOutcome,
+    board_key,
+    encode_entry,
+)
+from chiveledge.services import Put, Transaction
 from chiveledge.services.health import ServiceHealth
-from chiveledge.workload import JobRequest, Step
+from chiveledge.workload import JobRequest, JobState, Step
 from standins.table import MemoryTable
 
 REQUEST = JobRequest("j", "q", "team", "text", (Step(),), 0)
@@ -19,8 +29,9 @@
         self.clock = ManualClock()
         self.table = MemoryTable(self.clock)
         self.silent = False
+        self.board = JobBoard()
         self.desk = JobDesk(
-            self.table, JobBoard(), self.clock, SilentLog(), lambda: self.silent
+            self.table, self.board, self.clock, SilentLog(), lambda: self.silent
         )
 
     async def submit(self, patience_s=3.0):
@@ -31,6 +42,37 @@
         return task.result(), self.clock.monotonic() - began_s
 
 
+def put_entry(table, state):
+    entry = BoardEntry("q", "team", state)
+    put = Put(board_key("j"), encode_entry(entry))
+    table.commit(Transaction("w", puts=(put,)))
+    return entry
+
+
+async def test_open_job_is_read_from_the_store_as_the_copy_lags():
+    desk = Desk()
+    put_entry(desk.table, JobState.RUNNING)
+    desk.board.on_rows(desk.table.find_all("board/"), (), True)
+    ended = put_entry(desk.table, JobState.COMPLETED)
+    assert await desk.desk.read("j") == ended
+
+
+async def test_copy_answers_for_ended_jobs_and_while_the_store_does_not():
+    desk = Desk()
+    running = put_entry(desk.table, JobState.RUNNING)
+    desk.board.on_rows(desk.table.find_all("board/"), (), True)
+    desk.table.faults.down = True
+    assert await desk.desk.read("j") == running
+    assert isinstance(await desk.desk.read("unknown"), UnknownOutcome)
+    desk.silent = True
+    assert await desk.desk.read("j") == running
+    ended = put_entry(desk.table, JobState.COMPLETED)
+    desk.board.on_rows(desk.table.find_all("board/"), (), True)
+    desk.silent = False
+    desk.table.read = None
+    assert await desk.desk.read("j") == ended
+
+
 async def test_silent_store_is_sent_nothing():
     desk = Desk()
     desk.silent = True
