Work leaves a worker that turned slow if its job is in time thereby

Now: a run on a slow worker is stopped if it would be late there and in time on a sound one that has room, gang and all. Also: the log said that runs taken over from an earlier leader had run since the start of the clock (ran_s of 74,576 s); it says null now. Tests seen failing: urgent work on a slow worker, alone and as a gang.

--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -61,6 +61,28 @@
     )
 
 
+class Deadline(NamedTuple):
+    """Seconds from now until a job is late, and until it is worth nothing."""
+
+    due_s: float
+    hopeless_s: float
+
+
+def find_deadline(
+    job: JobProgress,
+    occurrence: int,
+    policy: JobPolicy,
+    run_times: RunTimes,
+    now_ms: float,
+) -> Deadline:
+    """Return the time that is left to an occurrence of a job."""
+    chain_s = run_times.expect_chain_s(job.request)
+    objective_s = policy.stretch * chain_s + policy.target_s
+    began_ms = job.request.due_ms(occurrence) or job.request.accepted_ms
+    age_s = (now_ms - began_ms) / 1000
+    return Deadline(objective_s - age_s, WORTHLESS_OBJECTIVES * objective_s - age_s)
+
+
 def view_fleet(
     links: Iterable[WorkerLink],
     jobs: dict[str, JobProgress],
@@ -241,11 +263,8 @@
     )
     for job in open_jobs:
         policy = policies[job.job_id]
-        chain_s = run_times.expect_chain_s(job.request)
-        objective_s = policy.stretch * chain_s + policy.target_s
         for occurrence in job.due_occurrences(now_ms):
-            began_ms = job.request.due_ms(occurrence) or job.request.accepted_ms
-            age_s = (now_ms - began_ms) / 1000
+            deadline = find_deadline(job, occurrence, policy, run_times, now_ms)
             for number, step in enumerate(job.request.steps):
                 if not job.step_ready(occurrence, number):
                     continue
@@ -268,8 +287,8 @@
                         priority=policy.priority,
                         indices=indices,
                         guaranteed=job.job_id in guaranteed,
-                        due_s=objective_s - age_s,
-                        hopeless_s=WORTHLESS_OBJECTIVES * objective_s - age_s,
+                        due_s=deadline.due_s,
+                        hopeless_s=deadline.hopeless_s,
                         waited_s=waited_s,
                         near=_find_racks(progress, racks) if step.same_rack else NONE,
                         careful=careful,
--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -167,6 +167,18 @@
                 found.append((link, tracked))
         return found
 
+    def find_members(self, tracked: TrackedRun) -> Started:
+        """Return a run and, for a gang, the runs of its other members."""
+        rows = self.find_runs(self._jobs[tracked.name.job_id])
+        if not tracked.step.gang:
+            return [(link, run) for link, run in rows if run is tracked]
+        step, number = tracked.name[:3], tracked.run.number
+        return [
+            (link, member)
+            for link, member in rows
+            if member.name[:3] == step and member.run.number == number
+        ]
+
     async def _start(
         self, link: WorkerLink, tracked: TrackedRun, payload: str, checkpoint: str
     ) -> bool:
--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -14,6 +14,7 @@
 from chiveledge.coordinator._orders import OrderDesk
 from chiveledge.coordinator._runtimes import RunTimes
 from chiveledge.coordinator._settlement import Settlement
+from chiveledge.coordinator._stragglers import is_late_if_left
 from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
 from chiveledge.leadership import Leadership
 from chiveledge.placement import (
@@ -30,6 +31,7 @@
     make_plan,
     sort_demands,
 )
+from chiveledge.types import WorkerName
 from chiveledge.workload import JobProgress, OpenRun, TaskName, Usage
 
 PLAN_AGAIN_S = 0.25
@@ -130,11 +132,12 @@
             self._supervise(now_s)
         promised, claimed = self._review_claims(now_s)
         fleet = view_fleet(
+        slow = self._speeds.slow(now_s, len(self._links))
             self._links.values(),
             self._jobs,
             self._context.catalogue(),
             self._suspicion,
-            self._speeds.slow(now_s, len(self._links)),
+            slow,
             promised,
             now_s,
         )
@@ -155,6 +158,8 @@
             self._stop_for(claim, now_s)
 
     def note_admitted(self, job: JobProgress) -> None:
+        if slow:
+            self._leave_slow(fleet, slow, now_s)
         """A job was accepted lately."""
         policy = find_policy(job, self._context.catalogue())
         if policy.priority == URGENT_PRIORITY:
@@ -173,6 +178,31 @@
 
     def _supervise(self, now_s: float) -> None:
         """Look after what runs: stalls, slow workers and workers that leave."""
+    def _leave_slow(
+        self, fleet: FleetView, slow: set[WorkerName], now_s: float
+    ) -> None:
+        """Start work of slow workers anew where that makes its job be in time."""
+        now_ms = self._clock.now().timestamp() * 1000
+        for name in slow & self._links.keys():
+            for tracked in list(self._links[name].runs.values()):
+                if not is_late_if_left(
+                    tracked,
+                    self._jobs[tracked.name.job_id],
+                    self._context.catalogue(),
+                    self._run_times,
+                    self._speeds.spell_left_s(name, now_s),
+                    self._context.timing.stop_s,
+                    now_ms,
+                ):
+                    continue
+                members = self._orders.find_members(tracked)
+                if not fleet.has_sound_room(
+                    self._links[name].entry.service, tracked.step, len(members)
+                ):
+                    continue
+                for link, member in members:
+                    self._orders.stop(link, member, f"{name} is slow")
+
         self._settlement.stop_stalled(self._links, now_s)
         self._settlement.evacuate(self._links, now_s)
         paces = self._settlement.list_paces(self._links)
--- a/chiveledge/coordinator/_settlement.py
+++ b/chiveledge/coordinator/_settlement.py
@@ -11,12 +11,15 @@
 from chiveledge.coordinator._orders import OrderDesk
 from chiveledge.coordinator._runtimes import RunTimes
 from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
-from chiveledge.placement import RunPace, WorkerSuspicion, should_leave
+from chiveledge.placement import (
+    ALL_DONE_PERCENT,
+    RunPace,
+    WorkerSuspicion,
+    should_leave,
+)
 from chiveledge.services.task_worker import EndedTask, HoldReport, RunningTask
 from chiveledge.workload import JobProgress, JobState, RunEnd, RunState, TaskName
 
-ALL_DONE_PERCENT = 100
-
 
 class Settlement:
     """Settles reports of one reign.
@@ -218,7 +221,7 @@
             run=end.run,
             worker=link.name,
             how=end.how,
-            ran_s=round(self._clock.monotonic() - tracked.run.began_s, 3),
+            ran_s=tracked.ran_s(self._clock.monotonic()),
         )
         self._close(link, tracked, end.how, end.checkpoint)
 
@@ -261,7 +264,7 @@
                 task.failed_on = (*task.failed_on, link.name)
                 self._count_failure(job, tracked)
         if step.gang and how is not RunEnd.DONE and not task.done:
-            self._stop_members(job, tracked, how)
+            self._stop_members(tracked, how)
         self._finish(job)
 
     def _count_failure(self, job: JobProgress, tracked: TrackedRun) -> None:
@@ -282,12 +285,9 @@
             self._suspicion.forget_job(job.job_id)
             self._orders.end_job(job, JobState.FAILED, f"{name} failed too often")
 
-    def _stop_members(self, job: JobProgress, tracked: TrackedRun, how: RunEnd) -> None:
-        name = tracked.name
-        for link, other in self._orders.find_runs(job):
-            same_step = other.name[:3] == name[:3]
-            if same_step and other.run.number == tracked.run.number:
-                self._orders.stop(link, other, f"a member of its gang ended {how}")
+    def _stop_members(self, tracked: TrackedRun, how: RunEnd) -> None:
+        for link, other in self._orders.find_members(tracked):
+            self._orders.stop(link, other, f"a member of its gang ended {how}")
 
     def _finish(self, job: JobProgress) -> None:
         job.close_finished()
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -72,6 +72,10 @@
         """Remember how far the run has come."""
         self.marks.append((now_s, percent))
 
+    def ran_s(self, now_s: float) -> float | None:
+        """Return for how long it has run; None if an earlier leader started it."""
+        return None if self.adopted else round(now_s - self.run.began_s, 3)
+
     @property
     def percent_per_s(self) -> float | None:
         """Rate over the last looks; None if they span too little time."""
--- a/chiveledge/placement/__init__.py
+++ b/chiveledge/placement/__init__.py
@@ -19,11 +19,19 @@
 from chiveledge.placement._plan import Claim, Plan, make_plan
 from chiveledge.placement._preemption import choose_victims
 from chiveledge.placement._reserve import UrgentArrivals, count_kept
-from chiveledge.placement._speed import RunPace, WorkerSpeeds, estimate_speeds
+from chiveledge.placement._speed import (
+    ALL_DONE_PERCENT,
+    RunPace,
+    Straggler,
+    WorkerSpeeds,
+    estimate_speeds,
+    should_start_anew,
+)
 from chiveledge.placement._suspicion import WorkerSuspicion
 from chiveledge.placement._upkeep import choose_next, find_patience_s
 
 __all__ = [
+    "ALL_DONE_PERCENT",
     "URGENT_PRIORITY",
     "Claim",
     "FleetView",
@@ -32,6 +40,7 @@
     "RunPace",
     "RunView",
     "StepDemand",
+    "Straggler",
     "UrgentArrivals",
     "WorkerSpeeds",
     "WorkerSuspicion",
@@ -46,5 +55,6 @@
     "make_plan",
     "place_step",
     "should_leave",
+    "should_start_anew",
     "sort_demands",
 ]
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -172,6 +172,32 @@
                 holder.prices.clear()
 
     def candidates(self, demand: StepDemand) -> list[WorkerView]:
+    def has_sound_room(self, service: str, step: Step, count: int) -> bool:
+        """Whether so many tasks of a step fit now on workers that are not slow."""
+        usage = charged_usage(step)
+        label = step.required_label
+        return count <= sum(
+            usage.count_in(worker.free)
+            for worker in self._accepting[service]
+            if not worker.slow and (not label or label in worker.labels)
+        )
+
+    def expect_ends(self) -> None:
+        """Count room of runs that end by themselves as soon as a stop would end them.
+
+        Load answered: urgent jobs on a full fleet, of which a part ends at any moment.
+        Room that comes by itself costs nobody his work. A gang ends with its last
+        member.
+        """
+        for group, runs in self.groups.items():
+            if group in self.ending or not all(run.ending for run in runs):
+                continue
+            self.ending.add(group)
+            for run in runs:
+                worker = self.workers[run.worker]
+                worker.later = worker.later.plus(run.usage)
+                worker.prices.clear()
+
         """Return the workers on which a demand's tasks may run, full or not."""
         step = demand.step
         return [
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -81,6 +81,8 @@
         Starts that take effect without an answer, `late_s` later.
     hangs, fails : bool
         All runs stand still, or end as failed.
+    slow_x : float
+        All runs take this many times as long.
     """
 
     silent: bool = False
@@ -90,6 +92,7 @@
     late_s: float = 0.0
     hangs: bool = False
     fails: bool = False
+    slow_x: float = 1.0
     started: list[tuple[float, str, int]] = field(default_factory=list)
 
 
@@ -183,7 +186,7 @@
                 continue
             if self.faults.hangs or not self._gang_is_present(run):
                 continue
-            run.done_s += passed_s
+            run.done_s += passed_s / self.faults.slow_x
             if run.done_s >= run.task.work_s:
                 failed = run.task.fails or self.faults.fails
                 self._finish(key, RunEnd.FAILED if failed else RunEnd.DONE)
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -247,6 +247,52 @@
     cluster.tasks["l1"].ready_at_once = True
     await cluster.advance(1.5)
     urgent = Step(count=8, usage=SMALL)
+async def play_slow_worker(cluster, queue, step, work_s, slow_for_s=40.0):
+    """Hand a job in on three workers, of which one turns slow; return its end."""
+    await cluster.advance(0.5)
+    await cluster.submit("j1", step, queue=queue, work_s=work_s)
+    began_s = cluster.clock.monotonic()
+    await cluster.advance(0.8)
+    victim = cluster.starts("j1")[0][0]
+    for worker in cluster.workers.values():
+        if any(task == victim for task, _ in worker.runs):
+            worker.faults.slow_x = 8.0
+    slow_until_s = cluster.clock.monotonic() + slow_for_s
+    while cluster.state("j1") is not JobState.COMPLETED:
+        await cluster.advance(0.25)
+        assert cluster.clock.monotonic() - began_s < 40
+        if cluster.clock.monotonic() > slow_until_s:
+            for worker in cluster.workers.values():
+                worker.faults.slow_x = 1.0
+    return cluster.clock.monotonic() - began_s
+
+
+@pytest.mark.parametrize("gang", [False, True])
+async def test_urgent_work_leaves_a_slow_worker_and_is_in_time(make_cluster, gang):
+    cluster = make_cluster(workers=6)
+    whole = SMALL._replace(accelerators=8)
+    step = Step(count=3, usage=whole, gang=gang, estimate_s=2.5)
+    took_s = await play_slow_worker(cluster, "urgent", step, 2.5)
+    policy = cluster.catalogue.queues["urgent"]
+    assert took_s <= policy.stretch * 2.5 + policy.target_s
+    assert len(cluster.starts("j1")) == (6 if gang else 4)
+
+
+async def test_work_that_stays_in_time_on_a_slow_worker_is_not_stopped(make_cluster):
+    cluster = make_cluster(workers=6)
+    whole = SMALL._replace(accelerators=8)
+    step = Step(count=3, usage=whole, estimate_s=10.0)
+    await play_slow_worker(cluster, "batch", step, 10.0, slow_for_s=3.0)
+    assert len(cluster.starts("j1")) == 3
+
+
+async def test_work_stays_on_a_slow_worker_while_there_is_no_other(make_cluster):
+    cluster = make_cluster(workers=3)
+    step = Step(count=3, usage=SMALL._replace(accelerators=8), estimate_s=2.5)
+    await play_slow_worker(cluster, "urgent", step, 2.5)
+    assert len(cluster.starts("j1")) == 3
+
+
     await cluster.submit("u1", urgent, queue="urgent", work_s=3.0)
     await cluster.advance(2.0)
     assert len(cluster.starts("u1")) == stopped
