--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -9,6 +9,7 @@
 from chiveledge.coordinator._runtimes import RunTimes
 from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
 from chiveledge.placement import (
+    WORTHLESS_OBJECTIVES,
     FleetView,
     RunView,
     StepDemand,
@@ -16,7 +17,6 @@
     WorkerView,
     find_guaranteed_jobs,
 )
-from chiveledge.placement._order import WORTHLESS_OBJECTIVES
 from chiveledge.workload import (
     Catalogue,
     JobProgress,
--- a/chiveledge/coordinator/_reign.py
+++ b/chiveledge/coordinator/_reign.py
@@ -17,8 +17,12 @@
 from chiveledge.coordinator._upkeep import UpkeepDesk
 from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
 from chiveledge.coordinator._workers import LOOK_RETRY_S, WorkerDirectory
-from chiveledge.intake import TableFollower, is_cancel_key
-from chiveledge.intake._desk import CANCEL_SUFFIX, INBOX_PREFIX
+from chiveledge.intake import (
+    CANCEL_SUFFIX,
+    INBOX_PREFIX,
+    TableFollower,
+    is_cancel_key,
+)
 from chiveledge.leadership import Leadership
 from chiveledge.placement import WorkerSuspicion
 from chiveledge.services import Row
--- a/chiveledge/intake/__init__.py
+++ b/chiveledge/intake/__init__.py
@@ -4,6 +4,7 @@
 
 from chiveledge.intake._backoff import choose_retry_after_s
 from chiveledge.intake._board import (
+    BOARD_PREFIX,
     BoardEntry,
     JobBoard,
     board_key,
@@ -11,6 +12,8 @@
     encode_entry,
 )
 from chiveledge.intake._desk import (
+    CANCEL_SUFFIX,
+    INBOX_PREFIX,
     Accepted,
     CancelOutcome,
     JobDesk,
@@ -40,6 +43,9 @@
 )
 
 __all__ = [
+    "BOARD_PREFIX",
+    "CANCEL_SUFFIX",
+    "INBOX_PREFIX",
     "RELAYED_HEADER",
     "REVISION_HEADER",
     "Accepted",
--- a/chiveledge/placement/__init__.py
+++ b/chiveledge/placement/__init__.py
@@ -11,6 +11,7 @@
 )
 from chiveledge.placement._order import (
     URGENT_PRIORITY,
+    WORTHLESS_OBJECTIVES,
     StepDemand,
     find_guaranteed_jobs,
     sort_demands,
@@ -33,6 +34,7 @@
 __all__ = [
     "ALL_DONE_PERCENT",
     "URGENT_PRIORITY",
+    "WORTHLESS_OBJECTIVES",
     "Claim",
     "FleetView",
     "Placement",
--- a/chiveledge/platform/_advice.py
+++ b/chiveledge/platform/_advice.py
@@ -5,8 +5,7 @@
 from result import Err, Ok, Result
 
 from chiveledge.coordinator import Advice
-from chiveledge.services import CallError, HttpCaller, Unavailable, Unsettled
-from chiveledge.services._http import HttpReply
+from chiveledge.services import CallError, HttpCaller, HttpReply, Unavailable, Unsettled
 
 HTTP_OK = 200
 ASK_TIMEOUT_S = 4.0
--- a/chiveledge/platform/_machines.py
+++ b/chiveledge/platform/_machines.py
@@ -6,8 +6,7 @@
 
 from result import Err, Ok, Result
 
-from chiveledge.services import CallError, HttpCaller, Unavailable, Unsettled
-from chiveledge.services._http import HttpReply
+from chiveledge.services import CallError, HttpCaller, HttpReply, Unavailable, Unsettled
 from chiveledge.services.machines import (
     Machine,
     MachineState,
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -18,6 +18,7 @@
 from chiveledge.decision_log import JsonLog
 from chiveledge.events import Timeline
 from chiveledge.intake import (
+    BOARD_PREFIX,
     JobBoard,
     JobDesk,
     PeerDirectory,
@@ -26,7 +27,6 @@
     TableFollower,
     join_peers,
 )
-from chiveledge.intake._board import BOARD_PREFIX
 from chiveledge.leadership import Leadership, rank_candidate
 from chiveledge.metrics import Metrics
 from chiveledge.platform._advice import PlatformAdvice
--- a/chiveledge/platform/_store.py
+++ b/chiveledge/platform/_store.py
@@ -22,6 +22,7 @@
     Conflict,
     HistoryGone,
     HttpCaller,
+    HttpReply,
     Put,
     Row,
     Snapshot,
@@ -29,7 +30,6 @@
     Unavailable,
     Unsettled,
 )
-from chiveledge.services._http import HttpReply
 from chiveledge.services.health import ServiceHealth
 
 HTTP_OK = 200
--- a/chiveledge/platform/_workers.py
+++ b/chiveledge/platform/_workers.py
@@ -11,12 +11,12 @@
 from chiveledge.services import (
     CallError,
     HttpCaller,
+    HttpReply,
     Row,
     SessionPool,
     Unavailable,
     Unsettled,
 )
-from chiveledge.services._http import HttpReply
 from chiveledge.services.task_worker import (
     Declined,
     DeclineReason,
--- a/chiveledge/services/__init__.py
+++ b/chiveledge/services/__init__.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from chiveledge.services._http import HttpCaller, SessionPool
+from chiveledge.services._http import HttpCaller, HttpReply, SessionPool
 from chiveledge.services.errors import (
     CallError,
     Conflict,
@@ -72,6 +72,7 @@
     "HostRole",
     "HostState",
     "HttpCaller",
+    "HttpReply",
     "HttpHostList",
     "HttpMinion",
     "HttpObjectStore",
