Urgent jobs use room that comes by itself as soon as a stop would make it

Now: a run whose pace says that it ends within the time of a stop counts as room that a stop has made; a gang does so with its last member. A claim is decided anew after 1.5 s instead of 2.5 s, so that an end that fails to come leaves time for a stop within the time to reclaim a guarantee. Tests: room that comes by itself is waited for, is promised once, comes with the last member; a guaranteed job starts within 2.9 s though the end fails to come.

--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -90,6 +90,7 @@
     suspicion: WorkerSuspicion,
     slow: set[str],
     promised: dict[str, Usage],
+    stop_s: float,
     now_s: float,
 ) -> FleetView:
     """Return the workers with their free room and what runs there.
@@ -100,6 +101,9 @@
         Workers that run slowly now.
     promised : dict
         Room on each worker that is promised to tasks that wait for stops.
+    stop_s : float
+        Time that a stop takes at the most. A run that ends by itself within it makes
+        room as soon as one that is stopped, and loses nothing.
     """
     links = list(links)
     kept = find_kept_runs(links, jobs)
@@ -117,6 +121,7 @@
             link.name in probing,
             link.name in doubted,
             link.name in slow,
+            stop_s,
             now_s,
         )
         for link in links
@@ -144,6 +149,7 @@
     probing: bool,
     doubted: bool,
     slow: bool,
+    stop_s: float,
     now_s: float,
 ) -> WorkerView:
     free = link.entry.capacity.minus(link.used)
@@ -163,7 +169,9 @@
         serving=link.serving > 0,
         filling=link.filling > 0,
         list_runs=lambda: [
-            view_run(link, tracked, jobs, catalogue, tracked.name not in kept, now_s)
+            view_run(
+                link, tracked, jobs, catalogue, tracked.name not in kept, stop_s, now_s
+            )
             for tracked in link.runs.values()
         ],
     )
@@ -175,9 +183,10 @@
     jobs: dict[str, JobProgress],
     catalogue: Catalogue,
     movable: bool,
+    stop_s: float,
     now_s: float,
 ) -> RunView:
-    """Return a run with what a stop would lose."""
+    """Return a run with what a stop, which takes up to `stop_s`, would lose."""
     name = tracked.name
     job = jobs[name.job_id]
     step = tracked.step
@@ -197,6 +206,7 @@
             and not run.stop_wanted
             and run.state is RunState.RUNNING
         ),
+        ending=not tracked.stopping and tracked.ends_within(stop_s, now_s),
     )
 
 
--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -44,8 +44,9 @@
 """Longest such pause; it is as long as the last plan took, so that looks, renewals
 and orders get half of the processor at least."""
 
-CLAIM_PATIENCE_S = 2.5
-"""How long stopped work may take to make room before a claim is decided anew."""
+CLAIM_PATIENCE_S = 1.5
+"""How long stopped work may take to make room before a claim is decided anew: longer
+than a stop, and short enough for another one within the time to reclaim a guarantee."""
 
 
 class PendingClaim(NamedTuple):
@@ -131,14 +132,15 @@
             self._supervise_at_s = now_s + PLAN_AGAIN_S
             self._supervise(now_s)
         promised, claimed = self._review_claims(now_s)
-        fleet = view_fleet(
         slow = self._speeds.slow(now_s, len(self._links))
+        fleet = view_fleet(
             self._links.values(),
             self._jobs,
             self._context.catalogue(),
             self._suspicion,
             slow,
             promised,
+            self._context.timing.stop_s,
             now_s,
         )
         self._keep_for_urgent(fleet, now_s)
@@ -156,10 +158,10 @@
             self._begin(start.demand, start.placements)
         for claim in plan.claims:
             self._stop_for(claim, now_s)
-
-    def note_admitted(self, job: JobProgress) -> None:
         if slow:
             self._leave_slow(fleet, slow, now_s)
+
+    def note_admitted(self, job: JobProgress) -> None:
         """A job was accepted lately."""
         policy = find_policy(job, self._context.catalogue())
         if policy.priority == URGENT_PRIORITY:
@@ -176,8 +178,6 @@
                 count = count_kept(expected, largest, len(workers))
                 fleet.keep_for_urgent(service, count)
 
-    def _supervise(self, now_s: float) -> None:
-        """Look after what runs: stalls, slow workers and workers that leave."""
     def _leave_slow(
         self, fleet: FleetView, slow: set[WorkerName], now_s: float
     ) -> None:
@@ -203,6 +203,8 @@
                 for link, member in members:
                     self._orders.stop(link, member, f"{name} is slow")
 
+    def _supervise(self, now_s: float) -> None:
+        """Look after what runs: stalls, slow workers and workers that leave."""
         self._settlement.stop_stalled(self._links, now_s)
         self._settlement.evacuate(self._links, now_s)
         paces = self._settlement.list_paces(self._links)
--- a/chiveledge/coordinator/_upkeep.py
+++ b/chiveledge/coordinator/_upkeep.py
@@ -193,9 +193,10 @@
         if link is None:
             return 0.0
         catalogue = self._context.catalogue()
+        stop_s = self._context.timing.stop_s
         now_s = self._clock.monotonic()
         return sum(
-            view_run(link, tracked, self._jobs, catalogue, True, now_s).loss
+            view_run(link, tracked, self._jobs, catalogue, True, stop_s, now_s).loss
             for tracked in link.runs.values()
         )
 
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -6,7 +6,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from chiveledge.placement import charged_usage
+from chiveledge.placement import ALL_DONE_PERCENT, charged_usage
 from chiveledge.services.task_worker import TaskWorker, WorkerEntry
 from chiveledge.types import WorkerName
 from chiveledge.workload import OpenRun, Step, TaskName, TaskProgress, Usage
@@ -18,6 +18,10 @@
 RATE_SPAN_S = 0.4
 """Least time over which a rate is taken, as percents are whole numbers."""
 
+OVERDUE_S = 0.5
+"""How late a run may come to the end that its pace foretold: rounded percents, the
+length of a look and the way of its answer."""
+
 
 @dataclass(eq=False)
 class TrackedRun:
@@ -68,14 +72,14 @@
         """Task and number of the run."""
         return str(self.name), self.run.number
 
-    def note_percent(self, percent: int, now_s: float) -> None:
-        """Remember how far the run has come."""
-        self.marks.append((now_s, percent))
-
     def ran_s(self, now_s: float) -> float | None:
         """Return for how long it has run; None if an earlier leader started it."""
         return None if self.adopted else round(now_s - self.run.began_s, 3)
 
+    def note_percent(self, percent: int, now_s: float) -> None:
+        """Remember how far the run has come."""
+        self.marks.append((now_s, percent))
+
     @property
     def percent_per_s(self) -> float | None:
         """Rate over the last looks; None if they span too little time."""
@@ -87,6 +91,18 @@
                 return (newest - percent) / (newest_s - began_s)
         return None
 
+    def ends_within(self, span_s: float, now_s: float) -> bool:
+        """Whether it should come to its end by itself within a span.
+
+        One that should have ended already, and has not, is no longer counted on.
+        """
+        rate = self.percent_per_s
+        if not rate or self.step.lasting:
+            return False
+        newest_s, newest = self.marks[-1]
+        left_s = (ALL_DONE_PERCENT - newest) / rate - (now_s - newest_s)
+        return -OVERDUE_S <= left_s <= span_s
+
 
 @dataclass(eq=False)
 class WorkerLink:
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -29,6 +29,8 @@
         Work that a stop would lose, in seconds.
     movable : bool
         Whether it may be stopped to make room.
+    ending : bool
+        Whether it comes to its end by itself as soon as a stop would end it.
     """
 
     task: TaskName
@@ -38,6 +40,7 @@
     priority: int
     unsaved_s: float
     movable: bool = True
+    ending: bool = False
 
     @property
     def loss(self) -> float:
@@ -55,7 +58,8 @@
     free : Usage
         Room now: capacity less all that runs, is being stopped or is promised.
     later : Usage, optional
-        Room that is not promised once all that is being stopped has ended; at least
+        Room that is not promised once all that is being stopped has ended, and what
+        ends by itself meanwhile if `FleetView.expect_ends` was called; at least
         `free`, which it is by default.
     accepting : bool
         Whether new work may go there.
@@ -106,6 +110,11 @@
     ----------
     workers : iterable of WorkerView
         Every known worker.
+
+    Attributes
+    ----------
+    ending : set of str
+        Groups that end by themselves and whose room counts as free later.
     """
 
     def __init__(self, workers: Iterable[WorkerView]) -> None:
@@ -115,6 +124,7 @@
             if worker.accepting:
                 self._accepting[worker.service].append(worker)
         self._taken: Counter[tuple[str, WorkerName]] = Counter()
+        self.ending: set[str] = set()
         self._too_large: dict[tuple[str, str, bool], list[Usage]] = defaultdict(list)
 
     @cached_property
@@ -162,16 +172,6 @@
         too_large.append(usage)
         return False
 
-    def evict(self, groups: Iterable[str]) -> None:
-        """Give up groups of runs; what they hold is free once they have ended."""
-        for group in groups:
-            for run in self.groups.pop(group):
-                holder = self.workers[run.worker]
-                holder.later = holder.later.plus(run.usage)
-                holder.runs.remove(run)
-                holder.prices.clear()
-
-    def candidates(self, demand: StepDemand) -> list[WorkerView]:
     def has_sound_room(self, service: str, step: Step, count: int) -> bool:
         """Whether so many tasks of a step fit now on workers that are not slow."""
         usage = charged_usage(step)
@@ -198,6 +198,16 @@
                 worker.later = worker.later.plus(run.usage)
                 worker.prices.clear()
 
+    def evict(self, groups: Iterable[str]) -> None:
+        """Give up groups of runs; what they hold is free once they have ended."""
+        for group in groups:
+            for run in self.groups.pop(group):
+                holder = self.workers[run.worker]
+                holder.later = holder.later.plus(run.usage)
+                holder.runs.remove(run)
+                holder.prices.clear()
+
+    def candidates(self, demand: StepDemand) -> list[WorkerView]:
         """Return the workers on which a demand's tasks may run, full or not."""
         step = demand.step
         return [
--- a/chiveledge/placement/_plan.py
+++ b/chiveledge/placement/_plan.py
@@ -58,6 +58,7 @@
 
 
 def _make_claim(fleet: FleetView, demand: StepDemand) -> Claim | None:
+    fleet.expect_ends()
     eviction = choose_victims(fleet, demand)
     if eviction is None:
         return None
--- a/chiveledge/placement/_preemption.py
+++ b/chiveledge/placement/_preemption.py
@@ -131,7 +131,8 @@
         return sorted(rows, key=lambda row: (row[1], row[0]))
 
     def _is_weaker(self, run: RunView) -> bool:
-        return run.movable and run.priority > self._demand.priority
+        weaker = run.priority > self._demand.priority
+        return weaker and run.movable and run.group not in self._fleet.ending
 
     def _group_loss(self, group: str) -> float:
         return STOP_LOSS + sum(run.loss for run in self._fleet.groups[group])
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -12,6 +12,9 @@
 from chiveledge.workload import JobState, Step
 from tests.coordinator.cluster import SMALL, Cluster
 
+RECLAIM_BOUND_S = 2.9
+"""Time from the acceptance of a guaranteed job until all its tasks have begun."""
+
 
 @pytest.fixture
 async def make_cluster():
@@ -192,6 +195,38 @@
     assert cluster.state("u1") is JobState.COMPLETED
 
 
+async def fill_and_wait(cluster, work_s, until_s):
+    """Fill the only worker with a long task and wait."""
+    whole = SMALL._replace(accelerators=8)
+    await cluster.advance(0.5)
+    await cluster.submit("low", Step(usage=whole), queue="batch", work_s=work_s)
+    await cluster.advance(until_s)
+    assert len(cluster.starts("low")) == 1
+    return whole
+
+
+async def test_urgent_job_waits_for_work_that_is_about_to_end(make_cluster):
+    cluster = make_cluster(workers=1)
+    whole = await fill_and_wait(cluster, work_s=5.0, until_s=4.6)
+    await cluster.submit("u1", Step(usage=whole), queue="urgent", work_s=1.0)
+    await cluster.advance(3)
+    assert cluster.state("u1") is JobState.COMPLETED
+    assert cluster.state("low") is JobState.COMPLETED
+    assert len(cluster.starts("low")) == 1
+
+
+async def test_urgent_job_does_not_count_on_an_end_that_fails_to_come(make_cluster):
+    cluster = make_cluster(workers=1)
+    whole = await fill_and_wait(cluster, work_s=5.0, until_s=4.6)
+    cluster.workers["w0"].faults.slow_x = 100.0
+    handed_in_s = cluster.clock.monotonic()
+    await cluster.submit("u1", Step(usage=whole), queue="urgent", work_s=1.0)
+    while not cluster.starts("u1"):
+        await cluster.advance(0.05)
+        # The guarantee of the workspace covers the job.
+        assert cluster.clock.monotonic() - handed_in_s <= RECLAIM_BOUND_S
+
+
 async def test_gang_starts_whole_or_not(make_cluster):
     cluster = make_cluster(workers=2)
     await cluster.advance(0.5)
@@ -212,41 +247,6 @@
     assert cluster.state("j1") is JobState.COMPLETED
 
 
-async def test_draining_worker_gets_nothing(make_cluster):
-    cluster = make_cluster()
-    await cluster.advance(0.5)
-    cluster.list_worker(cluster.workers["w0"].entry._replace(draining=True))
-    await cluster.advance(0.2)
-    await cluster.submit("j1", Step(count=8, usage=SMALL))
-    await cluster.advance(4)
-    assert cluster.state("j1") is JobState.COMPLETED
-    assert not cluster.workers["w0"].faults.started
-
-
-async def test_worker_that_fails_everything_does_not_use_up_the_attempts(make_cluster):
-    cluster = make_cluster(workers=3)
-    await cluster.advance(0.5)
-    cluster.workers["w0"].faults.fails = True
-    await cluster.submit("j1", Step(count=12, usage=SMALL), work_s=0.5)
-    await cluster.advance(8)
-    assert cluster.state("j1") is JobState.COMPLETED
-    assert len(cluster.workers["w0"].faults.started) <= 8
-
-
-LASTING = Step(count=16, usage=SMALL, lasting=True)
-
-
-@pytest.mark.parametrize("may_be_away,stopped", [(0, 8), (2, 2)])
-async def test_urgent_job_interrupts_lasting_tasks_within_their_bound(
-    make_cluster, may_be_away, stopped
-):
-    cluster = make_cluster()
-    await cluster.advance(0.5)
-    step = LASTING._replace(may_be_away=may_be_away)
-    await cluster.submit("l1", step, queue="batch", work_s=1e9)
-    cluster.tasks["l1"].ready_at_once = True
-    await cluster.advance(1.5)
-    urgent = Step(count=8, usage=SMALL)
 async def play_slow_worker(cluster, queue, step, work_s, slow_for_s=40.0):
     """Hand a job in on three workers, of which one turns slow; return its end."""
     await cluster.advance(0.5)
@@ -293,6 +293,41 @@
     assert len(cluster.starts("j1")) == 3
 
 
+async def test_draining_worker_gets_nothing(make_cluster):
+    cluster = make_cluster()
+    await cluster.advance(0.5)
+    cluster.list_worker(cluster.workers["w0"].entry._replace(draining=True))
+    await cluster.advance(0.2)
+    await cluster.submit("j1", Step(count=8, usage=SMALL))
+    await cluster.advance(4)
+    assert cluster.state("j1") is JobState.COMPLETED
+    assert not cluster.workers["w0"].faults.started
+
+
+async def test_worker_that_fails_everything_does_not_use_up_the_attempts(make_cluster):
+    cluster = make_cluster(workers=3)
+    await cluster.advance(0.5)
+    cluster.workers["w0"].faults.fails = True
+    await cluster.submit("j1", Step(count=12, usage=SMALL), work_s=0.5)
+    await cluster.advance(8)
+    assert cluster.state("j1") is JobState.COMPLETED
+    assert len(cluster.workers["w0"].faults.started) <= 8
+
+
+LASTING = Step(count=16, usage=SMALL, lasting=True)
+
+
+@pytest.mark.parametrize("may_be_away,stopped", [(0, 8), (2, 2)])
+async def test_urgent_job_interrupts_lasting_tasks_within_their_bound(
+    make_cluster, may_be_away, stopped
+):
+    cluster = make_cluster()
+    await cluster.advance(0.5)
+    step = LASTING._replace(may_be_away=may_be_away)
+    await cluster.submit("l1", step, queue="batch", work_s=1e9)
+    cluster.tasks["l1"].ready_at_once = True
+    await cluster.advance(1.5)
+    urgent = Step(count=8, usage=SMALL)
     await cluster.submit("u1", urgent, queue="urgent", work_s=3.0)
     await cluster.advance(2.0)
     assert len(cluster.starts("u1")) == stopped
--- a/tests/placement/fleets.py
+++ b/tests/placement/fleets.py
@@ -37,6 +37,7 @@
     gang: bool = False,
     usage: Usage | None = None,
     movable: bool = True,
+    ending: bool = False,
 ) -> RunView:
     """Return a run; runs of one gang share the job and have unlike indices."""
     name = TaskName(job, 0, 0, index)
@@ -48,6 +49,7 @@
         priority,
         unsaved_s,
         movable,
+        ending,
     )
 
 
--- a/tests/placement/test_preemption.py
+++ b/tests/placement/test_preemption.py
@@ -36,6 +36,36 @@
     assert found.groups == {"one.0.0.0"}
 
 
+def test_room_that_comes_by_itself_is_waited_for():
+    fleet = make_fleet(
+        make_worker("w1", runs=[make_run("long", "w1", 8, unsaved_s=0.1)]),
+        make_worker("w2", runs=[make_run("over", "w2", 8, priority=0, ending=True)]),
+    )
+    plan = make_plan(fleet, [make_demand(priority=0, accelerators=8)])
+    assert not plan.starts
+    assert plan.claims[0].groups == frozenset()
+    assert [placement.worker for placement in plan.claims[0].placements] == ["w2"]
+
+
+def test_room_that_comes_by_itself_is_promised_once():
+    runs = [make_run("over", "w1", 8, ending=True)]
+    fleet = make_fleet(make_worker("w1", runs=runs))
+    demands = [make_demand(f"u{i}", priority=0, accelerators=8) for i in (1, 2)]
+    assert len(make_plan(fleet, demands).claims) == 1
+
+
+@pytest.mark.parametrize("ending", [1, 2])
+def test_gang_ends_with_its_last_member_and_makes_its_room_once(ending):
+    gang = [
+        make_run("g", "w1", 4, index=i, gang=True, ending=i < ending) for i in range(2)
+    ]
+    fleet = make_fleet(make_worker("w1", runs=gang))
+    demand = make_demand(count=3, priority=0, accelerators=4)
+    plan = make_plan(fleet, [demand])
+    assert len(plan.claims[0].placements) == 2
+    assert plan.claims[0].groups == (set() if ending == 2 else {"g.0.0#"})
+
+
 @pytest.mark.parametrize("options", [{"priority": 0}, {"movable": False}])
 def test_equal_or_fixed_work_is_never_stopped(options):
     run = make_run("a", "w1", 8, **options)
