Arriving jobs lie in parts of the store of their own

All rows lay in one part, whose transactions wait for each other: 360 ms each, three in a second, for 2.5 renewals, the leader's progress and eight hand-ins. Now: a request, its wanted cancel and the public row of its arrival lie in one of eight parts by the job's ID; the leader's own rows stay in the unnamed one, where a second public row takes the arrival's place. Keys of the table service may name a part, and all rows of a transaction share it; the stand-ins refuse others. When a job's rows are removed the request goes first, and a new leader removes what an earlier one left over. Ruled out: sending fewer renewals, as they are what keeps the leadership; public rows of the leader beside the arrivals, as they are written under the fence.

--- a/chiveledge/coordinator/_ledger.py
+++ b/chiveledge/coordinator/_ledger.py
@@ -16,6 +16,7 @@
 from chiveledge.decision_log import DecisionLog
 from chiveledge.intake import (
     BoardEntry,
+    arrival_key,
     board_key,
     cancel_key,
     encode_entry,
@@ -111,22 +112,29 @@
             while self._dirty:
                 await self._write_batch()
 
-    async def remove(self, job: JobProgress) -> bool:
-        """Delete all rows of a job that ended long ago; return whether they are."""
-        keys = (job_key, cancel_key, board_key, progress_key)
-        transaction = Transaction(
-            write_id=uuid.uuid4().hex,
-            checks=(self._leadership.fence,),
-            deletes=tuple(make_key(job.job_id) for make_key in keys),
+    async def remove(self, job_id: JobId) -> bool:
+        """Delete all rows of a job that ended long ago; return whether they are.
+
+        What arrived goes first: progress that is left over starts nothing, but a
+        request without its progress would run again.
+        """
+        arrived = (job_key(job_id), cancel_key(job_id), arrival_key(job_id))
+        kept = (board_key(job_id), progress_key(job_id))
+        removed = await self._delete(job_id, arrived, ()) and await self._delete(
+            job_id, kept, (self._leadership.fence,)
         )
+        if removed:
+            self._posted.pop(job_id, None)
+        return removed
+
+    async def _delete(
+        self, job_id: JobId, keys: tuple[str, ...], checks: tuple[Check, ...]
+    ) -> bool:
+        transaction = Transaction(uuid.uuid4().hex, checks=checks, deletes=keys)
         result = await self._table.transact(transaction)
         if result.is_err():
-            self._log.write(
-                "ledger", "not_removed", id=job.job_id, error=str(result.err())
-            )
-            return False
-        self._posted.pop(job.job_id, None)
-        return True
+            self._log.write("ledger", "not_removed", id=job_id, error=str(result.err()))
+        return result.is_ok()
 
     async def _write_batch(self) -> None:
         batch: list[JobProgress] = []
--- a/chiveledge/coordinator/_reign.py
+++ b/chiveledge/coordinator/_reign.py
@@ -25,7 +25,7 @@
 )
 from chiveledge.leadership import Leadership
 from chiveledge.placement import WorkerSuspicion
-from chiveledge.services import Row
+from chiveledge.services import Row, name_of
 from chiveledge.workload import (
     JobProgress,
     JobState,
@@ -217,7 +217,7 @@
         self, rows: Iterable[Row], deleted: Iterable[str], whole: bool
     ) -> None:
         for row in rows:
-            job_id = row.key.removeprefix(INBOX_PREFIX)
+            job_id = name_of(row.key)
             if is_cancel_key(row.key):
                 self._want_cancel(job_id.removesuffix(CANCEL_SUFFIX))
             elif job_id not in self.jobs and job_id not in self._removed:
@@ -277,9 +277,14 @@
                 if now_s - removed_s < READING_S
             }
             for job in list(self.jobs.values()):
-                if self._is_outdated(job) and await self._ledger.remove(job):
+                if self._is_outdated(job) and await self._ledger.remove(job.job_id):
                     self._removed[job.job_id] = self._clock.monotonic()
                     del self.jobs[job.job_id]
+            for job_id in list(self._stored):
+                # An earlier leader removed the request and ended before the rest.
+                if await self._ledger.remove(job_id):
+                    self._removed[job_id] = self._clock.monotonic()
+                    del self._stored[job_id]
 
     def _is_outdated(self, job: JobProgress) -> bool:
         now_ms = self._clock.now().timestamp() * 1000
--- a/chiveledge/intake/_desk.py
+++ b/chiveledge/intake/_desk.py
@@ -17,9 +17,11 @@
 from chiveledge.intake._board import (
     BoardEntry,
     JobBoard,
+    arrival_key,
     board_key,
     decode_entry,
     encode_entry,
+    spread_job,
 )
 from chiveledge.services import (
     Check,
@@ -30,13 +32,15 @@
     Transaction,
     Unavailable,
     Unsettled,
+    key_in_part,
     transact_hedged,
 )
 from chiveledge.services.table import ABSENT
 from chiveledge.types import JobId
 from chiveledge.workload import JobRequest, JobState, encode_request
 
-INBOX_PREFIX = "inbox/"
+INBOX_TABLE = "inbox"
+INBOX_PREFIX = f"{INBOX_TABLE}/"
 CANCEL_SUFFIX = "~cancel"
 RETRY_S = 0.1
 
@@ -70,12 +74,13 @@
 
 def job_key(job_id: JobId) -> str:
     """Return the key of the row that keeps a job's request."""
-    return INBOX_PREFIX + job_id
+    return key_in_part(INBOX_TABLE, spread_job(job_id), job_id)
 
 
 def cancel_key(job_id: JobId) -> str:
     """Return the key of the row that asks for a job to be cancelled."""
-    return INBOX_PREFIX + job_id + CANCEL_SUFFIX
+    name = job_id + CANCEL_SUFFIX
+    return key_in_part(INBOX_TABLE, spread_job(job_id), name)
 
 
 def is_cancel_key(key: str) -> bool:
@@ -154,14 +159,15 @@
         copied = self._board.find(job_id)
         if copied is not None and (copied.state.ended or self._is_silent()):
             return copied
-        match await self._table.read(board_key(job_id)):
-            case Ok(None):
-                return NotFound()
-            case Ok(row):
-                return decode_entry(row.value)
-            case Err(error):
-                return copied or UnknownOutcome(str(error))
-        raise AssertionError("unreachable")
+        for key in (board_key(job_id), arrival_key(job_id)):
+            match await self._table.read(key):
+                case Ok(None):
+                    pass
+                case Ok(row):
+                    return decode_entry(row.value)
+                case Err(error):
+                    return copied or UnknownOutcome(str(error))
+        return NotFound()
 
     async def cancel(self, job_id: JobId, patience_s: float) -> CancelOutcome:
         """Ask for a job to be cancelled; it is, once this is stored."""
@@ -220,6 +226,6 @@
         checks=(Check(job_key(request.job_id), ABSENT),),
         puts=(
             Put(job_key(request.job_id), encode_request(request)),
-            Put(board_key(request.job_id), encode_entry(entry)),
+            Put(arrival_key(request.job_id), encode_entry(entry)),
         ),
     )
--- a/chiveledge/platform/_store.py
+++ b/chiveledge/platform/_store.py
@@ -1,7 +1,7 @@
 """The platform's store as the product's table service.
 
-A product key is the platform's table, a slash and the platform's key. All rows lie
-in the unnamed part, since a transaction spans one part. A value carries the
+A product key is the platform's table, a slash and the platform's key, before which a
+numbered part is named; all other rows lie in the unnamed part. A value carries the
 transaction's write ID before the text, so that a write without an answer can be
 recognised.
 """
@@ -29,6 +29,9 @@
     Transaction,
     Unavailable,
     Unsettled,
+    key_in_part,
+    name_of,
+    part_of,
 )
 from chiveledge.services.health import ServiceHealth
 
@@ -39,9 +42,15 @@
 STATUS_TABLE = "status"
 """Rows that operators read."""
 
+UNPARTED_TABLES = frozenset({"op", "servers", STATUS_TABLE})
+"""Tables that the platform itself defines; their rows lie in the unnamed part."""
+
 PAGE_ROWS = 500
 """Most rows that a reading returns."""
 
+PAGE_PARTS = 1000
+"""Parts that a full page of their list holds."""
+
 CALL_TIMEOUT_S = 0.8
 WATCH_MARGIN_S = 0.6
 """Time beyond its wait after which a watch counts as silent."""
@@ -73,8 +82,9 @@
 
     async def read(self, key: str) -> Result[Row | None, CallError]:
         """Return a row, or None where there is none."""
-        table, name = _split(key)
-        params = {"table": table, "part": "", "from": name, "limit": "1"}
+        address = _address(key)
+        params = {"from": address["key"], "limit": "1"}
+        params |= {"table": address["table"], "part": address["part"]}
         match await self._page(params):
             case Ok(body):
                 rows = _decode_rows(body["rows"])
@@ -89,33 +99,69 @@
 
     async def snapshot(self, prefix: str) -> Result[Snapshot, CallError]:
         """Return all rows under a prefix, and the version to watch from."""
-        table, start = _split(prefix)
+        match await self._read_part(prefix, ""):
+            case Ok(first):
+                pass
+            case Err(error):
+                return Err(error)
+        match await self._list_parts(prefix.partition("/")[0]):
+            case Ok(parts):
+                pass
+            case Err(error):
+                return Err(error)
+        rows = list(first.rows)
+        for part in parts:
+            match await self._read_part(prefix, part):
+                case Ok(found):
+                    rows += found.rows
+                case Err(error):
+                    return Err(error)
+        # Later readings are newer: watching from the first one misses nothing.
+        return Ok(Snapshot(tuple(rows), first.version))
+
+    async def _read_part(self, prefix: str, part: str) -> Result[Snapshot, CallError]:
+        """Return the rows under a prefix that lie in one part."""
         rows: list[Row] = []
         version: int | None = None
-        params = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
-        if start:
-            params["from"] = start
+        params = {"table": prefix.partition("/")[0], "part": part}
+        params |= {"limit": str(PAGE_ROWS)}
         while True:
             match await self._page(params):
                 case Ok(body):
                     pass
                 case Err(error):
                     return Err(error)
-            # Later pages are newer: watching from the first one misses nothing.
             version = body["ver"] if version is None else version
             page = _decode_rows(body["rows"])
             rows += [row for row in page if row.key.startswith(prefix)]
             if not body.get("has_more") or not page:
                 return Ok(Snapshot(tuple(rows), version))
-            params["from"] = _split(page[-1].key)[1] + "\0"
+            params["from"] = name_of(page[-1].key) + "\0"
+
+    async def _list_parts(self, table: str) -> Result[list[str], CallError]:
+        """Return the named parts of a table of the product."""
+        parts: list[str] = []
+        if table in UNPARTED_TABLES:
+            return Ok(parts)
+        params = {"table": table}
+        while True:
+            match await self._get("/rows-parts", params):
+                case Ok(body):
+                    pass
+                case Err(error):
+                    return Err(error)
+            page = body["parts"]
+            parts += [part for part in page if part]
+            if len(page) < PAGE_PARTS:
+                return Ok(parts)
+            params["after"] = page[-1]
 
     async def watch(
         self, prefix: str, version: int, wait_s: float
     ) -> Result[Changes, CallError | HistoryGone]:
         """Wait for changes of a table after a version."""
-        table, _ = _split(prefix)
         params = {
-            "table": table,
+            "table": prefix.partition("/")[0],
             "after": str(version),
             "wait_ms": str(int(wait_s * 1000)),
         }
@@ -180,8 +226,11 @@
         return reply
 
     async def _page(self, params: dict[str, str]) -> Result[dict, CallError]:
+        return await self._get("/rows-get", params)
+
+    async def _get(self, path: str, params: dict[str, str]) -> Result[dict, CallError]:
         reply = await self._call(
-            self._caller, "GET", "/rows-get", CALL_TIMEOUT_S, params=params
+            self._caller, "GET", path, CALL_TIMEOUT_S, params=params
         )
         match reply:
             case Ok(HttpReply(status=status, body=body)) if status == HTTP_OK:
@@ -193,17 +242,17 @@
         raise AssertionError("unreachable")
 
 
-def _split(key: str) -> tuple[str, str]:
-    table, _, name = key.partition("/")
-    return table, name
-
-
-def _address(key: str) -> dict[str, object]:
-    table, name = _split(key)
-    return {"table": table, "part": "", "key": name}
+def _address(key: str) -> dict[str, str]:
+    table = key.partition("/")[0]
+    if table in UNPARTED_TABLES:
+        return {"table": table, "part": "", "key": key.partition("/")[2]}
+    return {"table": table, "part": part_of(key), "key": name_of(key)}
 
 
 def _key_of(row: dict) -> str:
+    part = row.get("part") or ""
+    if part.isdecimal():
+        return key_in_part(row["table"], int(part), row["key"])
     return f"{row['table']}/{row['key']}"
 
 
--- a/chiveledge/services/__init__.py
+++ b/chiveledge/services/__init__.py
@@ -45,6 +45,9 @@
     Transaction,
     WatchedTable,
     commit_settled,
+    key_in_part,
+    name_of,
+    part_of,
 )
 from chiveledge.services.worker import (
     AttemptOrder,
@@ -72,10 +75,10 @@
     "HostRole",
     "HostState",
     "HttpCaller",
-    "HttpReply",
     "HttpHostList",
     "HttpMinion",
     "HttpObjectStore",
+    "HttpReply",
     "HttpTable",
     "HttpWorker",
     "MemberPlacement",
@@ -103,5 +106,8 @@
     "Worker",
     "WorkerReport",
     "commit_settled",
+    "key_in_part",
+    "name_of",
+    "part_of",
     "transact_hedged",
 ]
--- a/chiveledge/services/table.py
+++ b/chiveledge/services/table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple, Protocol
 
 from result import Err, Ok, Result
@@ -25,6 +26,45 @@
 MAX_OPERATIONS = 500
 
 
+_PART = re.compile(r"[a-z]+/(\d+):")
+"""How a key names the part of its table; all other rows are in one part."""
+
+
+def key_in_part(table: str, part: int, name: str) -> str:
+    """Return the key of a row in a numbered part of a table.
+
+    Examples
+    --------
+    >>> key_in_part("inbox", 3, "00c0ffee")
+    'inbox/3:00c0ffee'
+    """
+    return f"{table}/{part}:{name}"
+
+
+def part_of(key: str) -> str:
+    """Return the part that a row is in, empty for rows of no numbered part.
+
+    Examples
+    --------
+    >>> part_of("inbox/3:00c0ffee"), part_of("progress/00c0ffee")
+    ('3', '')
+    """
+    match = _PART.match(key)
+    return match.group(1) if match else ""
+
+
+def name_of(key: str) -> str:
+    """Return a row's name within its table and part.
+
+    Examples
+    --------
+    >>> name_of("inbox/3:00c0ffee"), name_of("progress/00c0ffee")
+    ('00c0ffee', '00c0ffee')
+    """
+    match = _PART.match(key)
+    return key[match.end() :] if match else key.partition("/")[2]
+
+
 class Row(NamedTuple):
     """One row: its key, its version (1 or more) and its text value."""
 
@@ -51,6 +91,9 @@
 class Transaction(NamedTuple):
     """Checks and writes that take effect together or not at all.
 
+    All its rows lie in one part. A service does the transactions of one part one after
+    another, and those of different parts side by side.
+
     Attributes
     ----------
     write_id : str
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -21,6 +21,9 @@
     Put,
     Transaction,
     Unavailable,
+    key_in_part,
+    name_of,
+    part_of,
 )
 from chiveledge.services.task_worker import (
     Declined,
@@ -45,6 +48,7 @@
 MAX_ENTRIES = 100
 READ_ONLY_TABLES = ("op", "servers")
 PAGE_ROWS = 500
+PAGE_PARTS = 1000
 
 
 class StoreStandIn:
@@ -69,6 +73,7 @@
         app = web.Application(client_max_size=2 << 20)
         app.router.add_post("/rows-tx", self._transact)
         app.router.add_get("/rows-get", self._get)
+        app.router.add_get("/rows-parts", self._parts)
         app.router.add_get("/rows-feed", self._feed)
         return app
 
@@ -104,11 +109,25 @@
                 return _fail(request, error)
             case Ok(snapshot):
                 pass
-        names = [row.key.removeprefix(prefix) for row in snapshot.rows]
-        names = [n for n in names if n >= first and (last is None or n < last)]
-        rows = [self._row(prefix + name) for name in names[:limit]]
+        keys = {
+            name_of(row.key): row.key
+            for row in snapshot.rows
+            if part_of(row.key) == query.get("part", "")
+        }
+        names = [n for n in sorted(keys) if n >= first and (last is None or n < last)]
+        rows = [self._row(keys[name]) for name in names[:limit]]
         return self._answer({"rows": rows, "has_more": len(names) > limit})
 
+    async def _parts(self, request: web.Request) -> web.Response:
+        match await self.table.snapshot(f"{request.query['table']}/"):
+            case Err(error):
+                return _fail(request, error)
+            case Ok(snapshot):
+                parts = sorted({part_of(row.key) for row in snapshot.rows})
+        after = request.query.get("after", "")
+        parts = [part for part in parts if not after or part > after]
+        return self._answer({"parts": parts[:PAGE_PARTS]})
+
     async def _feed(self, request: web.Request) -> web.Response:
         query = request.query
         prefix = f"{query['table']}/"
@@ -128,11 +147,10 @@
         row = self.table.rows.get(key)
         if row is None:
             return None
-        table, _, name = key.partition("/")
         return {
-            "table": table,
-            "part": "",
-            "key": name,
+            "table": _table(key),
+            "part": part_of(key),
+            "key": name_of(key),
             "value": row.value,
             "ver": row.version,
         }
@@ -251,6 +269,8 @@
 
 
 def _key(row: dict) -> str:
+    if row["part"]:
+        return key_in_part(row["table"], int(row["part"]), row["key"])
     return f"{row['table']}/{row['key']}"
 
 
@@ -259,8 +279,8 @@
 
 
 def _deleted(key: str, version: int) -> dict[str, object]:
-    table, _, name = key.partition("/")
-    return {"table": table, "part": "", "key": name, "ver": version, "deleted": True}
+    row = {"table": _table(key), "part": part_of(key), "key": name_of(key)}
+    return row | {"ver": version, "deleted": True}
 
 
 async def advance_workers(workers: list[MemoryTaskWorker]) -> None:
--- a/standins/table.py
+++ b/standins/table.py
@@ -19,7 +19,9 @@
     Row,
     Snapshot,
     Transaction,
+    Unavailable,
     Unsettled,
+    part_of,
 )
 from standins.faults import Faults, make_app
 
@@ -126,6 +128,9 @@
         return found
 
     def commit(self, transaction: Transaction) -> Result[int, CallError]:
+        keys = [row[0] for row in (*transaction.checks, *transaction.puts)]
+        if len({part_of(key) for key in (*keys, *transaction.deletes)}) > 1:
+            return Err(Unavailable("a transaction's rows lie in one part"))
         failed = [
             check.key
             for check in transaction.checks
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -7,8 +7,8 @@
 
 from chiveledge.coordinator import CoordinatorTiming
 from chiveledge.coordinator._reign import CLEAN_EVERY_S
-from chiveledge.intake import Accepted
-from chiveledge.services import Unavailable, Unsettled
+from chiveledge.intake import Accepted, arrival_key, cancel_key, job_key
+from chiveledge.services import Transaction, Unavailable, Unsettled
 from chiveledge.workload import JobState, Step
 from tests.coordinator.cluster import SMALL, Cluster
 
@@ -481,3 +481,18 @@
     await cluster.advance(2.5)
     assert not worker.runs
     assert sum(len(w.runs) for w in cluster.workers.values()) == 2
+
+
+async def test_leader_that_ends_between_two_removals_leaves_nothing(make_cluster):
+    cluster = make_cluster(timing=CoordinatorTiming(keep_ended_s=0.5))
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(usage=SMALL), work_s=0.5)
+    await cluster.advance(1.5)
+    # The request is gone and its progress is not: that leader was killed then.
+    arrived = (job_key("j1"), cancel_key("j1"), arrival_key("j1"))
+    cluster.table.commit(Transaction("w", deletes=arrived))
+    await cluster.restart(0)
+    await cluster.advance(CLEAN_EVERY_S + 3)
+    assert len(cluster.starts("j1")) == 1
+    assert not cluster.table.find_all("progress/")
+    assert not cluster.table.find_all("board/")
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -21,6 +21,7 @@
     PeerHost,
     Relay,
     TableFollower,
+    job_key,
     make_host_put,
 )
 from chiveledge.metrics import Metrics
@@ -246,8 +247,8 @@
         front.age_s = OUT_OF_TOUCH_S
         front.add_peer("n2", url)
         assert (await front.call("POST", f"/q/{ID}", JOB))[0] == 200
-        assert peer.table.find(f"inbox/{ID}") is not None
-        assert front.table.find(f"inbox/{ID}") is None
+        assert peer.table.find(job_key(ID)) is not None
+        assert front.table.find(job_key(ID)) is None
         assert (await front.call("GET", f"/q/{ID}"))[1] == {"state": "queued"}
         assert (await front.call("DELETE", f"/q/{ID}"))[0] == 200
 
@@ -314,13 +315,13 @@
     async with serve(peer.handler.handle) as url:
         front.add_peer("n2", url)
         assert (await front.call("POST", f"/q/{ID}", JOB))[0] == 503
-    assert peer.table.find(f"inbox/{ID}") is None
+    assert peer.table.find(job_key(ID)) is None
 
 
 async def test_caller_without_time_left_is_refused_as_not_stored(front):
     headers = AUTH | {"X-Deadline-Ms": "100"}
     assert (await front.call("POST", f"/q/{ID}", JOB, headers))[0] == 503
-    assert front.table.find(f"inbox/{ID}") is None
+    assert front.table.find(job_key(ID)) is None
 
 
 @pytest.mark.parametrize("age_s", [0.0, OUT_OF_TOUCH_S])
