A plan views only the workers that changed anew

Now: views are kept and used again where all that they depend on is as it was; what a plan did to them is forgotten first. The view of workers has a module of its own, as `_demands` had grown to hold two matters. Ruled out: skipping arithmetic where nothing is stopped or promised, a third at best.

--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -10,7 +10,8 @@
 from chiveledge.clock import run_with_timeout
 from chiveledge.coordinator._advice import AdviceBook, Candidate
 from chiveledge.coordinator._context import ReignContext
-from chiveledge.coordinator._demands import find_policy, list_demands, view_fleet
+from chiveledge.coordinator._demands import find_policy, list_demands
+from chiveledge.coordinator._fleet_view import FleetViewer
 from chiveledge.coordinator._orders import OrderDesk
 from chiveledge.coordinator._runtimes import RunTimes
 from chiveledge.coordinator._settlement import Settlement
@@ -107,6 +108,7 @@
         self._suspicion = suspicion
         self._run_times = run_times
         self._speeds = WorkerSpeeds()
+        self._viewer = FleetViewer(jobs, context.catalogue, context.timing.stop_s)
         self._wake = wake
         self._spawn = spawn
         self._claims: list[PendingClaim] = []
@@ -133,15 +135,8 @@
             self._supervise(now_s)
         promised, claimed = self._review_claims(now_s)
         slow = self._speeds.slow(now_s, len(self._links))
-        fleet = view_fleet(
-            self._links.values(),
-            self._jobs,
-            self._context.catalogue(),
-            self._suspicion,
-            slow,
-            promised,
-            self._context.timing.stop_s,
-            now_s,
+        fleet = self._viewer.view(
+            self._links.values(), self._suspicion, slow, promised, now_s
         )
         self._keep_for_urgent(fleet, now_s)
         demands = list_demands(
--- a/chiveledge/coordinator/_settlement.py
+++ b/chiveledge/coordinator/_settlement.py
@@ -6,7 +6,8 @@
 from collections.abc import Coroutine
 
 from chiveledge.coordinator._context import ReignContext
-from chiveledge.coordinator._demands import find_kept_runs, find_policy
+from chiveledge.coordinator._demands import find_policy
+from chiveledge.coordinator._fleet_view import find_kept_runs
 from chiveledge.coordinator._ledger import Ledger
 from chiveledge.coordinator._orders import OrderDesk
 from chiveledge.coordinator._runtimes import RunTimes
--- a/chiveledge/coordinator/_upkeep.py
+++ b/chiveledge/coordinator/_upkeep.py
@@ -14,7 +14,7 @@
 from result import Err, Ok
 
 from chiveledge.coordinator._context import ReignContext
-from chiveledge.coordinator._demands import find_kept_runs, view_run
+from chiveledge.coordinator._fleet_view import find_kept_runs, view_run
 from chiveledge.coordinator._orders import OrderDesk
 from chiveledge.coordinator._worker_link import WorkerLink
 from chiveledge.leadership import Leadership
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -96,6 +96,14 @@
 
     def __post_init__(self) -> None:
         self.later = self.free if self.later is None else self.later
+        self._at_first = (self.free, self.later, self.serving, self.filling)
+
+    def renew(self) -> None:
+        """Forget what a decision did with this view, and what ran at that time."""
+        self.free, self.later, self.serving, self.filling = self._at_first
+        self.kept = False
+        self.prices.clear()
+        self.__dict__.pop("runs", None)
 
     @cached_property
     def runs(self) -> list[RunView]:
