Lines that come for each task no longer crowd out those of a job's end

Now: the budget is one for each event, and the line that counts what was dropped names the event. Test seen failing.

--- a/chiveledge/decision_log.py
+++ b/chiveledge/decision_log.py
@@ -10,12 +10,14 @@
 import json
 import os
 import sys
+from collections import Counter
 from typing import Protocol
 
 from chiveledge.clock import Clock
 
 LINES_PER_SECOND = 200
-"""Lines that one part may write in a second; the rest is counted and dropped."""
+"""Lines of one event that one part may write in a second; the rest is counted and
+dropped. An event that comes for each task must not crowd out the end of a job."""
 
 
 class DecisionLog(Protocol):
@@ -39,7 +41,7 @@
     descriptor : int, optional
         Where lines go; standard output by default.
     lines_per_second : int, optional
-        Budget of each part.
+        Budget of each event of each part.
     """
 
     def __init__(
@@ -58,8 +60,8 @@
         os.set_blocking(self._descriptor, False)
         self._limit = lines_per_second
         self._second = 0
-        self._written: dict[str, int] = {}
-        self._dropped: dict[str, int] = {}
+        self._written: Counter[tuple[str, str]] = Counter()
+        self._dropped: Counter[tuple[str, str]] = Counter()
         self._torn = False
 
     def write(self, part: str, event: str, **fields: object) -> None:
@@ -69,17 +71,17 @@
             self._second = second
             self._written.clear()
             self._report_dropped()
-        if self._written.get(part, 0) >= self._limit:
-            self._drop(part)
+        if self._written[part, event] >= self._limit:
+            self._dropped[part, event] += 1
             return
-        self._written[part] = self._written.get(part, 0) + 1
+        self._written[part, event] += 1
         if not self._emit(part, event, fields):
-            self._drop(part)
+            self._dropped[part, event] += 1
 
     def _report_dropped(self) -> None:
-        for part, count in list(self._dropped.items()):
-            if self._emit(part, "lines_dropped", {"count": count}):
-                del self._dropped[part]
+        for (part, event), count in list(self._dropped.items()):
+            if self._emit(part, "lines_dropped", {"of": event, "count": count}):
+                del self._dropped[part, event]
 
     def _emit(self, part: str, event: str, fields: dict[str, object]) -> bool:
         line = {
@@ -100,9 +102,6 @@
         self._torn = written < len(data)
         return not self._torn
 
-    def _drop(self, part: str) -> None:
-        self._dropped[part] = self._dropped.get(part, 0) + 1
-
 
 class SilentLog:
     """Drops all lines, for tests and benchmarks."""
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -31,6 +31,24 @@
     assert lines[0]["id"] == "j0"
 
 
+def test_event_of_each_task_does_not_crowd_out_that_of_a_job():
+    reader, writer = os.pipe()
+    clock = ManualClock()
+    log = JsonLog("n1", clock, descriptor=writer, lines_per_second=3)
+    for number in range(10):
+        log.write("settlement", "ended", id="j", task=f"j.0.0.{number}")
+    log.write("settlement", "job_completed", id="j")
+    clock.jump(1.0)
+    log.write("settlement", "ended", id="k")
+    lines = read_lines(reader)
+    assert [line["event"] for line in lines] == ["ended"] * 3 + [
+        "job_completed",
+        "lines_dropped",
+        "ended",
+    ]
+    assert (lines[4]["of"], lines[4]["count"]) == ("ended", 7)
+
+
 def test_full_pipe_does_not_block():
     reader, writer = os.pipe()
     log = JsonLog("n1", ManualClock(), descriptor=writer, lines_per_second=10**9)
