A run that has come to its end on a slow worker no longer ends the leader's term

A run at 100% whose percents stood still was divided by its pace of zero. Now: a run with nothing left stays. Test seen failing.

--- a/chiveledge/placement/_speed.py
+++ b/chiveledge/placement/_speed.py
@@ -153,7 +153,7 @@
     >>> should_start_anew(quote._replace(due_s=9.0), stop_s=0.4)
     False
     """
-    if straggler.usual_percent_per_s <= 0:
+    if straggler.usual_percent_per_s <= 0 or straggler.percent_left <= 0:
         return False
     slow_percent = straggler.spell_left_s * straggler.percent_per_s
     if slow_percent >= straggler.percent_left:
--- a/tests/placement/test_speed.py
+++ b/tests/placement/test_speed.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from chiveledge.placement import RunPace, WorkerSpeeds, place_step
+from chiveledge.placement import (
+    RunPace,
+    Straggler,
+    WorkerSpeeds,
+    place_step,
+    should_start_anew,
+)
 from tests.placement.fleets import make_demand, make_fleet, make_run, make_worker
 
 
@@ -18,6 +24,37 @@
     assert speeds.slow(3.5, 24) == set()
 
 
+def make_straggler(**fields):
+    values = {
+        "percent_left": 50,
+        "percent_per_s": 7.0,
+        "usual_percent_per_s": 40.0,
+        "spell_left_s": 5.0,
+        "saved": False,
+        "due_s": 3.5,
+    }
+    return Straggler(**(values | fields))
+
+
+@pytest.mark.parametrize(
+    "fields,anew",
+    [
+        ({}, True),
+        ({"due_s": 9.0}, False),
+        ({"due_s": 2.0}, False),
+        ({"due_s": 2.0, "saved": True}, True),
+        ({"percent_per_s": 0.0}, True),
+        ({"spell_left_s": 0.0}, False),
+        ({"percent_left": 0}, False),
+        ({"percent_left": 0, "percent_per_s": 0.0}, False),
+        ({"percent_left": 0, "percent_per_s": 0.0, "spell_left_s": 0.0}, False),
+        ({"usual_percent_per_s": 0.0}, False),
+    ],
+)
+def test_work_starts_anew_where_that_brings_it_in_time(fields, anew):
+    assert should_start_anew(make_straggler(**fields), stop_s=0.4) is anew
+
+
 def test_worker_that_recovers_is_clear_at_once():
     speeds = WorkerSpeeds()
     speeds.update([RunPace("w1", "j.0.0", 2.0, 20.0)], 0.0)
