A gang that failed goes to workers on which work began well lately

One worker in eleven failed all for some seconds, so each attempt met another: leaving out those that had failed is not enough for wide gangs. Ruled out: ends that went well as the proof, as work that began before such a spell may end well in it; waiting longer for the last attempt, as nothing may wait for 3 s while there is room. Tests: gang among six failing and six sound workers (seen failing); starts prove for a while; unproven workers only where none is proven.

--- a/chiveledge/coordinator/_fleet_view.py
+++ b/chiveledge/coordinator/_fleet_view.py
@@ -33,6 +33,7 @@
     probing: bool
     doubted: bool
     slow: bool
+    proven: bool
 
 
 class _KnownView(NamedTuple):
@@ -98,6 +99,7 @@
         avoided = suspicion.avoided(now_s, len(links))
         probing = suspicion.probing(now_s)
         doubted = suspicion.doubted()
+        proven = suspicion.proven(now_s)
         earlier, self._views = self._views, {}
         for link in links:
             name = link.name
@@ -112,6 +114,7 @@
                 name in probing,
                 name in doubted,
                 name in slow,
+                name in proven,
             )
             known = earlier.get(name)
             if known is None or known.link is not link or known.shown != shown:
@@ -136,6 +139,7 @@
             probing=shown.probing,
             doubted=shown.doubted,
             slow=shown.slow,
+            proven=shown.proven,
             serving=shown.serving,
             filling=shown.filling,
             list_runs=partial(self._list_runs, link),
--- a/chiveledge/coordinator/_settlement.py
+++ b/chiveledge/coordinator/_settlement.py
@@ -205,6 +205,8 @@
             self._orders.note_begun(tracked)
         tracked.note_percent(row.percent, now_s)
         if row.percent != run.percent:
+            if not tracked.adopted:
+                self._suspicion.note_sound_start(link.name, run.began_s)
             run.percent = row.percent
             run.last_gain_s = now_s
         if row.checkpoint:
@@ -254,6 +256,7 @@
             case RunEnd.DONE:
                 self._suspicion.note_success(link.name, tracked.name)
                 if not tracked.adopted:
+                    self._suspicion.note_sound_start(link.name, tracked.run.began_s)
                     took_s = now_s - tracked.run.began_s
                     self._run_times.note(job.request, step, took_s)
                 finished = progress.tasks if step.gang else [task]
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -69,6 +69,8 @@
         Whether something failed there since its last success.
     slow : bool
         Whether its runs come forward slowly now.
+    proven : bool
+        Whether the latest work there began well, not long ago.
     kept : bool
         Whether its free room is left to urgent work.
     list_runs : callable
@@ -88,6 +90,7 @@
     probing: bool = False
     doubted: bool = False
     slow: bool = False
+    proven: bool = False
     serving: bool = False
     filling: bool = False
     kept: bool = False
@@ -216,9 +219,14 @@
                 holder.prices.clear()
 
     def candidates(self, demand: StepDemand) -> list[WorkerView]:
-        """Return the workers on which a demand's tasks may run, full or not."""
+        """Return the workers on which a demand's tasks may run, full or not.
+
+        Load answered: some workers fail all that they start for some seconds. A wide
+        gang would meet one of them with each attempt; one that has failed before goes
+        to workers that are proven, where there are any.
+        """
         step = demand.step
-        return [
+        found = [
             worker
             for worker in self._accepting[demand.service]
             if (demand.allowed is None or worker.name in demand.allowed)
@@ -228,6 +236,8 @@
             and not (step.filler and worker.serving)
             and not (step.latency_target_ms and worker.filling)
         ]
+        proven = [worker for worker in found if worker.proven]
+        return proven if demand.careful and proven else found
 
     def room_for(
         self, worker: WorkerView, step: Step, step_name: str, free: Usage
--- a/chiveledge/placement/_order.py
+++ b/chiveledge/placement/_order.py
@@ -51,8 +51,8 @@
     allowed : frozenset of str, optional
         Workers that the advice service allows; None for all.
     careful : bool
-        Whether the tasks have failed before, so that a worker in doubt could
-        cost them their last attempt.
+        Whether the tasks have failed before, so that a worker on which nothing is
+        known to do well could cost them their last attempt.
     failed_on : frozenset of str
         Workers on which tasks of the step failed; left out while it is careful.
     needs_advice : bool
--- a/chiveledge/placement/_suspicion.py
+++ b/chiveledge/placement/_suspicion.py
@@ -23,6 +23,10 @@
 """Workers that may fail one job before the job is taken to be at fault: a wide gang
 easily meets two bad workers in a row."""
 
+PROOF_S = 3.0
+"""How long a worker counts as sound after a start that did well: shorter than the
+spells in which workers fail all that they start."""
+
 AVOIDED_SHARE = 0.34
 """Most workers that may be avoided at the same time."""
 
@@ -49,12 +53,18 @@
     def __init__(self) -> None:
         self._workers: dict[WorkerName, _WorkerRecord] = {}
         self._jobs: dict[JobId, _JobRecord] = {}
+        self._sound_start_s: dict[WorkerName, float] = {}
 
     def note_success(self, worker: WorkerName, task: TaskName) -> None:
         """A run ended well: the worker is sound."""
         self._workers.pop(worker, None)
         self._jobs.setdefault(task.job_id, _JobRecord()).ended_well = True
 
+    def note_sound_start(self, worker: WorkerName, began_s: float) -> None:
+        """A run that began then has come forward since."""
+        latest_s = self._sound_start_s.get(worker, began_s)
+        self._sound_start_s[worker] = max(latest_s, began_s)
+
     def note_failure(self, worker: WorkerName, task: TaskName, now_s: float) -> None:
         """A run failed by its own fault or the worker's."""
         job = self._jobs.setdefault(task.job_id, _JobRecord())
@@ -74,6 +84,7 @@
     def forget_worker(self, worker: WorkerName) -> None:
         """The worker started anew."""
         self._workers.pop(worker, None)
+        self._sound_start_s.pop(worker, None)
 
     def forget_job(self, job_id: JobId) -> None:
         """The job has ended."""
@@ -83,6 +94,18 @@
         """Return the workers that failed something since their last success."""
         return set(self._workers)
 
+    def proven(self, now_s: float) -> set[WorkerName]:
+        """Return the workers on which the latest work began well, not long ago.
+
+        Work that began earlier proves nothing: a worker that fails all it starts may
+        bring that to its end.
+        """
+        return {
+            name
+            for name, began_s in self._sound_start_s.items()
+            if now_s - began_s < PROOF_S and name not in self._workers
+        }
+
     def avoided(self, now_s: float, total: int) -> set[WorkerName]:
         """Return the workers that get nothing now, the latest suspects first."""
         rows = [
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -81,6 +81,8 @@
         Starts that take effect without an answer, `late_s` later.
     hangs, fails : bool
         All runs stand still, or end as failed.
+    fails_at_once : bool
+        All runs end as failed as soon as they have begun.
     slow_x : float
         All runs take this many times as long.
     """
@@ -92,6 +94,7 @@
     late_s: float = 0.0
     hangs: bool = False
     fails: bool = False
+    fails_at_once: bool = False
     slow_x: float = 1.0
     started: list[tuple[float, str, int]] = field(default_factory=list)
 
@@ -186,6 +189,9 @@
                 continue
             if self.faults.hangs or not self._gang_is_present(run):
                 continue
+            if self.faults.fails_at_once:
+                self._finish(key, RunEnd.FAILED)
+                continue
             run.done_s += passed_s / self.faults.slow_x
             if run.done_s >= run.task.work_s:
                 failed = run.task.fails or self.faults.fails
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -466,6 +466,24 @@
     assert cluster.state("j1") is JobState.COMPLETED
 
 
+async def test_gang_that_failed_goes_where_work_does_well(make_cluster):
+    """Half of the workers look like the best room and fail whatever they start."""
+    cluster = make_cluster(workers=12)
+    await cluster.advance(0.5)
+    # Workers with equal room are taken in the order of their names.
+    for name in sorted(cluster.workers)[:6]:
+        cluster.workers[name].faults.fails_at_once = True
+    whole = SMALL._replace(accelerators=8)
+    for rack in ("r2", "r3", "r4"):
+        sound = Step(count=2, usage=whole, required_label=rack)
+        await cluster.submit(f"sound-{rack}", sound, work_s=0.5)
+    await cluster.advance(1.0)
+    gang = Step(count=2, usage=whole, gang=True)
+    await cluster.submit("g1", gang, work_s=0.5)
+    await cluster.advance(3)
+    assert cluster.state("g1") is JobState.COMPLETED
+
+
 @pytest.mark.parametrize("leaving", ["w0", "w1"])
 async def test_lasting_task_leaves_its_worker_whichever_it_is(make_cluster, leaving):
     """One of two may be away: it is the one whose worker goes."""
--- a/tests/placement/test_packing.py
+++ b/tests/placement/test_packing.py
@@ -106,6 +106,13 @@
         assert places(make_fleet(make_worker("w1"), fuller), demand) == [worker]
 
 
+def test_task_that_failed_before_goes_to_proven_workers_if_there_are_any():
+    workers = [make_worker("w1"), make_worker("w2", proven=True)]
+    tried = make_demand(count=20, careful=True)
+    assert set(places(make_fleet(*workers), tried)) == {"w2"}
+    assert places(make_fleet(make_worker("w1")), make_demand(careful=True)) == ["w1"]
+
+
 def test_workers_in_doubt_come_last():
     fleet = make_fleet(
         make_worker("w1", doubted=True, runs=[make_run("a", "w1", 7)]),
--- a/tests/placement/test_suspicion.py
+++ b/tests/placement/test_suspicion.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from chiveledge.placement import WorkerSuspicion
-from chiveledge.placement._suspicion import AVOID_S
+from chiveledge.placement._suspicion import AVOID_S, PROOF_S
 from chiveledge.workload import TaskName
 
 
@@ -61,3 +61,16 @@
     for number in range(24):
         suspicion.note_stall(f"w{number}", 0.0)
     assert len(suspicion.avoided(0.0, 24)) == 8
+
+
+def test_start_that_did_well_proves_a_worker_for_a_while():
+    suspicion = WorkerSuspicion()
+    suspicion.note_sound_start("w1", 10.0)
+    suspicion.note_sound_start("w1", 2.0)
+    suspicion.note_sound_start("w2", 10.0)
+    suspicion.note_failure("w2", task("a"), 11.0)
+    assert suspicion.proven(12.0) == {"w1"}
+    assert suspicion.proven(10.0 + PROOF_S) == set()
+    suspicion.note_sound_start("w1", 20.0)
+    suspicion.forget_worker("w1")
+    assert suspicion.proven(21.0) == set()
