--- /dev/null
+++ b/tests/coordinator/test_pairs.py
@@ -0,0 +1,101 @@
+"""Troubles that meet: two mechanisms at the same moment, then calm.
+
+What must hold is that of `test_random_faults`: nothing runs twice at the same time or
+after its end was acknowledged, and every accepted job ends as it should.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from tests.coordinator.test_random_faults import Play
+
+SLOW_ANSWER_S = 0.25
+LEASES_LAPSE_S = 7.0
+"""Longer than the lease of running work."""
+
+
+class PairPlay(Play):
+    """Jobs beside one pair of troubles, again and again.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the jobs and of whom the troubles meet.
+    pair : str
+        Name of the method that causes the pair.
+    """
+
+    def __init__(self, seed: int, pair: str) -> None:
+        super().__init__(seed)
+        self._cause = getattr(self, pair)
+
+    async def harm(self, number: int) -> None:
+        await self._cause()
+
+    async def slow_store_that_turns_a_host_away(self) -> None:
+        faults = self.cluster.table.faults
+        node = self.rng.choice(self.cluster.nodes)
+        faults.delay_s = SLOW_ANSWER_S
+        node.store.cut = True
+        self.heals.append(lambda: setattr(faults, "delay_s", 0.0))
+        self.heals.append(lambda: setattr(node.store, "cut", False))
+        await self.cluster.advance(1.0)
+
+    async def leader_replaced_while_leases_lapse(self) -> None:
+        faults = self.cluster.table.faults
+        faults.down = True
+        await self.cluster.restart(self.rng.randrange(3))
+        await self.cluster.advance(LEASES_LAPSE_S)
+        faults.down = False
+
+    async def leader_lost_after_an_answer_amid_changes(self) -> None:
+        cluster = self.cluster
+        for _ in range(3):
+            revision = cluster.catalogue.revision + 1
+            cluster.catalogue = replace(cluster.catalogue, revision=revision)
+            await self.hand_in(1000 + revision)
+            leaders = [i for i, node in enumerate(cluster.nodes) if node.leads]
+            if leaders:
+                await cluster.restart(leaders[0])
+
+    async def host_cut_while_a_worker_is_emptied(self) -> None:
+        cluster = self.cluster
+        node = self.rng.choice(cluster.nodes)
+        worker = self.rng.choice(list(cluster.workers.values()))
+        node.store.cut = True
+        leaving = worker.entry._replace(draining=True, leaves_s=2.5)
+        cluster.list_worker(leaving)
+        await cluster.advance(3.0)
+        worker.crash(worker.entry.born_ms + 1)
+        cluster.list_worker(worker.entry)
+        node.store.cut = False
+
+    async def slow_worker_while_answers_are_lost(self) -> None:
+        worker = self.rng.choice(list(self.cluster.workers.values()))
+        worker.faults.slow_x = 8.0
+        self.cluster.table.faults.lose_replies = 3
+        self.heals.append(lambda: setattr(worker.faults, "slow_x", 1.0))
+        await self.cluster.advance(0.5)
+
+
+PAIRS = [
+    "slow_store_that_turns_a_host_away",
+    "leader_replaced_while_leases_lapse",
+    "leader_lost_after_an_answer_amid_changes",
+    "host_cut_while_a_worker_is_emptied",
+    "slow_worker_while_answers_are_lost",
+]
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("pair", PAIRS)
+async def test_nothing_is_lost_or_doubled_when_troubles_meet(pair, seed):
+    play = PairPlay(seed, pair)
+    try:
+        await play.run()
+        await play.check()
+    finally:
+        await play.cluster.close()
--- a/tests/coordinator/test_random_faults.py
+++ b/tests/coordinator/test_random_faults.py
@@ -143,24 +143,28 @@
             states.add(JobState.CANCELLED)
         return states
 
-
-@pytest.mark.parametrize("seed", SEEDS)
-async def test_nothing_is_lost_or_doubled(seed):
-    play = Play(seed)
-    try:
-        await play.run()
-        cluster = play.cluster
+    async def check(self) -> None:
+        """Check what must hold after the calm."""
+        cluster = self.cluster
         assert not cluster.double_runs
         assert not cluster.record.started_after_done
-        assert play.accepted
-        states = {job: cluster.state(job, node=2) for job in play.accepted}
+        assert self.accepted
+        states = {job: cluster.state(job, node=2) for job in self.accepted}
         wrong = {
             job: state
             for job, state in states.items()
-            if state not in play.expected(job)
+            if state not in self.expected(job)
         }
         assert not wrong
         left = [key for worker in cluster.workers.values() for key in worker.runs]
         assert not left
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_nothing_is_lost_or_doubled(seed):
+    play = Play(seed)
+    try:
+        await play.run()
+        await play.check()
     finally:
         await play.cluster.close()
