An answer that can't be read is no answer, whoever sent it

A task of the leader that raises ends its term, so one worker could have kept the fleet without a leader. Now: the types of all fields are checked where they are decoded, and what can't be read is an unsettled call, which is sent again or looked at again as after a lost answer. Tests seen failing: 19 reports, 10 answers to orders, 7 answers of the store to four calls each.

--- a/chiveledge/platform/_store.py
+++ b/chiveledge/platform/_store.py
@@ -10,11 +10,14 @@
 
 import base64
 import binascii
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from functools import partial
+from typing import Any, NamedTuple, TypeVar
 
 from result import Err, Ok, Result
 
 from chiveledge.clock import Clock
+from chiveledge.platform._typed import DECODE_ERRORS, typed
 from chiveledge.services import (
     CallError,
     Changes,
@@ -35,6 +38,8 @@
 )
 from chiveledge.services.health import ServiceHealth
 
+T = TypeVar("T")
+
 HTTP_OK = 200
 HTTP_GONE = 410
 HTTP_CONFLICT = 412
@@ -56,6 +61,14 @@
 """Time beyond its wait after which a watch counts as silent."""
 
 
+class _Page(NamedTuple):
+    """Some rows of a part, as of one moment."""
+
+    rows: tuple[Row, ...]
+    version: int
+    has_more: bool
+
+
 class PlatformStore:
     """Client of the platform's store.
 
@@ -86,8 +99,7 @@
         params = {"from": address["key"], "limit": "1"}
         params |= {"table": address["table"], "part": address["part"]}
         match await self._page(params):
-            case Ok(body):
-                rows = _decode_rows(body["rows"])
+            case Ok(_Page(rows=rows)):
                 return Ok(rows[0] if rows and rows[0].key == key else None)
             case Err(error):
                 return Err(error)
@@ -127,16 +139,15 @@
         params |= {"limit": str(PAGE_ROWS)}
         while True:
             match await self._page(params):
-                case Ok(body):
+                case Ok(page):
                     pass
                 case Err(error):
                     return Err(error)
-            version = body["ver"] if version is None else version
-            page = _decode_rows(body["rows"])
-            rows += [row for row in page if row.key.startswith(prefix)]
-            if not body.get("has_more") or not page:
+            version = page.version if version is None else version
+            rows += [row for row in page.rows if row.key.startswith(prefix)]
+            if not page.has_more or not page.rows:
                 return Ok(Snapshot(tuple(rows), version))
-            params["from"] = name_of(page[-1].key) + "\0"
+            params["from"] = name_of(page.rows[-1].key) + "\0"
 
     async def _list_parts(self, table: str) -> Result[list[str], CallError]:
         """Return the named parts of a table of the product."""
@@ -145,12 +156,11 @@
             return Ok(parts)
         params = {"table": table}
         while True:
-            match await self._get("/rows-parts", params):
-                case Ok(body):
+            match await self._get("/rows-parts", params, _decode_parts):
+                case Ok(page):
                     pass
                 case Err(error):
                     return Err(error)
-            page = body["parts"]
             parts += [part for part in page if part]
             if len(page) < PAGE_PARTS:
                 return Ok(parts)
@@ -170,7 +180,7 @@
         )
         match reply:
             case Ok(HttpReply(status=status, body=body)) if status == HTTP_OK:
-                return Ok(_decode_changes(body))
+                return _decode(_decode_changes, body)
             case Ok(HttpReply(status=status)) if status == HTTP_GONE:
                 return Err(HistoryGone(version))
             case Ok(HttpReply(status=status)):
@@ -195,9 +205,10 @@
         )
         match reply:
             case Ok(HttpReply(status=status, body=answer)) if status == HTTP_OK:
-                return Ok(answer["ver"])
+                return _decode(lambda body: typed(body["ver"], int), answer)
             case Ok(HttpReply(status=status, body=answer)) if status == HTTP_CONFLICT:
-                return Err(Conflict(_find_differing(transaction.checks, answer)))
+                found = _decode(partial(_find_differing, transaction.checks), answer)
+                return found.and_then(lambda keys: Err(Conflict(keys)))
             case Ok(HttpReply(status=status)):
                 return Err(Unavailable(f"the transaction got {status}"))
             case Err(error):
@@ -225,16 +236,18 @@
                 self._health.note_answer()
         return reply
 
-    async def _page(self, params: dict[str, str]) -> Result[dict, CallError]:
-        return await self._get("/rows-get", params)
+    async def _page(self, params: dict[str, str]) -> Result[_Page, CallError]:
+        return await self._get("/rows-get", params, _decode_page)
 
-    async def _get(self, path: str, params: dict[str, str]) -> Result[dict, CallError]:
+    async def _get(
+        self, path: str, params: dict[str, str], decode: Callable[[Any], T]
+    ) -> Result[T, CallError]:
         reply = await self._call(
             self._caller, "GET", path, CALL_TIMEOUT_S, params=params
         )
         match reply:
             case Ok(HttpReply(status=status, body=body)) if status == HTTP_OK:
-                return Ok(body)
+                return _decode(decode, body)
             case Ok(HttpReply(status=status)):
                 return Err(Unavailable(f"the reading got {status}"))
             case Err(error):
@@ -242,6 +255,14 @@
         raise AssertionError("unreachable")
 
 
+def _decode(decode: Callable[[Any], T], body: object) -> Result[T, Unsettled]:
+    """Return what an answer holds, or that it is none, as it can't be read."""
+    try:
+        return Ok(decode(typed(body, dict)))
+    except DECODE_ERRORS as error:
+        return Err(Unsettled(f"the store's answer can't be read: {error!r}"))
+
+
 def _address(key: str) -> dict[str, str]:
     table = key.partition("/")[0]
     if table in UNPARTED_TABLES:
@@ -280,12 +301,24 @@
     return [_decode_row(row) for row in rows]
 
 
+def _decode_page(body: dict) -> _Page:
+    return _Page(
+        tuple(_decode_rows(body["rows"])),
+        typed(body["ver"], int),
+        bool(body.get("has_more")),
+    )
+
+
+def _decode_parts(body: dict) -> list[str]:
+    return [typed(part, str) for part in body["parts"]]
+
+
 def _decode_changes(body: dict) -> Changes:
     rows = body["rows"]
     return Changes(
         rows=tuple(_decode_row(row) for row in rows if not row.get("deleted")),
         deleted=tuple(_key_of(row) for row in rows if row.get("deleted")),
-        version=body["ver"],
+        version=typed(body["ver"], int),
     )
 
 
--- a/chiveledge/platform/_workers.py
+++ b/chiveledge/platform/_workers.py
@@ -8,6 +8,7 @@
 
 from chiveledge.decision_log import DecisionLog
 from chiveledge.metrics import Metrics
+from chiveledge.platform._typed import DECODE_ERRORS, number, typed
 from chiveledge.services import (
     CallError,
     HttpCaller,
@@ -81,39 +82,33 @@
     state = fields["state"]
     if state not in KNOWN_STATES:
         raise ValueError(f"unknown state {state!r}")
-    address = _typed(fields["address"], str)
+    address = typed(fields["address"], str)
     host, _, port = address.rpartition(":")
     if not host or not port.isdecimal():
         raise ValueError(f"bad address {address!r}")
     capacity = fields["capacity"]
-    labels = [_typed(label, str) for label in fields["labels"]]
+    labels = [typed(label, str) for label in fields["labels"]]
     remaining = fields.get("remaining_ms")
     return WorkerEntry(
         name=name,
-        service=_typed(fields["service"], str),
+        service=typed(fields["service"], str),
         address=address,
-        domain=_typed(fields.get("zone", ""), str),
+        domain=typed(fields.get("zone", ""), str),
         # The labels are the kind of the worker and then its rack.
         rack=labels[-1] if labels else "",
         labels=frozenset(labels),
         capacity=Usage(
-            _typed(capacity.get("cpu", 0), int),
-            _typed(capacity.get("mem_mb", 0), int),
-            _typed(capacity.get("gpu", 0), int),
+            typed(capacity.get("cpu", 0), int),
+            typed(capacity.get("mem_mb", 0), int),
+            typed(capacity.get("gpu", 0), int),
         ),
-        born_ms=_typed(fields.get("born", 0), int),
+        born_ms=typed(fields.get("born", 0), int),
         draining=state == "draining",
-        leaves_s=None if remaining is None else _typed(remaining, int) / 1000,
-        machine=_typed(fields.get("machine", ""), str),
+        leaves_s=None if remaining is None else typed(remaining, int) / 1000,
+        machine=typed(fields.get("machine", ""), str),
     )
 
 
-def _typed(value, kind):
-    if isinstance(value, bool) or not isinstance(value, kind):
-        raise TypeError(f"{value!r} is no {kind.__name__}")
-    return value
-
-
 class PlatformWorker:
     """Orders to one worker.
 
@@ -197,7 +192,7 @@
     ) -> Result[OrderTaken, Declined | CallError]:
         match await self._caller.call("POST", path, body, headers=self._headers):
             case Ok(HttpReply(status=status, body=answer)) if status == HTTP_OK:
-                return Ok(OrderTaken(int((answer or {}).get("clock_ms", 0))))
+                return _decode_taken(answer)
             case Ok(answer):
                 return Err(_decode_decline(answer))
             case Err(error):
@@ -205,12 +200,22 @@
         raise AssertionError("unreachable")
 
 
+def _decode_taken(body: object) -> Result[OrderTaken, CallError]:
+    try:
+        return Ok(OrderTaken(typed(_read_fields(body).get("clock_ms", 0), int)))
+    except DECODE_ERRORS as error:
+        return Err(Unsettled(f"the worker's answer can't be read: {error!r}"))
+
+
+def _read_fields(body: object) -> dict:
+    """Return the fields of an answer; some have no body."""
+    return {} if body is None else typed(body, dict)
+
+
 def _decode_decline(reply: HttpReply) -> Declined | CallError:
-    body = reply.body if isinstance(reply.body, dict) else {}
     match reply.status:
         case status if status == HTTP_CONFLICT:
-            reason = _REASONS.get(body.get("reason"), DeclineReason.BAD_ORDER)
-            return Declined(reason, int(body.get("clock_ms", 0)))
+            return _decode_conflict(reply.body)
         case status if status == HTTP_MISDIRECTED:
             return Declined(DeclineReason.OTHER_LIFE)
         case status if status == HTTP_BUSY:
@@ -223,18 +228,46 @@
             return Unsettled(f"the worker answered {status}")
 
 
-def _decode_report(body: dict) -> Result[HoldReport, CallError]:
+def _decode_conflict(body: object) -> Declined | CallError:
     try:
-        running = tuple(
-            RunningTask(row[0], row[1], row[2], row[3], row[4] if len(row) > 4 else 0)
-            for row in body.get("running", ())
-        )
-        ended = tuple(
-            EndedTask(row[0], row[1], row[2], RunEnd(row[3]), row[4])
-            for row in body.get("ended", ())
-        )
+        fields = _read_fields(body)
+        clock_ms = typed(fields.get("clock_ms", 0), int)
+        reason = _REASONS.get(fields.get("reason"), DeclineReason.BAD_ORDER)
+    except DECODE_ERRORS as error:
+        return Unsettled(f"the worker's refusal can't be read: {error!r}")
+    return Declined(reason, clock_ms)
+
+
+def _decode_report(body: object) -> Result[HoldReport, CallError]:
+    try:
+        fields = typed(body, dict)
         return Ok(
-            HoldReport(body["clock_ms"], int(body.get("born", 0)), running, ended)
+            HoldReport(
+                typed(fields["clock_ms"], int),
+                typed(fields.get("born", 0), int),
+                tuple(_decode_running(row) for row in fields.get("running", ())),
+                tuple(_decode_ended(row) for row in fields.get("ended", ())),
+            )
         )
-    except (ValueError, TypeError, KeyError, IndexError) as error:
+    except DECODE_ERRORS as error:
         return Err(Unsettled(f"the worker's report can't be read: {error!r}"))
+
+
+def _decode_running(row: list) -> RunningTask:
+    return RunningTask(
+        typed(row[0], str),
+        typed(row[1], int),
+        typed(row[2], str),
+        number(row[3]),
+        number(row[4]) if len(row) > 4 else 0,
+    )
+
+
+def _decode_ended(row: list) -> EndedTask:
+    return EndedTask(
+        typed(row[0], int),
+        typed(row[1], str),
+        typed(row[2], int),
+        RunEnd(row[3]),
+        typed(row[4], str),
+    )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,19 +5,25 @@
 import base64
 
 import pytest
+from aiohttp import web
 from result import Err, Ok
 
 from chiveledge.clock import SystemClock
+from chiveledge.metrics import Metrics
+from chiveledge.platform._store import PlatformStore
 from chiveledge.services import (
     Check,
     Conflict,
     HistoryGone,
+    HttpCaller,
     Put,
+    SessionPool,
     Transaction,
     Unavailable,
     Unsettled,
     key_in_part,
 )
+from standins.deployment import serve
 from standins.table import MemoryTable
 
 
@@ -163,3 +169,28 @@
         (await table.transact(Transaction("w", puts=puts))).unwrap_err(), Unavailable
     )
     assert not fake.rows
+
+
+BAD_ANSWERS = [b"", b"null", b"[]", b'"x"', b"{", b"{}", b'{"ver":"x","rows":5}']
+
+
+@pytest.mark.parametrize("body", BAD_ANSWERS)
+async def test_answer_that_cannot_be_read_is_no_answer(body):
+    async def handle(request):
+        return web.Response(body=body)
+
+    app = web.Application()
+    app.router.add_route("*", "/{any}", handle)
+    runner, address = await serve(app)
+    pool = SessionPool()
+    caller = HttpCaller(pool, f"http://{address}", metrics=Metrics())
+    store = PlatformStore(caller, caller, SystemClock())
+    replies = [
+        await store.read("jobs/a"),
+        await store.snapshot("jobs/"),
+        await store.watch("jobs/", 1, 0.0),
+        await store.transact(write("jobs/a", "1")),
+    ]
+    assert [type(reply.err()) for reply in replies] == [Unsettled] * 4
+    await pool.close()
+    await runner.cleanup()
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -5,6 +5,7 @@
 import json
 
 import pytest
+from aiohttp import web
 from result import Err
 
 from chiveledge.clock import SystemClock
@@ -150,3 +151,59 @@
             raise AssertionError(other)
     await client.start(order)
     assert len(fake.faults.started) == 1
+
+
+BAD_REPORTS = [
+    b"",
+    b"null",
+    b"[]",
+    b'"x"',
+    b"{",
+    b"{}",
+    b'{"clock_ms":"x"}',
+    b'{"clock_ms":1,"born":"x"}',
+    b'{"clock_ms":1,"running":5}',
+    b'{"clock_ms":1,"running":[1]}',
+    b'{"clock_ms":1,"running":[["t"]]}',
+    b'{"clock_ms":1,"running":[["t","1","",5]]}',
+    b'{"clock_ms":1,"running":[[["t"],1,"",5]]}',
+    b'{"clock_ms":1,"running":[["t",1,"","5"]]}',
+    b'{"clock_ms":1,"running":[["t",1,7,5]]}',
+    b'{"clock_ms":1,"ended":[["1","t",1,"done",""]]}',
+    b'{"clock_ms":1,"ended":[[1,"t",1,"melted",""]]}',
+    b'{"clock_ms":1,"ended":[[1,"t",1,"done",null]]}',
+    b'{"clock_ms":1,"ended":{"a":1}}',
+]
+
+BAD_ORDER_ANSWERS = [b"[]", b'"x"', b"{", b'{"clock_ms":"x"}', b'{"clock_ms":[]}']
+
+
+async def answer_with(status, body):
+    """Return a client of a worker that always gives one answer, and its runner."""
+
+    async def handle(request):
+        return web.Response(status=status, body=body)
+
+    app = web.Application()
+    app.router.add_post("/{any}", handle)
+    runner, address = await serve(app)
+    return PlatformWorker(ENTRY._replace(address=address), Metrics()), runner
+
+
+@pytest.mark.parametrize("body", BAD_REPORTS)
+async def test_report_that_cannot_be_read_is_no_answer(body):
+    client, runner = await answer_with(200, body)
+    reply = await client.hold(HoldRequest(1, 0, None, 0.0))
+    assert isinstance(reply.unwrap_err(), Unsettled)
+    await client.close()
+    await runner.cleanup()
+
+
+@pytest.mark.parametrize("status", [200, 409])
+@pytest.mark.parametrize("body", BAD_ORDER_ANSWERS)
+async def test_answer_to_an_order_that_cannot_be_read_is_no_answer(status, body):
+    client, runner = await answer_with(status, body)
+    reply = await client.start(START)
+    assert isinstance(reply.unwrap_err(), Unsettled)
+    await client.close()
+    await runner.cleanup()
