A standby that looked away does not take over after an outage of the store

Since standbys of large fleets look each three seconds, one had not looked during the outage and took the renewal for standing still. Fleets of up to 33 hosts look often enough. Now: after a longer pause than planned a look begins to watch anew. Test seen failing at 100 hosts; leadership, standby and scheduler tests pass (215).

--- a/chiveledge/leadership.py
+++ b/chiveledge/leadership.py
@@ -47,6 +47,10 @@
 
 FURTHEST_PLACES = 3
 
+LOOK_SLACK_S = 0.5
+"""How much later than planned a look may come and still prove that a renewal stood
+still since the look before."""
+
 STANDBY_LOOKS_PER_S = 30.0
 """Looks of all standbys together in a second; each costs the store one reading."""
 
@@ -310,10 +314,13 @@
 
     def _has_lapsed(self, renewal: Row | None, asked_s: float) -> bool:
         version = renewal.version if renewal else 0
+        wait_s = self._lapse_wait_s(version)
+        # After a longer pause the store may have been away for the leader as well, so
+        # that the counter stood still for another reason.
+        looked_away = asked_s - self._looked_s > wait_s + LOOK_SLACK_S
         self._looked_s = self._clock.monotonic()
-        if self._sighting is None or version != self._sighting.version:
+        if self._sighting is None or version != self._sighting.version or looked_away:
             self._sighting = _Sighting(version, self._looked_s)
-        wait_s = self._lapse_wait_s(version)
         return wait_s == 0.0 or asked_s - self._sighting.since_s >= wait_s
 
     def _lapse_wait_s(self, version: int) -> float:
--- a/tests/coordinator/test_standby.py
+++ b/tests/coordinator/test_standby.py
@@ -112,3 +112,20 @@
         await fleet.advance(3.0)
     for task in fleet.tasks:
         task.cancel()
+
+
+@pytest.mark.parametrize("hosts", [6, 30, 100])
+async def test_outage_of_the_store_does_not_change_the_leader(monkeypatch, hosts):
+    monkeypatch.setattr(module, "Reign", Reign)
+    fleet = Fleet(hosts)
+    await fleet.advance(SETTLE_S)
+    leader = fleet.leader()
+    for _ in range(3):
+        fleet.table.faults.down = True
+        await fleet.advance(4.2)
+        fleet.table.faults.down = False
+        await fleet.advance(4.0)
+        # A standby that did not look meanwhile knows nothing of the renewals.
+        assert fleet.leader() == leader
+    for task in fleet.tasks:
+        task.cancel()
