A job's chain is computed once a plan; clusters of tests come from one fixture

Each plan computed the rests of a job's steps and then its longest chain again, for each occurrence; the chain is the largest rest.

--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -60,11 +60,18 @@
     job: JobProgress,
     occurrence: int,
     policy: JobPolicy,
-    run_times: RunTimes,
+    chain_s: float,
     now_ms: float,
 ) -> Deadline:
-    """Return the time that is left to an occurrence of a job."""
-    chain_s = run_times.expect_chain_s(job.request)
+    """Return the time that is left to an occurrence of a job.
+
+    Parameters
+    ----------
+    chain_s : float
+        Expected time of its longest chain of steps.
+    now_ms : float
+        Wall time in milliseconds since 1970.
+    """
     objective_s = policy.stretch * chain_s + policy.target_s
     began_ms = job.request.due_ms(occurrence) or job.request.accepted_ms
     age_s = (now_ms - began_ms) / 1000
@@ -101,8 +108,9 @@
     for job in open_jobs:
         policy = policies[job.job_id]
         rests_s = run_times.expect_rest_s(job.request)
+        chain_s = max(rests_s, default=0.0)
         for occurrence in job.due_occurrences(now_ms):
-            deadline = find_deadline(job, occurrence, policy, run_times, now_ms)
+            deadline = find_deadline(job, occurrence, policy, chain_s, now_ms)
             for number, step in enumerate(job.request.steps):
                 if not job.step_ready(occurrence, number):
                     continue
--- a/chiveledge/coordinator/_runtimes.py
+++ b/chiveledge/coordinator/_runtimes.py
@@ -66,18 +66,15 @@
 
     def expect_chain_s(self, request: JobRequest) -> float:
         """Return the expected time of the longest chain of steps."""
-        ends: list[float] = []
-        for step in request.steps:
-            begin = max((ends[earlier] for earlier in step.after), default=0.0)
-            ends.append(begin + self.expect_s(request, step))
-        return max(ends, default=0.0)
+        return max(self.expect_rest_s(request), default=0.0)
 
     def expect_rest_s(self, request: JobRequest) -> list[float]:
         """Return for each step the expected time from its start to the job's end."""
-        rests = [self.expect_s(request, step) for step in request.steps]
+        owns_s = [self.expect_s(request, step) for step in request.steps]
+        rests_s = list(owns_s)
         # Steps name earlier ones only, so later rests are known first.
         for number in reversed(range(len(request.steps))):
             for earlier in request.steps[number].after:
-                own_s = self.expect_s(request, request.steps[earlier])
-                rests[earlier] = max(rests[earlier], own_s + rests[number])
-        return rests
+                chain_s = owns_s[earlier] + rests_s[number]
+                rests_s[earlier] = max(rests_s[earlier], chain_s)
+        return rests_s
--- a/chiveledge/coordinator/_stragglers.py
+++ b/chiveledge/coordinator/_stragglers.py
@@ -42,7 +42,8 @@
     ):
         return False
     policy = find_policy(job, catalogue)
-    deadline = find_deadline(job, tracked.name.occurrence, policy, run_times, now_ms)
+    chain_s = run_times.expect_chain_s(job.request)
+    deadline = find_deadline(job, tracked.name.occurrence, policy, chain_s, now_ms)
     straggler = Straggler(
         percent_left=ALL_DONE_PERCENT - tracked.run.percent,
         percent_per_s=rate,
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -10,26 +10,12 @@
 from chiveledge.intake import Accepted, arrival_key, cancel_key, job_key
 from chiveledge.services import Transaction, Unavailable, Unsettled
 from chiveledge.workload import JobState, Step
-from tests.coordinator.cluster import SMALL, Cluster
+from tests.coordinator.cluster import SMALL
 
 RECLAIM_BOUND_S = 2.9
 """Time from the acceptance of a guaranteed job until all its tasks have begun."""
 
 
-@pytest.fixture
-async def make_cluster():
-    made = []
-
-    def make(**options) -> Cluster:
-        made.append(Cluster(**options))
-        return made[-1]
-
-    yield make
-    for cluster in made:
-        await cluster.close()
-        assert not cluster.double_runs
-
-
 async def test_job_runs_each_task_once(make_cluster):
     cluster = make_cluster()
     await cluster.advance(0.5)
--- a/tests/coordinator/test_operators_troubles.py
+++ b/tests/coordinator/test_operators_troubles.py
@@ -9,26 +9,11 @@
 
 from chiveledge.intake import Accepted
 from chiveledge.workload import JobState, Step
-from tests.coordinator.cluster import SMALL, Cluster
+from tests.coordinator.cluster import SMALL
 
 WHOLE = SMALL._replace(accelerators=8)
 
 
-@pytest.fixture
-async def make_cluster():
-    made = []
-
-    def make(**options) -> Cluster:
-        made.append(Cluster(**options))
-        return made[-1]
-
-    yield make
-    for cluster in made:
-        await cluster.close()
-        assert not cluster.double_runs
-        assert not cluster.record.started_after_done
-
-
 @pytest.mark.parametrize("silent_s", [0.5, 2.0, 4.0])
 @pytest.mark.parametrize("gang", [False, True])
 async def test_worker_that_was_only_silent_keeps_its_work(make_cluster, silent_s, gang):
