A job handed in again while its left-over rows go does not end the leader's term

Found by reading: the clean-up of progress without a request deleted its entry after an await, in which the same ID could arrive and be admitted with it; the KeyError ended the term. Test seen failing.

--- a/chiveledge/coordinator/_reign.py
+++ b/chiveledge/coordinator/_reign.py
@@ -284,7 +284,7 @@
                 # An earlier leader removed the request and ended before the rest.
                 if await self._ledger.remove(job_id):
                     self._removed[job_id] = self._clock.monotonic()
-                    del self._stored[job_id]
+                    self._stored.pop(job_id, None)
 
     def _is_outdated(self, job: JobProgress) -> bool:
         now_ms = self._clock.now().timestamp() * 1000
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -500,3 +500,21 @@
     assert len(cluster.starts("j1")) == 1
     assert not cluster.table.find_all("progress/")
     assert not cluster.table.find_all("board/")
+
+
+async def test_job_handed_in_again_while_its_left_over_rows_go_ends_no_term(
+    make_cluster, monkeypatch
+):
+    cluster = make_cluster()
+    await cluster.advance(0.5)
+    reign = cluster.leader.coordinator.reign
+    reign._stored["j1"] = None
+
+    async def remove(job_id):
+        # The request arrives and is admitted with its progress meanwhile.
+        reign._stored.pop(job_id)
+        return True
+
+    monkeypatch.setattr(reign._ledger, "remove", remove)
+    await cluster.advance(CLEAN_EVERY_S + 1)
+    assert cluster.leader.coordinator.reign is reign
