--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -177,26 +177,31 @@
         self, fleet: FleetView, slow: set[WorkerName], now_s: float
     ) -> None:
         """Start work of slow workers anew where that makes its job be in time."""
-        now_ms = self._clock.now().timestamp() * 1000
         for name in slow & self._links.keys():
-            for tracked in list(self._links[name].runs.values()):
-                if not is_late_if_left(
-                    tracked,
-                    self._jobs[tracked.name.job_id],
-                    self._context.catalogue(),
-                    self._run_times,
-                    self._speeds.spell_left_s(name, now_s),
-                    self._context.timing.stop_s,
-                    now_ms,
-                ):
-                    continue
+            link = self._links[name]
+            spell_left_s = self._speeds.spell_left_s(name, now_s)
+            late = [
+                tracked
+                for tracked in link.runs.values()
+                if self._is_late_if_left(tracked, spell_left_s)
+            ]
+            for tracked in late:
                 members = self._orders.find_members(tracked)
-                if not fleet.has_sound_room(
-                    self._links[name].entry.service, tracked.step, len(members)
-                ):
-                    continue
-                for link, member in members:
-                    self._orders.stop(link, member, f"{name} is slow")
+                service = link.entry.service
+                if fleet.has_sound_room(service, tracked.step, len(members)):
+                    for holder, member in members:
+                        self._orders.stop(holder, member, f"{name} is slow")
+
+    def _is_late_if_left(self, tracked: TrackedRun, spell_left_s: float) -> bool:
+        return is_late_if_left(
+            tracked,
+            self._jobs[tracked.name.job_id],
+            self._context.catalogue(),
+            self._run_times,
+            spell_left_s,
+            self._context.timing.stop_s,
+            self._clock.now().timestamp() * 1000,
+        )
 
     def _supervise(self, now_s: float) -> None:
         """Look after what runs: stalls, slow workers and workers that leave."""
