Group commit: a conflict that names no row of the group is retried with a pause and ends

Now such a conflict counts as a failed send: a pause of 0.1 s, until the timeout. Test seen failing on the old code (more than 1,000 sends).

--- a/chiveledge/services/group_commit.py
+++ b/chiveledge/services/group_commit.py
@@ -117,10 +117,13 @@
                         if version is not None:
                             _resolve(group, Ok(version))
                             return
-                    group = _fail_conflicting(group, set(keys))
-                    transaction = _make_transaction(group)
+                    remaining = _fail_conflicting(group, set(keys))
                     may_have_committed = False
-                    continue
+                    if len(remaining) < len(group):
+                        group = remaining
+                        transaction = _make_transaction(group)
+                        continue
+                    # The conflict names no row of the group, so another send may pass.
                 case Err(Unsettled()):
                     may_have_committed = True
                 case Err(Unavailable()):
--- a/tests/services/test_table.py
+++ b/tests/services/test_table.py
@@ -5,8 +5,9 @@
 import asyncio
 
 import pytest
+from result import Err
 
-from chiveledge.clock import SystemClock
+from chiveledge.clock import ManualClock, SystemClock
 from chiveledge.metrics import Metrics
 from chiveledge.services import (
     Check,
@@ -18,6 +19,7 @@
     Unsettled,
     commit_with_retries,
 )
+from chiveledge.services.table import RETRY_DELAY_S
 
 
 def write(key, value, version, write_id="w1"):
@@ -100,3 +102,30 @@
     rows = {r.key: r.value for r in (await table.client.scan("")).unwrap()}
     assert rows == {"a": "new", "b": "new", "taken": "x"}
     assert first.unwrap() == (await table.client.read("a")).unwrap().version
+
+
+class ForeignConflictTable:
+    """Table that answers each transaction with a conflict on a row it did not check."""
+
+    def __init__(self):
+        self.sends = 0
+
+    async def transact(self, transaction):
+        self.sends += 1
+        assert self.sends < 1000, "the transaction is sent again without a pause"
+        return Err(Conflict(("row-of-another-writer",)))
+
+
+async def test_group_commit_with_foreign_conflicts_pauses_and_ends():
+    # A store that names a row outside the group used to be asked without pause or end.
+    clock = ManualClock()
+    table = ForeignConflictTable()
+    writes = GroupCommit(table, clock, Metrics(), timeout_s=1.0)
+    commit = asyncio.create_task(
+        writes.commit(checks=(Check("a", 0),), puts=(Put("a", "new"),))
+    )
+    for _ in range(20):
+        await clock.advance(RETRY_DELAY_S)
+    assert commit.done()
+    assert isinstance(commit.result().unwrap_err(), Unavailable)
+    assert table.sends <= 1.0 / RETRY_DELAY_S + 2
