A job's ID works for its own workspace only: cancel and repeated submission

Cause: DELETE did not compare the job's workspace as GET does, so any valid key cancelled any job whose ID was known. A submission under an ID of another workspace was answered as accepted, though nothing of it is stored; it is now refused (409), and if the owner can't be read the outcome is unknown.

--- a/chiveledge/intake/_job_store.py
+++ b/chiveledge/intake/_job_store.py
@@ -36,7 +36,7 @@
     transact_hedged,
 )
 from chiveledge.services.table import ABSENT
-from chiveledge.types import JobId
+from chiveledge.types import JobId, WorkspaceName
 from chiveledge.workload import JobRequest, JobState, encode_request
 
 INBOX_TABLE = "inbox"
@@ -73,7 +73,11 @@
     """No job has this ID."""
 
 
-SubmitOutcome: TypeAlias = Accepted | NotStored | UnknownOutcome
+class JobIdInUse(NamedTuple):
+    """A job of another workspace has this ID; nothing was stored."""
+
+
+SubmitOutcome: TypeAlias = Accepted | NotStored | JobIdInUse | UnknownOutcome
 CancelOutcome: TypeAlias = Accepted | NotFound | UnknownOutcome
 ReadOutcome: TypeAlias = JobStatus | NotFound | UnknownOutcome
 
@@ -149,13 +153,27 @@
             case Ok(_):
                 return self._log_submit(request, Accepted())
             case Err(Conflict()):
-                return self._log_submit(request, Accepted(repeated=True))
+                return self._log_submit(request, await self._find_existing(request))
             case Err(Unavailable(reason)):
                 return self._log_submit(request, NotStored(reason))
             case Err(Unsettled(reason)):
                 return self._log_submit(request, UnknownOutcome(reason))
         raise AssertionError("unreachable")
 
+    async def _find_existing(self, request: JobRequest) -> SubmitOutcome:
+        """Return the outcome of submitting a job whose ID is already stored."""
+        status = self._status_cache.find(request.job_id)
+        match status or await self.read(request.job_id):
+            case JobStatus(workspace=owner) if owner == request.workspace:
+                return Accepted(repeated=True)
+            case JobStatus():
+                return JobIdInUse()
+            case NotFound():
+                return UnknownOutcome("the job with this ID was just removed")
+            case UnknownOutcome() as unknown:
+                return unknown
+        raise AssertionError("unreachable")
+
     async def read(self, job_id: JobId) -> ReadOutcome:
         """Return a job's public status.
 
@@ -176,13 +194,17 @@
                     return cached or UnknownOutcome(str(error))
         return NotFound()
 
-    async def cancel(self, job_id: JobId, timeout_s: float) -> CancelOutcome:
+    async def cancel(
+        self, job_id: JobId, workspace: WorkspaceName, timeout_s: float
+    ) -> CancelOutcome:
         """Store a request to cancel a job, which the leader then carries out.
 
         Parameters
         ----------
         job_id : str
             Job to cancel.
+        workspace : str
+            Workspace of the caller; a job of another workspace is not found.
         timeout_s : float
             How long to try, in seconds.
         """
@@ -195,6 +217,8 @@
             match await self.read(job_id):
                 case NotFound():
                     return self._log_cancel(job_id, NotFound())
+                case JobStatus(workspace=owner) if owner != workspace:
+                    return self._log_cancel(job_id, NotFound())
                 case JobStatus(state=state) if state.ended:
                     return self._log_cancel(job_id, Accepted(repeated=True))
                 case JobStatus():
--- a/chiveledge/platform/_api.py
+++ b/chiveledge/platform/_api.py
@@ -16,6 +16,7 @@
     RELAYED_HEADER,
     REVISION_HEADER,
     Accepted,
+    JobIdInUse,
     JobStatus,
     JobStatusCache,
     JobStore,
@@ -197,7 +198,7 @@
             case "GET":
                 return await self._read(job_id, workspace)
             case "DELETE":
-                return await self._cancel(request, job_id)
+                return await self._cancel(request, job_id, workspace)
         return _make_error(405, "use POST, GET or DELETE")
 
     def _log_route(self, job_id: str, match: RouteMatch, workspace: str) -> None:
@@ -284,6 +285,8 @@
                 return web.json_response({})
             case NotStored(reason):
                 return self._make_unavailable(reason)
+            case JobIdInUse():
+                return _make_error(409, "another job has this ID; choose a new one")
             case UnknownOutcome(reason):
                 return _make_error(504, reason)
         raise AssertionError("unreachable")
@@ -298,8 +301,11 @@
                 return self._make_unavailable(reason)
         raise AssertionError("unreachable")
 
-    async def _cancel(self, request: web.BaseRequest, job_id: str) -> web.Response:
-        match await self._job_store.cancel(job_id, _get_timeout_s(request)):
+    async def _cancel(
+        self, request: web.BaseRequest, job_id: str, workspace: str
+    ) -> web.Response:
+        timeout_s = _get_timeout_s(request)
+        match await self._job_store.cancel(job_id, workspace, timeout_s):
             case Accepted():
                 return web.json_response({})
             case NotFound():
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -96,9 +96,8 @@
     await cluster.advance(0.5)
     await cluster.submit("j1", Step(count=20, usage=SMALL), work_s=30.0)
     await cluster.advance(0.5)
-    assert (
-        await cluster.call(cluster.nodes[0].job_store.cancel("j1", 2.0)) == Accepted()
-    )
+    cancel = cluster.nodes[0].job_store.cancel("j1", "cafes", 2.0)
+    assert await cluster.call(cancel) == Accepted()
     await cluster.advance(1.0)
     assert cluster.state("j1") is JobState.CANCELLED
     assert not any(worker.runs for worker in cluster.workers.values())
--- a/tests/coordinator/test_random_faults.py
+++ b/tests/coordinator/test_random_faults.py
@@ -82,7 +82,7 @@
                 self.failing.add(job_id)
             elif rng.random() < 0.1:
                 job_store = self.cluster.nodes[rng.randrange(3)].job_store
-                done = await self.cluster.call(job_store.cancel(job_id, 2.0))
+                done = await self.cluster.call(job_store.cancel(job_id, "cafes", 2.0))
                 if isinstance(done, Accepted):
                     self.cancelled.add(job_id)
 
--- a/tests/intake/test_job_store.py
+++ b/tests/intake/test_job_store.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from result import Err
+
 from chiveledge.clock import ManualClock
 from chiveledge.decision_log import NullLog
 from chiveledge.intake import (
@@ -16,7 +18,7 @@
     encode_status,
     job_status_key,
 )
-from chiveledge.services import Put, Transaction
+from chiveledge.services import Put, Transaction, Unavailable
 from chiveledge.services.health import ServiceHealth
 from chiveledge.workload import JobRequest, JobState, Step
 from standins.table import MemoryTable
@@ -147,6 +149,20 @@
     assert (await harness.submit())[0] == Accepted(repeated=True)
 
 
+async def test_repeated_job_with_unreadable_owner_has_unknown_outcome():
+    harness = Harness()
+    await harness.submit()
+    read = harness.table.read
+
+    async def fail(key):
+        return Err(Unavailable("no reply"))
+
+    harness.table.read = fail
+    assert isinstance((await harness.submit())[0], UnknownOutcome)
+    harness.table.read = read
+    assert (await harness.submit())[0] == Accepted(repeated=True)
+
+
 async def test_unavailable_store_refuses_and_lost_replies_do_not():
     harness = Harness()
     harness.table.faults.down = True
--- a/tests/platform/test_api.py
+++ b/tests/platform/test_api.py
@@ -21,6 +21,7 @@
     PeerHost,
     Relay,
     TableFollower,
+    cancel_key,
     job_key,
     make_host_put,
 )
@@ -168,6 +169,24 @@
     assert (await api.call("GET", f"/q/{ID}", headers=other))[0] == 410
 
 
+async def test_job_of_another_workspace_is_not_cancelled(api):
+    """Any valid key used to cancel any job whose ID was known."""
+    await api.call("POST", f"/q/{ID}", JOB)
+    other = AUTH | {"Authorization": "Bearer k3"}
+    assert (await api.call("DELETE", f"/q/{ID}", headers=other))[0] == 410
+    assert api.table.find(cancel_key(ID)) is None
+    assert (await api.call("DELETE", f"/q/{ID}"))[0] == 200
+    assert api.table.find(cancel_key(ID)) is not None
+
+
+async def test_job_id_of_another_workspace_is_not_accepted_again(api):
+    """The other workspace was told that its job is stored, which was not true."""
+    await api.call("POST", f"/q/{ID}", JOB)
+    other = AUTH | {"Authorization": "Bearer k3"}
+    assert (await api.call("POST", f"/q/{ID}", JOB, other))[0] == 409
+    assert (await api.call("POST", f"/q/{ID}", JOB))[0] == 200
+
+
 @pytest.mark.parametrize(
     "body,field",
     [
