A configuration is not judged before the host list was read

Cause: a process that had not read the host list yet found no workers and refused the first configuration of the demo as not fitting. It now reads the list first and, if that fails, refuses with host_list_unavailable and Retry-After; the demo asks again.

--- a/chiveledge/administration/_commands.py
+++ b/chiveledge/administration/_commands.py
@@ -23,6 +23,7 @@
     parse_document,
 )
 from chiveledge.http_errors import make_refusal, make_unknown
+from chiveledge.membership import Membership
 from chiveledge.outcomes import Reason
 from chiveledge.services import TableService
 
@@ -40,6 +41,8 @@
         Store to which configuration changes are committed.
     configuration : ConfigurationReplica
         This process's copy of the document in force.
+    membership : Membership
+        Hosts of the deployment; without their list no document is checked.
     clock : Clock
         Source of time for the timeout of a commit.
     publish : callable
@@ -55,6 +58,7 @@
         self,
         table: TableService,
         configuration: ConfigurationReplica,
+        membership: Membership,
         clock: Clock,
         publish: Callable[[VersionedDocument], None],
         find_unsatisfiable_guarantees: Callable[[Document], list[str]],
@@ -62,6 +66,7 @@
     ) -> None:
         self._table = table
         self._configuration = configuration
+        self._membership = membership
         self._clock = clock
         self._publish = publish
         self._find_unsatisfiable_guarantees = find_unsatisfiable_guarantees
@@ -110,6 +115,9 @@
                 pass
             case Err(refusal):
                 return refusal
+        if not self._membership.was_read and not await self._membership.refresh():
+            detail = "the host list could not be read yet; send the change again"
+            return make_refusal(Reason.HOST_LIST_UNAVAILABLE, detail, retry_after_s=1)
         violations = self._find_unsatisfiable_guarantees(document)
         if violations:
             return make_refusal(
--- a/chiveledge/membership.py
+++ b/chiveledge/membership.py
@@ -49,6 +49,7 @@
         self._clock = clock
         self._timeline = timeline
         self._poll_s = poll_s
+        self._was_read = False
         self._entries: dict[str, HostEntry] = {}
         self._vanished_since_s: dict[str, float] = {}
         self._leaving: set[str] = set()
@@ -59,6 +60,11 @@
         """All known entries; those of leaving targets have the state ``LEAVING``."""
         return tuple(self._entries.values())
 
+    @property
+    def was_read(self) -> bool:
+        """Whether the host list has been read since the start of the process."""
+        return self._was_read
+
     @property
     def stream(self) -> reactivex.Observable[tuple[HostEntry, ...]]:
         """Emits all known entries after each change."""
@@ -92,6 +98,7 @@
         """Read the list once; return whether the read succeeded."""
         match await self._hosts.read():
             case Ok(entries):
+                self._was_read = True
                 self._apply(self._retain_vanished(entries))
                 return True
             case Err(_):
--- a/chiveledge/outcomes.py
+++ b/chiveledge/outcomes.py
@@ -27,6 +27,7 @@
     NO_TARGET = "no_target"
     DRAINING = "draining"
     STORE_UNAVAILABLE = "store_unavailable"
+    HOST_LIST_UNAVAILABLE = "host_list_unavailable"
     STALE_CONFIGURATION = "stale_configuration"
     KEY_IN_USE = "key_in_use"
     LOST_REPLY = "lost_reply"
--- a/chiveledge/process.py
+++ b/chiveledge/process.py
@@ -168,6 +168,7 @@
         self._commands = OperatorCommands(
             table,
             self._configuration,
+            self._membership,
             self._clock,
             self._push_configuration,
             self._find_unsatisfiable_guarantees,
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -24,6 +24,7 @@
 OPERATOR = {"Authorization": "Bearer operator-demo-token"}
 REQUESTS = 120
 ORDERS = 40
+START_TIMEOUT_S = 20.0
 JOB_TIMEOUT_S = 30.0
 TIMELINE_LINES = 40
 
@@ -94,16 +95,24 @@
 
     async def _set_configuration(self) -> None:
         await self._deployment.wait_listening(self._session)
+        body = await self._put_configuration()
+        async with asyncio.timeout(START_TIMEOUT_S):
+            # The process may not have read the host list yet.
+            while body.get("reason") == "host_list_unavailable":
+                await asyncio.sleep(body["retry_after_s"])
+                body = await self._put_configuration()
+        if body.get("revision") != 1:
+            self._faults.append(f"the first configuration was not accepted: {body}")
+        print("Configuration accepted:", body)
+
+    async def _put_configuration(self) -> dict:
         url = self._deployment.urls("gateway")[0]
         async with self._session.put(
             f"{url}/v1/admin/configuration",
             data=self._configuration.encode(),
             headers=OPERATOR | {"If-Match": "0"},
         ) as response:
-            body = await response.json()
-        if body.get("revision") != 1:
-            self._faults.append(f"the first configuration was not accepted: {body}")
-        print("Configuration accepted:", body)
+            return await response.json()
 
     async def _change_preset(self, preset: str) -> None:
         url = self._deployment.urls("gateway")[0]
--- a/tests/process/test_configuration_spread.py
+++ b/tests/process/test_configuration_spread.py
@@ -119,3 +119,16 @@
 async def lists_all_workers(deployment):
     _, _, body = await deployment.operate("a", "GET", "/v1/admin/status")
     return sum(host["role"] == "worker" for host in body["hosts"]) == 2
+
+
+async def test_configuration_is_not_judged_before_the_host_list_was_read(deployment):
+    # The first configuration of a demo was refused as not fitting into a region whose
+    # workers were not known yet, because the host list started later.
+    deployment.hosts.faults.set({"down": True})
+    await deployment.start("a")
+    status, headers, body = await deployment.configure("a")
+    assert (status, body["reason"]) == (503, "host_list_unavailable")
+    assert headers["Retry-After"] == "1"
+    deployment.hosts.faults.set({})
+    status, _, body = await deployment.configure("a")
+    assert (status, body["revision"]) == (200, 1)
