--- a/chiveledge/cli/_main.py
+++ b/chiveledge/cli/_main.py
@@ -24,6 +24,7 @@
     explain,
     hosts,
     metrics,
+    report,
     result,
     status,
     timeline,
@@ -47,6 +48,7 @@
     "configuration": configuration,
     "timeline": timeline,
     "trace": trace,
+    "report": report,
     "metrics": metrics,
 }
 
--- a/chiveledge/cli/_queries.py
+++ b/chiveledge/cli/_queries.py
@@ -21,6 +21,12 @@
     read_urls,
 )
 from chiveledge.events import EventRecord, merge_records
+from chiveledge.log_report import (
+    Report,
+    describe_report,
+    make_report,
+    read_histories,
+)
 from chiveledge.log_trace import describe_trace, trace_job
 
 
@@ -82,6 +88,43 @@
     return print_reply((answers or replies)[0], as_json=json)
 
 
+def report(*logs: Path, json: bool = False) -> int:
+    """Report where the time and the work of jobs went, from the logs of all hosts.
+
+    :param logs: log files of the processes; standard input if none are given
+    :param json: print the report as JSON
+    """
+    if not _are_files(logs):
+        return EXIT_BAD_INPUT
+    with _open_logs(logs) as texts:
+        period_report = make_report(read_histories(texts))
+    if json:
+        print(json_codec.dumps(_to_json(period_report)))
+    else:
+        print("\n".join(describe_report(period_report)))
+    return EXIT_SUCCESS if period_report.kinds else EXIT_FAILURE
+
+
+def _are_files(logs: tuple[Path, ...]) -> bool:
+    """Return whether all paths are files; print an error for the first that is not."""
+    for path in logs:
+        if not path.is_file():
+            print(f"{path}: no such file; give log files of the hosts", file=sys.stderr)
+            return False
+    return True
+
+
+def _open_logs(logs: tuple[Path, ...]) -> fileinput.FileInput:
+    return fileinput.input(logs or ("-",), encoding="utf-8", errors="replace")
+
+
+def _to_json(period_report: Report) -> dict[str, object]:
+    fields = period_report._asdict()
+    for name in ("kinds", "workspaces"):
+        fields[name] = [group._asdict() for group in fields[name]]
+    return fields
+
+
 def trace(job_id: str, *logs: Path, json: bool = False) -> int:
     """Trace a job through the logs of all hosts: its route, waits and runs.
 
@@ -89,11 +132,9 @@
     :param logs: log files of the processes; standard input if none are given
     :param json: print the log lines of the job as JSON
     """
-    for path in logs:
-        if not path.is_file():
-            print(f"{path}: no such file; give log files of the hosts", file=sys.stderr)
-            return EXIT_BAD_INPUT
-    with fileinput.input(logs or ("-",), encoding="utf-8", errors="replace") as texts:
+    if not _are_files(logs):
+        return EXIT_BAD_INPUT
+    with _open_logs(logs) as texts:
         job_trace = trace_job(texts, job_id)
     if json:
         for line in job_trace.lines:
--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -327,6 +327,15 @@
 
     def _stop_for_deferred_start(self, deferred: DeferredStart, now_s: float) -> None:
         self._pending_starts.append(PendingStart(deferred, now_s))
+        self._log.write(
+            "coordinator",
+            "deferred",
+            id=deferred.demand.job_id,
+            step=deferred.demand.step_name,
+            tasks=len(deferred.placements),
+            groups=len(deferred.groups),
+            due_s=round(deferred.demand.due_s, 3),
+        )
         for link in self._links.values():
             for tracked in list(link.runs.values()):
                 group = f"{tracked.name.step_name}#"
@@ -365,7 +374,11 @@
             "placed",
             id=demand.job_id,
             step=demand.step_name,
+            tasks=[placement.index for placement in placements],
             workers=[placement.worker for placement in placements],
+            cores=charged_usage(demand.step).core_equivalents,
+            checkpoints=demand.step.checkpoints,
+            expected_s=round(self._estimator.expected_s(job.request, demand.step), 3),
             waited_s=round(demand.waited_s, 3),
             due_s=round(demand.due_s, 3),
             guaranteed=demand.guaranteed,
--- a/chiveledge/coordinator/_reconciliation.py
+++ b/chiveledge/coordinator/_reconciliation.py
@@ -233,6 +233,7 @@
             worker=link.name,
             how=end.how,
             ran_s=tracked.ran_s(self._clock.monotonic()),
+            saved=bool(end.checkpoint),
         )
         self._finish_run(link, tracked, end.how, end.checkpoint)
 
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -246,7 +246,14 @@
             job = decode_progress(request, stored.value, stored.version)
         self.jobs[job_id] = job
         self._log.write(
-            "coordinator", "admitted", id=job_id, state=job.state, known=bool(stored)
+            "coordinator",
+            "admitted",
+            id=job_id,
+            state=job.state,
+            known=bool(stored),
+            stretch=request.stretch,
+            target_s=request.target_s,
+            after=[step.after for step in request.steps],
         )
         for name, task, run in job.open_runs():
             self._adopt(job, name, task, run)
--- /dev/null
+++ b/chiveledge/log_report/_report.py
@@ -0,0 +1,217 @@
+"""Sums the histories of a period by kind of job and by workspace."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from statistics import quantiles
+from typing import NamedTuple
+
+from chiveledge.log_report._histories import DONE, JobHistory, Period, count_stops
+from chiveledge.log_report._time_split import TimeUse, classify_loss, split_time
+
+LATE_FACTOR = 3.0
+"""Multiple of its objective after which a job counts as too late."""
+
+TENTHS = 10
+
+
+class Quantiles(NamedTuple):
+    """The 10th, 50th and 90th percentile of a figure."""
+
+    low: float
+    middle: float
+    high: float
+
+
+class GroupSummary(NamedTuple):
+    """Figures of the jobs of one kind or one workspace.
+
+    Attributes
+    ----------
+    name : str
+        Name of the group.
+    jobs : int
+        Jobs that callers handed in and did not cancel.
+    in_time, late, too_late : int
+        Completed jobs within their objective, within `LATE_FACTOR` times it, and after.
+    refused : int
+        Jobs that were never stored.
+    unfinished : int
+        Stored jobs that did not complete within the period.
+    failed : int
+        Jobs that used up their attempts.
+    time_split : dict
+        Mean seconds of a completed job by `TimeUse`.
+    wait_s : Quantiles, optional
+        Seconds from admission until the first run of a completed job began.
+    ends_without_result : dict
+        Runs that came to nothing, by how they ended.
+    lost_core_s : dict
+        Core-seconds that these runs lost, by cause.
+    estimate_ratio : Quantiles, optional
+        Ratio of actual to expected run time of the runs that were done.
+    """
+
+    name: str
+    jobs: int
+    in_time: int
+    late: int
+    too_late: int
+    refused: int
+    unfinished: int
+    failed: int
+    time_split: dict[TimeUse, float]
+    wait_s: Quantiles | None
+    ends_without_result: dict[str, int]
+    lost_core_s: dict[TimeUse, float]
+    estimate_ratio: Quantiles | None
+
+
+class Report(NamedTuple):
+    """Where the time and the work of a period's jobs went.
+
+    Attributes
+    ----------
+    kinds, workspaces : list of GroupSummary
+        Figures by priority and by workspace.
+    leaderless_s : list of tuple
+        Periods without a leader, in seconds from the first attempt of any job.
+    store_outages_s : list of tuple
+        Process, start and end of its periods without the store, on the same axis.
+    dropped_lines, unreadable_lines : int
+        Lines that are missing because of a rate limit, and lines that are no log lines.
+        With dropped lines the sums are too small.
+    """
+
+    kinds: list[GroupSummary]
+    workspaces: list[GroupSummary]
+    leaderless_s: list[tuple[float, float]]
+    store_outages_s: list[tuple[str, float, float]]
+    dropped_lines: int
+    unreadable_lines: int
+
+
+def make_report(period: Period) -> Report:
+    """Sum the histories of a period."""
+    kinds: dict[str, list[JobHistory]] = defaultdict(list)
+    workspaces: dict[str, list[JobHistory]] = defaultdict(list)
+    for job in period.jobs.values():
+        if _was_handed_in(job):
+            kinds[f"priority {job.priority}"].append(job)
+            workspaces[job.workspace].append(job)
+    start_s = min(
+        (job.first_attempt_s for job in period.jobs.values() if job.first_attempt_s),
+        default=0.0,
+    )
+    return Report(
+        _summarize_groups(kinds, period),
+        _summarize_groups(workspaces, period),
+        [(since - start_s, until - start_s) for since, until in period.leaderless],
+        [
+            (node, since - start_s, until - start_s)
+            for node, since, until in period.store_outages
+        ],
+        period.dropped_lines,
+        period.unreadable,
+    )
+
+
+def _was_handed_in(job: JobHistory) -> bool:
+    return job.first_attempt_s is not None or job.admitted_s is not None
+
+
+def _summarize_groups(
+    groups: dict[str, list[JobHistory]], period: Period
+) -> list[GroupSummary]:
+    return [_summarize(name, groups[name], period) for name in sorted(groups)]
+
+
+def _summarize(name: str, jobs: list[JobHistory], period: Period) -> GroupSummary:
+    owed = [job for job in jobs if not job.cancelled]
+    completed = [job for job in owed if job.completed_s is not None]
+    times_s = [(_completion_s(job), job.objective_s) for job in completed]
+    in_time = sum(took_s <= objective_s for took_s, objective_s in times_s)
+    too_late = sum(took_s > LATE_FACTOR * objective for took_s, objective in times_s)
+    refused = sum(_was_refused(job) for job in owed)
+    failed = sum(job.failed for job in owed)
+    return GroupSummary(
+        name=name,
+        jobs=len(owed),
+        in_time=in_time,
+        late=len(completed) - in_time - too_late,
+        too_late=too_late,
+        refused=refused,
+        unfinished=len(owed) - len(completed) - refused - failed,
+        failed=failed,
+        time_split=_average_split(completed, period),
+        wait_s=find_quantiles(_list_waits(completed)),
+        ends_without_result=_sum_ends(jobs),
+        lost_core_s=_sum_losses(jobs),
+        estimate_ratio=find_quantiles(_list_estimate_ratios(jobs)),
+    )
+
+
+def _completion_s(job: JobHistory) -> float:
+    began_s = job.first_attempt_s or job.stored_s or job.admitted_s or 0.0
+    return (job.completed_s or 0.0) - began_s
+
+
+def _was_refused(job: JobHistory) -> bool:
+    return job.stored_s is None and job.admitted_s is None
+
+
+def _average_split(jobs: list[JobHistory], period: Period) -> dict[TimeUse, float]:
+    splits = [split_time(job, period.leaderless) for job in jobs]
+    count = max(1, len(splits))
+    return {use: sum(split[use] for split in splits) / count for use in TimeUse}
+
+
+def _list_waits(jobs: Iterable[JobHistory]) -> list[float]:
+    return [
+        max(0.0, min(run.began_s for run in job.runs) - job.admitted_s)
+        for job in jobs
+        if job.runs and job.admitted_s is not None
+    ]
+
+
+def _sum_ends(jobs: Iterable[JobHistory]) -> dict[str, int]:
+    total: dict[str, int] = defaultdict(int)
+    for job in jobs:
+        for how, count in count_stops(job).items():
+            total[how] += count
+    return dict(total)
+
+
+def _sum_losses(jobs: Iterable[JobHistory]) -> dict[TimeUse, float]:
+    total: dict[TimeUse, float] = defaultdict(float)
+    for job in jobs:
+        for run in job.runs:
+            if run.how != DONE:
+                total[classify_loss(run)] += run.lost_core_s
+    return dict(total)
+
+
+def _list_estimate_ratios(jobs: Iterable[JobHistory]) -> list[float]:
+    """Return actual divided by expected run time of runs done without a stop."""
+    ratios = []
+    for job in jobs:
+        expected_s = {
+            (placed.step, index): placed.expected_s
+            for placed in job.placed
+            for index in placed.tasks
+        }
+        for run in job.runs:
+            index = int(run.task.rpartition(".")[2])
+            estimate_s = expected_s.get((run.step, index), 0.0)
+            if run.how == DONE and estimate_s > 0:
+                ratios.append((run.ended_s - run.began_s) / estimate_s)
+    return ratios
+
+
+def find_quantiles(values: list[float]) -> Quantiles | None:
+    """Return the quantiles of values, or None for fewer than two."""
+    if len(values) < 2:
+        return None
+    tenths = quantiles(values, n=TENTHS, method="inclusive")
+    return Quantiles(tenths[0], tenths[TENTHS // 2 - 1], tenths[-1])
--- a/chiveledge/log_trace.py
+++ b/chiveledge/log_trace.py
@@ -190,6 +190,8 @@
             return "found the job already stored"
         case "Accepted", _:
             return "stored the job"
+        case "JobIdInUse", _:
+            return "refused the job, as another workspace has a job with its ID"
         case "NotStored", _:
             return "did not store the job"
         case "UnknownOutcome", _:
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -12,9 +12,6 @@
 from chiveledge.types import WorkerName
 from chiveledge.workload import Step, TaskName, Usage
 
-ACCELERATOR_CORES = 8
-"""Processor cores to which one accelerator is equivalent when lost work is compared."""
-
 
 class RunView(NamedTuple):
     """A run that occupies capacity of a worker.
@@ -46,8 +43,7 @@
     @property
     def loss(self) -> float:
         """Core-seconds that a stop would lose."""
-        cores = self.usage.millicores / 1000
-        return (cores + self.usage.accelerators * ACCELERATOR_CORES) * self.unsaved_s
+        return self.usage.core_equivalents * self.unsaved_s
 
 
 @dataclass
--- a/chiveledge/workload/_model.py
+++ b/chiveledge/workload/_model.py
@@ -7,6 +7,9 @@
 
 from chiveledge.types import JobId, WorkspaceName
 
+ACCELERATOR_CORES = 8
+"""Processor cores to which one accelerator is equivalent when work is compared."""
+
 
 class JobState(StrEnum):
     """State of a job as reported to callers."""
@@ -40,6 +43,11 @@
     memory_mb: int = 0
     accelerators: int = 0
 
+    @property
+    def core_equivalents(self) -> float:
+        """Processor cores, with each accelerator as `ACCELERATOR_CORES` of them."""
+        return self.millicores / 1000 + self.accelerators * ACCELERATOR_CORES
+
     def plus(self, other: Usage) -> Usage:
         """Return the sum of two usages."""
         return Usage(
