--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Callable, Coroutine, Iterable
-from typing import NamedTuple
 
 from chiveledge.clock import run_with_timeout
 from chiveledge.coordinator._advice import Candidate, TicketCache
@@ -13,9 +12,9 @@
 from chiveledge.coordinator._demands import find_policy, list_demands
 from chiveledge.coordinator._fleet_view import FleetViewBuilder
 from chiveledge.coordinator._orders import OrderDispatcher
-from chiveledge.coordinator._reconciliation import Reconciler
+from chiveledge.coordinator._pending_starts import PendingStarts
 from chiveledge.coordinator._run_times import RunTimeEstimator
-from chiveledge.coordinator._stragglers import should_restart_elsewhere
+from chiveledge.coordinator._supervision import FleetSupervisor
 from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
 from chiveledge.leadership import Leadership
 from chiveledge.placement import (
@@ -25,18 +24,16 @@
     Placement,
     StepDemand,
     UrgentArrivals,
-    WorkerSpeeds,
     WorkerSuspicion,
     charged_usage,
     count_reserved,
     make_plan,
     sort_demands,
 )
-from chiveledge.types import WorkerName
-from chiveledge.workload import JobProgress, OpenRun, TaskName, Usage
+from chiveledge.workload import JobProgress, OpenRun, TaskName
 
 PLAN_INTERVAL_S = 0.25
-"""Longest pause between two plans, and shortest between two checks of all runs."""
+"""Longest pause between two plans."""
 
 MIN_DEBOUNCE_S = 0.005
 """Shortest pause before a plan, so that one plan serves events that coincide."""
@@ -46,21 +43,6 @@
 leaves at least half of the processor time to polls, renewals and orders, unless a plan
 takes longer than this limit."""
 
-PENDING_START_TIMEOUT_S = 1.5
-"""How long preempted runs may take to release their capacity before a start is planned
-again: longer than a stop, and short enough for a second preemption within the time
-allowed for reclaiming a guarantee."""
-
-
-class PendingStart(NamedTuple):
-    """A deferred start whose preempted runs are being stopped, and since when.
-
-    It is dropped after `PENDING_START_TIMEOUT_S`, so that its tasks are planned again.
-    """
-
-    deferred: DeferredStart
-    since_s: float
-
 
 class PlanningController:
     """Plans when something changed, and carries the plans out.
@@ -73,8 +55,8 @@
         Nothing is planned while it is not valid.
     links, jobs : dict
         State of each worker by name, and all jobs by ID.
-    reconciler : Reconciler
-        Finds runs that stall, run slowly or have to leave their worker.
+    supervisor : FleetSupervisor
+        Checks runs between plans and knows which workers are slow.
     orders : OrderDispatcher
         Sends start and stop orders.
     tickets : TicketCache
@@ -95,7 +77,7 @@
         leadership: Leadership,
         links: dict[str, WorkerLink],
         jobs: dict[str, JobProgress],
-        reconciler: Reconciler,
+        supervisor: FleetSupervisor,
         orders: OrderDispatcher,
         tickets: TicketCache,
         suspicion: WorkerSuspicion,
@@ -109,20 +91,18 @@
         self._leadership = leadership
         self._links = links
         self._jobs = jobs
-        self._reconciler = reconciler
+        self._supervisor = supervisor
         self._orders = orders
         self._tickets = tickets
         self._suspicion = suspicion
         self._estimator = estimator
-        self._speeds = WorkerSpeeds()
         self._view_builder = FleetViewBuilder(
             jobs, context.catalogue, context.timing.stop_s
         )
         self._plan_due = plan_due
         self._spawn = spawn
-        self._pending_starts: list[PendingStart] = []
+        self._pending_starts = PendingStarts(links, jobs, self._start_runs)
         self._arrivals: dict[str, UrgentArrivals] = defaultdict(UrgentArrivals)
-        self._next_supervision_s = 0.0
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -141,13 +121,11 @@
 
     def _plan(self) -> None:
         now_s = self._clock.monotonic()
-        if now_s >= self._next_supervision_s:
-            self._next_supervision_s = now_s + PLAN_INTERVAL_S
-            self._supervise(now_s)
-        reserved, pending_tasks = self._review_pending_starts(now_s)
-        slow = self._speeds.slow_workers(now_s, len(self._links))
+        self._supervisor.check_runs(now_s)
+        reservations = self._pending_starts.review(now_s)
+        slow = self._supervisor.find_slow_workers(now_s)
         fleet = self._view_builder.build(
-            self._links.values(), self._suspicion, slow, reserved, now_s
+            self._links.values(), self._suspicion, slow, reservations.usage, now_s
         )
         self._reserve_for_urgent(fleet, now_s)
         demands = list_demands(
@@ -155,7 +133,7 @@
             self._context.catalogue(),
             self._estimator,
             {link.name: link.entry.rack for link in self._links.values()},
-            pending_tasks,
+            reservations.tasks,
             now_s,
             self._clock.now().timestamp() * 1000,
         )
@@ -165,7 +143,7 @@
         for deferred in plan.deferred_starts:
             self._stop_for_deferred_start(deferred, now_s)
         if slow:
-            self._move_off_slow_workers(fleet, slow, now_s)
+            self._supervisor.move_off_slow_workers(fleet, slow, now_s)
 
     def record_admission(self, job: JobProgress) -> None:
         """Record the arrival of a job; urgent jobs raise the reserved capacity."""
@@ -184,46 +162,6 @@
                 count = count_reserved(expected, largest, len(workers))
                 fleet.reserve_for_urgent(service, count)
 
-    def _move_off_slow_workers(
-        self, fleet: FleetView, slow: set[WorkerName], now_s: float
-    ) -> None:
-        """Stop runs on slow workers whose jobs meet their due time only elsewhere."""
-        for name in slow & self._links.keys():
-            link = self._links[name]
-            slow_left_s = self._speeds.slow_left_s(name, now_s)
-            late = [
-                tracked
-                for tracked in link.runs.values()
-                if self._should_restart_elsewhere(tracked, slow_left_s)
-            ]
-            for tracked in late:
-                members = self._orders.find_gang_runs(tracked)
-                service = link.entry.service
-                if fleet.has_full_speed_capacity(service, tracked.step, len(members)):
-                    for holder, member in members:
-                        self._orders.stop(holder, member, f"{name} is slow")
-
-    def _should_restart_elsewhere(
-        self, tracked: TrackedRun, slow_left_s: float
-    ) -> bool:
-        return should_restart_elsewhere(
-            tracked,
-            self._jobs[tracked.name.job_id],
-            self._context.catalogue(),
-            self._estimator,
-            slow_left_s,
-            self._context.timing.stop_s,
-            self._clock.now().timestamp() * 1000,
-        )
-
-    def _supervise(self, now_s: float) -> None:
-        """Check all runs for stalls, slow workers and workers that leave."""
-        self._reconciler.stop_stalled_runs(self._links, now_s)
-        self._reconciler.evacuate_leaving_workers(self._links, now_s)
-        run_speeds = self._reconciler.list_run_speeds(self._links)
-        for name in self._speeds.update(run_speeds, now_s):
-            self._log.write("workers", "slow", worker=name)
-
     def _apply_advice(
         self, fleet: FleetView, demands: Iterable[StepDemand]
     ) -> list[StepDemand]:
@@ -249,84 +187,8 @@
         )
         return ready
 
-    def _review_pending_starts(
-        self, now_s: float
-    ) -> tuple[dict[str, Usage], set[TaskName]]:
-        """Start the tasks of pending starts whose capacity is free by now.
-
-        Returns
-        -------
-        reserved : dict
-            Capacity on each worker that the remaining tasks wait for.
-        pending_tasks : set of TaskName
-            The remaining tasks.
-        """
-        reserved: dict[str, Usage] = {}
-        pending_tasks: set[TaskName] = set()
-        pending: list[PendingStart] = []
-        for item in self._pending_starts:
-            job = self._jobs[item.deferred.demand.job_id]
-            if job.state.ended or now_s - item.since_s > PENDING_START_TIMEOUT_S:
-                continue
-            if not self._can_still_start(item.deferred):
-                continue
-            remaining = self._start_fitting_tasks(item.deferred, reserved)
-            if remaining is None:
-                continue
-            pending.append(PendingStart(remaining, item.since_s))
-            demand = remaining.demand
-            usage = charged_usage(demand.step)
-            for placement in remaining.placements:
-                before = reserved.get(placement.worker, Usage())
-                reserved[placement.worker] = before.plus(usage)
-                pending_tasks.add(
-                    TaskName(
-                        demand.job_id,
-                        demand.occurrence,
-                        demand.step_number,
-                        placement.index,
-                    )
-                )
-        self._pending_starts = pending
-        return reserved, pending_tasks
-
-    def _can_still_start(self, deferred: DeferredStart) -> bool:
-        for placement in deferred.placements:
-            link = self._links.get(placement.worker)
-            if link is None or not link.listed or link.entry.draining:
-                return False
-            if link.unresponsive_since_s is not None:
-                return False
-        return True
-
-    def _start_fitting_tasks(
-        self, deferred: DeferredStart, reserved: dict[str, Usage]
-    ) -> DeferredStart | None:
-        """Start those tasks of a deferred start that fit now, a gang only as a whole.
-
-        Returns the deferred start of the remaining tasks, None if none remains.
-        """
-        usage = charged_usage(deferred.demand.step)
-        free_after: dict[str, Usage] = {}
-        fitting = []
-        for placement in deferred.placements:
-            link = self._links[placement.worker]
-            reserved_usage = reserved.get(link.name, Usage())
-            free = free_after.get(
-                link.name, link.entry.capacity.minus(link.used).minus(reserved_usage)
-            )
-            if usage.fits(free):
-                free_after[link.name] = free.minus(usage)
-                fitting.append(placement)
-        if deferred.demand.step.gang and len(fitting) < len(deferred.placements):
-            fitting = []
-        if fitting:
-            self._start_runs(deferred.demand, fitting)
-        remaining = [p for p in deferred.placements if p not in fitting]
-        return deferred._replace(placements=remaining) if remaining else None
-
     def _stop_for_deferred_start(self, deferred: DeferredStart, now_s: float) -> None:
-        self._pending_starts.append(PendingStart(deferred, now_s))
+        self._pending_starts.add(deferred, now_s)
         self._log.write(
             "coordinator",
             "deferred",
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -14,6 +14,7 @@
 from chiveledge.coordinator._progress_writer import PROGRESS_PREFIX, ProgressWriter
 from chiveledge.coordinator._reconciliation import Reconciler
 from chiveledge.coordinator._run_times import RunTimeEstimator
+from chiveledge.coordinator._supervision import FleetSupervisor
 from chiveledge.coordinator._upkeep import UpkeepController
 from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
 from chiveledge.coordinator._workers import POLL_RETRY_S, WorkerMonitor
@@ -121,7 +122,9 @@
             leadership,
             self.links,
             self.jobs,
-            reconciler,
+            FleetSupervisor(
+                context, self.links, self.jobs, reconciler, self._orders, estimator
+            ),
             self._orders,
             self._tickets,
             suspicion,
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -135,6 +135,14 @@
             if entry.draining:
                 link.draining_since_s = self._clock.monotonic()
             self.links[entry.name] = link
+            self._log.write(
+                "workers",
+                "listed",
+                worker=entry.name,
+                worker_domain=entry.domain,
+                rack=entry.rack,
+                service=entry.service,
+            )
             self._spawn(self._poll_worker(link))
             return
         if entry.incarnation_ms > link.incarnation_ms:
