--- a/chiveledge/log_report/__init__.py
+++ b/chiveledge/log_report/__init__.py
@@ -21,6 +21,7 @@
 )
 from chiveledge.log_report._report import (
     GroupSummary,
+    Outage,
     Quantiles,
     Report,
     make_report,
@@ -31,6 +32,7 @@
 __all__ = [
     "GroupSummary",
     "JobHistory",
+    "Outage",
     "Period",
     "Placed",
     "Quantiles",
--- a/chiveledge/log_report/_report.py
+++ b/chiveledge/log_report/_report.py
@@ -68,6 +68,20 @@
     estimate_ratio: Quantiles | None
 
 
+class Outage(NamedTuple):
+    """A period in which one process after another had no store, without a gap.
+
+    Attributes
+    ----------
+    processes : int
+        Number of processes that had no store at some time of the period.
+    """
+
+    since_s: float
+    until_s: float
+    processes: int
+
+
 class Report(NamedTuple):
     """Where the time and the work of a period's jobs went.
 
@@ -77,8 +91,8 @@
         Figures by priority and by workspace.
     leaderless_s : list of tuple
         Periods without a leader, in seconds from the first attempt of any job.
-    store_outages_s : list of tuple
-        Process, start and end of its periods without the store, on the same axis.
+    store_outages : list of Outage
+        Periods in which processes had no store, on the same axis.
     dropped_lines, unreadable_lines : int
         Lines that are missing because of a rate limit, and lines that are no log lines.
         With dropped lines the sums are too small.
@@ -87,7 +101,7 @@
     kinds: list[GroupSummary]
     workspaces: list[GroupSummary]
     leaderless_s: list[tuple[float, float]]
-    store_outages_s: list[tuple[str, float, float]]
+    store_outages: list[Outage]
     dropped_lines: int
     unreadable_lines: int
 
@@ -108,15 +122,29 @@
         _summarize_groups(kinds, period),
         _summarize_groups(workspaces, period),
         [(since - start_s, until - start_s) for since, until in period.leaderless],
-        [
-            (node, since - start_s, until - start_s)
-            for node, since, until in period.store_outages
-        ],
+        _merge_outages(period.store_outages, start_s),
         period.dropped_lines,
         period.unreadable,
     )
 
 
+def _merge_outages(
+    rows: list[tuple[str, float, float]], start_s: float
+) -> list[Outage]:
+    """Join outages that overlap; times become seconds from `start_s`."""
+    merged: list[tuple[float, float, set[str]]] = []
+    for node, since_s, until_s in sorted(rows, key=lambda row: row[1]):
+        if merged and since_s <= merged[-1][1]:
+            first_s, last_s, nodes = merged.pop()
+            merged.append((first_s, max(last_s, until_s), nodes | {node}))
+        else:
+            merged.append((since_s, until_s, {node}))
+    return [
+        Outage(since_s - start_s, until_s - start_s, len(nodes))
+        for since_s, until_s, nodes in merged
+    ]
+
+
 def _was_handed_in(job: JobHistory) -> bool:
     return job.first_attempt_s is not None or job.admitted_s is not None
 
--- a/chiveledge/log_report/_text.py
+++ b/chiveledge/log_report/_text.py
@@ -18,8 +18,11 @@
         lines += _describe_group(group)
     for since_s, until_s in report.leaderless_s:
         lines.append(f"no leader from {since_s:.1f} s to {until_s:.1f} s")
-    for node, since_s, until_s in report.store_outages_s:
-        lines.append(f"{node} without the store {since_s:.1f} s to {until_s:.1f} s")
+    lines += [
+        f"{outage.processes} processes without the store from "
+        f"{outage.since_s:.1f} s to {outage.until_s:.1f} s"
+        for outage in report.store_outages
+    ]
     if report.dropped_lines:
         lines.append(
             f"{report.dropped_lines} log lines were dropped: the sums are too small"
--- a/chiveledge/log_report/_time_split.py
+++ b/chiveledge/log_report/_time_split.py
@@ -25,6 +25,7 @@
     LOST_STALLED = "runs stalled"
     LOST_WORKER = "runs on workers that were lost, slow or leaving"
     LOST_FAILED = "runs failed"
+    LOST_CANCELLED = "runs of cancelled jobs"
     LOST_OTHER = "runs lost otherwise"
     LAST_RUN = "runs that were done"
     REPORT = "until recorded"
@@ -62,10 +63,12 @@
     why = run.why
     if why.startswith("preempted"):
         return TimeUse.LOST_PREEMPTED
-    if "member" in why or run.how in ("broken", "alone"):
+    if "another member" in why or run.how in ("broken", "alone"):
         return TimeUse.LOST_GANG
     if "no progress" in why:
         return TimeUse.LOST_STALLED
+    if "cancelled" in why:
+        return TimeUse.LOST_CANCELLED
     if "slow" in why or "leave" in why or run.how in ("lapsed", "not_started"):
         return TimeUse.LOST_WORKER
     if run.how == "failed":
