--- a/chiveledge/platform/_api.py
+++ b/chiveledge/platform/_api.py
@@ -284,13 +284,26 @@
             case Accepted():
                 return web.json_response({})
             case NotStored(reason):
-                return self._make_unavailable(reason)
+                return await self._submit_by_peer(request, reason)
             case JobIdInUse():
                 return _make_error(409, "another job has this ID; choose a new one")
             case UnknownOutcome(reason):
                 return _make_error(504, reason)
         raise AssertionError("unreachable")
 
+    async def _submit_by_peer(
+        self, request: web.BaseRequest, reason: str
+    ) -> web.Response:
+        """Forward a submission that the store refused to this process alone, perhaps.
+
+        Load pattern: the store turns some hosts away and serves the others, and callers
+        of these hosts come back only after a pause.
+        """
+        relayed = None
+        if RELAYED_HEADER not in request.headers:
+            relayed = await self._forward(request)
+        return relayed or self._make_unavailable(reason)
+
     async def _read(self, job_id: str, workspace: str) -> web.Response:
         match await self._job_store.read(job_id):
             case JobStatus(workspace=owner, state=state) if owner == workspace:
--- a/tests/platform/test_api.py
+++ b/tests/platform/test_api.py
@@ -359,3 +359,31 @@
             yield b"x" * 100
 
     assert (await api.call("POST", f"/q/{ID}", pieces()))[0] == 413
+
+
+async def test_submission_that_the_store_refuses_to_one_host_goes_to_a_peer(api):
+    """Callers of a host that the store turned away came back a second later."""
+    peer = Api()
+    api.table.faults.down = True
+    async with serve(peer.handler.handle) as url:
+        api.add_peer("n2", url)
+        assert (await api.call("POST", f"/q/{ID}", JOB))[0] == 200
+    assert peer.table.find(job_key(ID)) is not None
+    assert not api.table.rows
+
+
+async def test_submission_that_no_host_can_store_is_refused_once(api):
+    peer = Api()
+    api.table.faults.down = peer.table.faults.down = True
+    async with serve(peer.handler.handle) as url:
+        api.add_peer("n2", url)
+        peer.add_peer("n1", api.url)
+        status, _, headers = await api.call("POST", f"/q/{ID}", JOB)
+    assert (status, headers["Retry-After"]) == (503, "1")
+
+
+async def test_lost_reply_of_a_peer_that_may_have_stored_a_job_is_not_refused(api):
+    api.table.faults.down = True
+    async with serve(lose_reply) as url:
+        api.add_peer("n2", url)
+        assert (await api.call("POST", f"/q/{ID}", JOB))[0] == 504
