Stalled runs are noticed by their expected time, and gangs stopped at once

A run of hours, on the other hand, was stopped every 3 s, since whole percents rise rarely. The time allowed is now a quarter of the expected run time, at least 1.2 s, doubled with each run given up; what may still wait for its gang keeps 3 s. Two tests seen failing on the old code.

--- a/chiveledge/coordinator/_reconciliation.py
+++ b/chiveledge/coordinator/_reconciliation.py
@@ -14,8 +14,10 @@
 from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
 from chiveledge.placement import (
     COMPLETE_PERCENT,
+    MIN_STALL_S,
     RunSpeed,
     WorkerSuspicion,
+    find_stall_timeout_s,
     should_evacuate,
 )
 from chiveledge.services.task_worker import EndedTask, PollReport, RunningTask
@@ -125,9 +127,14 @@
             if link.unresponsive_since_s is not None:
                 continue
             for tracked in list(link.runs.values()):
-                if self._is_stalled(tracked, now_s):
+                if self._is_stalled(link, tracked):
                     self._suspicion.record_stall(link.name, now_s)
+                    tracked.task.stalls += 1
                     self._orders.stop(link, tracked, "the run makes no progress")
+                    # The others could only wait until this member has ended.
+                    for holder, member in self._orders.find_gang_runs(tracked):
+                        reason = "another member of the gang makes no progress"
+                        self._orders.stop(holder, member, reason)
 
     def evacuate_leaving_workers(
         self, links: dict[str, WorkerLink], now_s: float
@@ -183,16 +190,30 @@
                 )
         return run_speeds
 
-    def _is_stalled(self, tracked: TrackedRun, now_s: float) -> bool:
+    def _is_stalled(self, link: WorkerLink, tracked: TrackedRun) -> bool:
         run = tracked.run
         step = tracked.step
-        return (
-            run.state is RunState.RUNNING
-            and not tracked.stopping
-            and not step.lasting
-            and not step.filler
-            and run.percent < COMPLETE_PERCENT
-            and now_s - run.last_progress_s > self._timing.stall_s
+        if (
+            run.state is not RunState.RUNNING
+            or tracked.stopping
+            or step.lasting
+            or step.filler
+            or run.percent >= COMPLETE_PERCENT
+            or link.last_answer_s is None
+        ):
+            return False
+        silent_s = link.last_answer_s - run.last_progress_s
+        return silent_s > MIN_STALL_S and silent_s > self._stall_timeout_s(tracked)
+
+    def _stall_timeout_s(self, tracked: TrackedRun) -> float:
+        request = self._jobs[tracked.name.job_id].request
+        siblings = self._orders.find_gang_runs(tracked) if tracked.step.gang else []
+        return find_stall_timeout_s(
+            self._estimator.expected_s(request, tracked.step),
+            tracked.task.stalls,
+            lone=tracked.run.percent == 0
+            and not any(member.run.percent for _, member in siblings),
+            lone_timeout_s=self._timing.stall_s,
         )
 
     def _record_running(self, link: WorkerLink, row: RunningTask) -> None:
--- a/chiveledge/coordinator/_timing.py
+++ b/chiveledge/coordinator/_timing.py
@@ -38,7 +38,8 @@
     upkeep_s : float
         Downtime of a machine for its upkeep.
     stall_s : float
-        Time without progress after which a run counts as stalled.
+        Shortest time without progress after which a run counts as stalled that may not
+        have begun to work yet.
     """
 
     leader_lease_s: float = 1.1
--- a/chiveledge/placement/__init__.py
+++ b/chiveledge/placement/__init__.py
@@ -28,11 +28,13 @@
     estimate_speeds,
     should_restart,
 )
+from chiveledge.placement._stall import MIN_STALL_S, find_stall_timeout_s
 from chiveledge.placement._suspicion import WorkerSuspicion
 from chiveledge.placement._upkeep import choose_next_machines, find_drain_timeout_s
 
 __all__ = [
     "COMPLETE_PERCENT",
+    "MIN_STALL_S",
     "URGENT_PRIORITY",
     "ZERO_VALUE_FACTOR",
     "DeferredStart",
@@ -54,6 +56,7 @@
     "estimate_speeds",
     "find_drain_timeout_s",
     "find_guaranteed_jobs",
+    "find_stall_timeout_s",
     "make_plan",
     "place_step",
     "should_evacuate",
--- a/chiveledge/workload/_progress.py
+++ b/chiveledge/workload/_progress.py
@@ -89,6 +89,8 @@
         Monotonic time since which the task waits for a run; 0 if unknown.
     failed_on : tuple of str
         Workers on which runs failed.
+    stalls : int
+        Runs that this leader stopped because they made no progress.
     """
 
     last_run: int = 0
@@ -99,6 +101,7 @@
     run: OpenRun | None = None
     ready_s: float = 0.0
     failed_on: tuple[WorkerName, ...] = ()
+    stalls: int = 0
 
 
 @dataclass
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -234,6 +234,33 @@
     assert cluster.state("j1") is JobState.COMPLETED
 
 
+async def test_urgent_gang_leaves_a_worker_that_stands_still_soon(make_cluster):
+    """A member that stood still was noticed after 3 s, whatever the run's length."""
+    cluster = make_cluster(workers=6)
+    await cluster.advance(0.5)
+    whole_worker = SMALL._replace(accelerators=8)
+    step = Step(count=3, usage=whole_worker, gang=True, estimate_s=3.0)
+    await cluster.submit("g1", step, queue="urgent", work_s=3.0)
+    await cluster.advance(1.0)
+    began_s = cluster.clock.monotonic()
+    slowed_task = cluster.starts("g1")[0][0]
+    for worker in cluster.workers.values():
+        worker.faults.hangs = any(task == slowed_task for task, _ in worker.runs)
+    while len(cluster.starts("g1")) < 6:
+        await cluster.advance(0.1)
+        assert cluster.clock.monotonic() - began_s < 3.0
+    assert sum(worker.faults.hangs for worker in cluster.workers.values()) == 1
+
+
+async def test_run_of_a_hundred_minutes_is_not_taken_for_a_stalled_one(make_cluster):
+    """Whole percents of a long run rise so rarely that it was stopped every 3 s."""
+    cluster = make_cluster()
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(usage=SMALL, estimate_s=6000.0), work_s=6000.0)
+    await cluster.advance(30)
+    assert len(cluster.starts("j1")) == 1
+
+
 async def run_with_slow_worker(cluster, queue, step, work_s, slow_for_s=40.0):
     """Run a job while one of its workers is slow; return the job's duration."""
     await cluster.advance(0.5)
