Gangs wait for a rack instead of being spread, and stop nothing where they are late

Cause (emulator, traced): an urgent gang that found no rack was spread over the fleet at once, ran three times as long and was late all the same, while the next urgent gangs found the fleet taken; for a gang wider than any rack 36 tasks were stopped. The emulator got workers of unlike speed, the product's estimates, credit by size and random sites.

--- a/benchmarks/emulator.py
+++ b/benchmarks/emulator.py
@@ -1,6 +1,7 @@
 """Discrete-event emulation of a fleet that runs the real placement code.
 
-Synthetic jobs arrive, `make_plan` places them and their tasks run for a drawn time.
+Synthetic jobs arrive, `make_plan` places them and their tasks run for a drawn time on
+workers of unlike speed. Run times and speeds are estimated by the product's estimators.
 Orders to workers and writes to the store take constant times. The results compare
 variants of placement on the same load; they don't predict a real fleet's performance.
 """
@@ -9,11 +10,14 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from statistics import mean
 from typing import NamedTuple
 
+from chiveledge.coordinator import RunTimeEstimator
 from chiveledge.placement import (
     FleetView,
     RunView,
@@ -44,6 +48,20 @@
 CHECKPOINT_INTERVAL_S = 0.5
 """Most work that a stop of a task with checkpoints is expected to lose."""
 
+SPREAD_SLOWDOWN = 3.0
+"""How much longer tasks take that belong on one rack and are spread over several."""
+
+LATE_FACTOR = 3.0
+"""Multiple of its objective after which a job earns nothing."""
+
+MIN_WEIGHT = 0.3
+MAX_WEIGHT = 4.0
+"""Share of a job's credit that does not depend on its work, and the largest weight of a
+job against the mean of its kind."""
+
+LOST_CORE_S_PRICE = 0.001
+"""Credit that a core-second of lost work costs."""
+
 
 class JobKind(NamedTuple):
     """Distribution from which the jobs of one kind are drawn.
@@ -70,6 +88,8 @@
         Share of jobs that lose no work when they are stopped.
     stretch, target_s : float
         A job is due `stretch` times its run time plus `target_s` after its arrival.
+    estimate_error : float
+        Standard deviation of the logarithm of declared over actual run times.
     credit, late_credit : float
         Credit for a job that finishes in time, and for one that takes up to three times
         as long as allowed.
@@ -93,6 +113,7 @@
     target_s: float
     credit: float
     late_credit: float
+    estimate_error: float = 0.3
 
 
 class Site(NamedTuple):
@@ -104,6 +125,8 @@
         Capacity of each worker.
     max_stop_s : float
         Longest time that a run takes to stop.
+    slowdowns : tuple of float
+        Factors by which runs take longer; the workers have them in turn.
     """
 
     name: str
@@ -112,6 +135,11 @@
     capacity: Usage
     max_stop_s: float
     kinds: tuple[JobKind, ...]
+    slowdowns: tuple[float, ...] = (1.0,)
+
+    def find_slowdown(self, worker: str) -> float:
+        """Return the factor of a worker by its name."""
+        return self.slowdowns[int(worker[1:]) % len(self.slowdowns)]
 
 
 class Burst(NamedTuple):
@@ -128,13 +156,16 @@
 
     Attributes
     ----------
-    reserve_span_s : float
+    reserve_span_s : float, optional
         Capacity is reserved for the urgent jobs expected within this time; 0 reserves
-        none.
+        none. None for the time of a stop.
+    reserve_span_factor : float
+        Factor of that time.
     """
 
     name: str
-    reserve_span_s: float = 0.0
+    reserve_span_s: float | None = None
+    reserve_span_factor: float = 1.0
 
 
 class EmulationResult(NamedTuple):
@@ -143,7 +174,8 @@
     Attributes
     ----------
     credits : dict
-        Earned share of the possible credit by kind, and over all kinds as "all".
+        Earned share of the possible credit by kind, over all kinds as "all", and less
+        the price of lost work as "net".
     wasted_share : float
         Core-seconds lost by stopped runs, as a share of the fleet's core-seconds.
     stops : int
@@ -159,7 +191,9 @@
 
 
 @dataclass
-class _Job:
+class Job:
+    """A job of the load and its progress."""
+
     kind: JobKind
     step: Step
     name: str
@@ -170,11 +204,19 @@
     running: set[int] = field(default_factory=set)
     started_s: float | None = None
     finished_s: float | None = None
+    work: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.work = self.step.usage.core_equivalents * sum(self.remaining_s)
+
+    @property
+    def request(self) -> JobRequest:
+        return JobRequest(self.name, self.kind.name, "team", "", (self.step,), 0)
 
 
 @dataclass(eq=False)
 class _Run:
-    job: _Job
+    job: Job
     indices: tuple[int, ...]
     workers: tuple[str, ...]
     started_s: float
@@ -182,7 +224,7 @@
     stopping: bool = False
 
 
-def draw_jobs(site: Site, bursts: tuple[Burst, ...], rng: random.Random) -> list[_Job]:
+def draw_jobs(site: Site, bursts: tuple[Burst, ...], rng: random.Random) -> list[Job]:
     """Return all jobs of a site, in order of arrival."""
     jobs = []
     for kind in site.kinds:
@@ -203,7 +245,7 @@
     return jobs
 
 
-def _draw_job(kind: JobKind, at_s: float, rng: random.Random) -> _Job:
+def _draw_job(kind: JobKind, at_s: float, rng: random.Random) -> Job:
     count = min(kind.max_tasks, max(1, round(rng.expovariate(1 / kind.mean_tasks))))
     run_s = rng.gauss(kind.mean_run_s, kind.mean_run_s * kind.run_spread)
     run_s = min(kind.max_run_s, max(0.3, run_s))
@@ -211,6 +253,7 @@
     step = Step(
         count=count,
         usage=Usage(kind.millicores, kind.memory_mb, rng.choice(kind.accelerators)),
+        estimate_s=run_s * math.exp(rng.gauss(0.0, kind.estimate_error)),
         gang=gang,
         same_rack=gang and rng.random() < kind.same_rack_share,
         checkpoints=rng.random() < kind.checkpoint_share,
@@ -218,28 +261,35 @@
     task_runs_s = [
         run_s if gang else run_s * rng.uniform(0.7, 1.3) for _ in range(count)
     ]
-    return _Job(kind, step, "", at_s, max(task_runs_s), task_runs_s)
+    return Job(kind, step, "", at_s, max(task_runs_s), task_runs_s)
 
 
 class Emulator:
     """Emulation of one variant of placement at one site.
 
-    All random draws derive from `seed`, so that it repeats exactly.
+    All random draws derive from `seed`, so that it repeats exactly. Without `jobs`, the
+    load is drawn.
     """
 
     def __init__(
-        self, site: Site, variant: Variant, bursts: tuple[Burst, ...], seed: int
+        self,
+        site: Site,
+        variant: Variant,
+        bursts: tuple[Burst, ...],
+        seed: int,
+        jobs: list[Job] | None = None,
     ) -> None:
         self._site = site
         self._variant = variant
         self._rng = random.Random(seed)
-        self._jobs = draw_jobs(site, bursts, self._rng)
+        self._jobs = draw_jobs(site, bursts, self._rng) if jobs is None else jobs
         self._runs: list[_Run] = []
-        self._unfinished: dict[str, _Job] = {}
+        self._unfinished: dict[str, Job] = {}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
         self._pending_starts: list[tuple[StepDemand, list, float]] = []
         self._arrivals = UrgentArrivals()
+        self._estimator = RunTimeEstimator()
         self._now_s = 0.0
         self._plan_at_s: float | None = None
         self._wasted_core_s = 0.0
@@ -273,20 +323,20 @@
             if self._unfinished:
                 self._schedule_plan(REPLAN_S)
 
-    def _admit(self, job: _Job) -> None:
+    def _admit(self, job: Job) -> None:
         self._unfinished[job.name] = job
         if job.kind.priority == 0:
-            request = JobRequest(job.name, "q", "team", "", (job.step,), 0)
-            self._arrivals.record(request, self._now_s)
+            self._arrivals.record(job.request, self._now_s)
         self._schedule_plan()
 
     def _plan(self) -> None:
         self._start_pending()
         fleet = self._make_fleet_view()
-        if self._variant.reserve_span_s:
-            expected = self._arrivals.forecast(
-                self._variant.reserve_span_s, self._now_s
-            )
+        span_s = self._variant.reserve_span_s
+        span_s = self._site.max_stop_s if span_s is None else span_s
+        span_s *= self._variant.reserve_span_factor
+        if span_s:
+            expected = self._arrivals.forecast(span_s, self._now_s)
             count = count_reserved(expected, self._site.capacity, self._site.workers)
             fleet.reserve_for_urgent(SERVICE, count)
         plan = make_plan(fleet, self._list_demands())
@@ -326,6 +376,7 @@
                         run.job.kind.priority,
                         unsaved_s,
                         movable=not run.stopping,
+                        ending=self._is_ending(run),
                     )
                 )
         reserved: dict[str, Usage] = {}
@@ -338,6 +389,9 @@
             for number in range(self._site.workers)
         )
 
+    def _is_ending(self, run: _Run) -> bool:
+        return not run.stopping and run.end_s - self._now_s <= self._site.max_stop_s
+
     def _make_worker_view(
         self, number: int, used, stopping, reserved, views
     ) -> WorkerView:
@@ -373,7 +427,8 @@
             )
             if not indices or (job.step.gang and len(indices) < job.step.count):
                 continue
-            objective_s = job.kind.stretch * job.kind.mean_run_s + job.kind.target_s
+            expected_s = self._estimator.expected_s(job.request, job.step)
+            objective_s = job.kind.stretch * expected_s + job.kind.target_s
             age_s = self._now_s - job.arrival_s
             yield StepDemand(
                 job_id=job.name,
@@ -383,9 +438,10 @@
                 service=SERVICE,
                 priority=job.kind.priority,
                 indices=indices,
-                guaranteed=job.kind.priority == 0,
                 due_s=objective_s - age_s,
-                zero_value_s=3 * objective_s - age_s,
+                zero_value_s=LATE_FACTOR * objective_s - age_s,
+                remaining_s=expected_s,
+                run_s=expected_s,
                 waited_s=age_s,
             )
 
@@ -416,7 +472,9 @@
             racks = {
                 int(worker[1:]) // self._site.workers_per_rack for worker in workers
             }
-            slowdown = 3.0 if job.step.same_rack and len(racks) > 1 else 1.0
+            spread = job.step.same_rack and len(racks) > 1
+            slowdown = max(self._site.find_slowdown(worker) for worker in workers)
+            slowdown *= SPREAD_SLOWDOWN if spread else 1.0
             end_s = self._now_s + slowdown * max(job.remaining_s[i] for i in indices)
             run = _Run(job, indices, workers, self._now_s, end_s)
             job.running |= set(indices)
@@ -434,6 +492,9 @@
         job = run.job
         job.running -= set(run.indices)
         job.done |= set(run.indices)
+        run_time_s = self._now_s - run.started_s
+        for _ in run.indices:
+            self._estimator.update(job.request, job.step, run_time_s)
         if len(job.done) == job.step.count:
             job.finished_s = self._now_s + RESULT_DELAY_S
             self._unfinished.pop(job.name, None)
@@ -458,6 +519,12 @@
         self._schedule_plan()
 
     def _summarize(self) -> EmulationResult:
+        mean_work = {
+            kind.name: mean(
+                [job.work for job in self._jobs if job.kind is kind] or [1.0]
+            )
+            for kind in self._site.kinds
+        }
         earned: dict[str, float] = {"all": 0.0}
         offered: dict[str, float] = {"all": 0.0}
         for job in self._jobs:
@@ -466,11 +533,15 @@
             credit = 0.0
             if completion_s <= objective_s:
                 credit = job.kind.credit
-            elif completion_s <= 3 * objective_s:
+            elif completion_s <= LATE_FACTOR * objective_s:
                 credit = job.kind.late_credit
+            weight = MIN_WEIGHT + (1 - MIN_WEIGHT) * job.work / mean_work[job.kind.name]
+            weight = min(weight, MAX_WEIGHT)
             for key in (job.kind.name, "all"):
-                offered[key] = offered.get(key, 0.0) + job.kind.credit
-                earned[key] = earned.get(key, 0.0) + credit
+                offered[key] = offered.get(key, 0.0) + weight * job.kind.credit
+                earned[key] = earned.get(key, 0.0) + weight * credit
+        offered["net"] = offered["all"]
+        earned["net"] = earned["all"] - LOST_CORE_S_PRICE * self._wasted_core_s
         waits = sorted(
             job.started_s - job.arrival_s
             for job in self._jobs
--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import json
 import math
-import os
+import random
 from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
 from statistics import mean, stdev
 
+import defopt
+
 from benchmarks.emulator import Burst, EmulationResult, Emulator, JobKind, Site, Variant
 from chiveledge.workload import Usage
 
@@ -48,10 +52,37 @@
     )  # fmt: skip
     haneul = Usage(32000, 64 * MIB_PER_GIB, 8)
     pedal = Usage(128000, 256 * MIB_PER_GIB, 8)
+    pumps = trace._replace(
+        name="pump-sizing", arrivals_per_s=0.314, mean_tasks=5.0, mean_run_s=8.5,
+        memory_mb=75000,
+    )  # fmt: skip
+    stock = quote._replace(
+        name="stock-alloc", arrivals_per_s=0.766, millicores=15000, memory_mb=31000
+    )
+    yields = wear._replace(
+        name="yield-est", arrivals_per_s=0.3, mean_tasks=16, mean_run_s=9.5
+    )
+    wide_pumps = pumps._replace(
+        arrivals_per_s=1.04, mean_tasks=13.0, max_tasks=78, memory_mb=110000
+    )
+    wide_stock = stock._replace(
+        arrivals_per_s=5.5, mean_tasks=5.4, max_tasks=32, memory_mb=39000
+    )
+    wide_yields = yields._replace(
+        arrivals_per_s=1.06, mean_tasks=39.0, max_tasks=230, memory_mb=16000
+    )
+    unlike = (1.0, 1.0, 1.3)
     return {
         "haneul": Site("haneul", 24, 8, haneul, 0.9, (forecast, quote, check)),
-        "pedal": Site("pedal", 24, 8, pedal, 0.9, (trace, speed, wear)),
-    }
+        "pedal": Site(
+            "pedal", 24, 8, pedal, 0.9, (trace, speed, wear), (0.8, 1.0, 1.25)
+        ),
+        "pumps": Site("pumps", 24, 8, pedal, 0.4, (pumps, stock, yields), unlike),
+        "pumps-grown": Site(
+            "pumps-grown", 176, 12, pedal, 0.9,
+            (wide_pumps, wide_stock, wide_yields), unlike,
+        ),
+    }  # fmt: skip
 
 
 def make_bursts(site: Site) -> tuple[Burst, ...]:
@@ -62,56 +93,132 @@
 
 
 VARIANTS = (
-    Variant("nothing kept"),
-    Variant("kept for 0.4 s", reserve_span_s=0.4),
-    Variant("kept for 0.9 s", reserve_span_s=0.9),
-    Variant("kept for 2 s", reserve_span_s=2.0),
+    Variant("the product's rules"),
+    Variant("nothing reserved", reserve_span_s=0.0),
+    Variant("twice as much reserved", reserve_span_factor=2.0),
 )
 
 
+def draw_site(seed: int) -> Site:
+    """Return a random site: a fleet, its load and its speeds, all drawn by the seed."""
+    rng = random.Random(seed)
+    base = make_sites()[rng.choice(["haneul", "pedal", "pumps"])]
+    workers = rng.randrange(12, 65)
+    load = rng.uniform(0.7, 1.3) * workers / base.workers
+    kinds = tuple(
+        kind._replace(
+            arrivals_per_s=kind.arrivals_per_s * load * rng.uniform(0.6, 1.6),
+            mean_run_s=min(kind.max_run_s, kind.mean_run_s * rng.uniform(0.6, 1.4)),
+            mean_tasks=kind.mean_tasks * rng.uniform(0.5, 2.0),
+            gang_share=rng.choice([kind.gang_share, rng.random()]),
+            same_rack_share=rng.random(),
+            checkpoint_share=rng.random(),
+            stretch=kind.stretch * rng.uniform(0.9, 1.6),
+            estimate_error=rng.uniform(0.1, 0.6),
+        )
+        for kind in base.kinds
+    )
+    slowdowns = tuple(
+        rng.choice([1.0, 1.0, rng.uniform(0.7, 1.6)])
+        for _ in range(rng.randrange(1, 7))
+    )
+    return base._replace(
+        name=f"drawn-{seed}",
+        workers=workers,
+        workers_per_rack=rng.choice([4, 8, 12, 24]),
+        max_stop_s=rng.choice([0.3, 0.6, 0.9]),
+        kinds=kinds,
+        slowdowns=slowdowns,
+    )
+
+
 def run_emulation(arguments: tuple[Site, Variant, int]) -> EmulationResult:
     """Run one emulation; for a process pool, hence the single argument."""
     site, variant, seed = arguments
     return Emulator(site, variant, make_bursts(site), seed).run()
 
 
-def compare_variants(site: Site, variants: tuple[Variant, ...], seeds: int) -> None:
-    """Print the means of each variant and its difference from the first variant.
+def run_variant(
+    sites: list[Site], variant: Variant, seeds: int, jobs: int
+) -> dict[str, list[dict[str, float]]]:
+    """Return for each site the credits of each seed, by kind.
 
-    The difference of a seed is taken between runs of the same jobs; its mean is given
-    with a 95 % confidence interval.
+    All drawn sites are one row of the table, with one seed each.
     """
-    runs = [(site, variant, seed) for variant in variants for seed in range(seeds)]
-    with ProcessPoolExecutor(max(1, (os.cpu_count() or 2) // 2)) as pool:
-        results = list(pool.map(run_emulation, runs))
-    base = results[:seeds]
-    for number, variant in enumerate(variants):
-        rows = results[number * seeds : (number + 1) * seeds]
+    runs = [
+        (site, variant, seed)
+        for site in sites
+        for seed in (range(1) if site.name.startswith("drawn") else range(seeds))
+    ]
+    results: dict[str, list[dict[str, float]]] = {}
+    with ProcessPoolExecutor(jobs) as pool:
+        for (site, _, _), result in zip(
+            runs, pool.map(run_emulation, runs), strict=True
+        ):
+            row = {f"p{kind.priority}": result.credits.get(kind.name, 1.0)
+                   for kind in site.kinds}  # fmt: skip
+            row |= {"all": result.credits["all"], "net": result.credits["net"]}
+            row |= {"stops": result.stops, "wasted": result.wasted_share}
+            results.setdefault(site.name.partition("-")[0]
+                               if site.name.startswith("drawn") else site.name,
+                               []).append(row)  # fmt: skip
+    return results
+
+
+def describe_difference(
+    name: str, rows: list[dict[str, float]], base: list[dict[str, float]]
+) -> str:
+    """Return a line with means and paired differences with 95 % intervals."""
+    parts = [f"{name:12}"]
+    for key in ("net", "all", "p0", "p1", "p2"):
+        values = [row[key] for row in rows]
         differences = [
-            row.credits["all"] - other.credits["all"]
-            for row, other in zip(rows, base, strict=True)
+            row[key] - other[key] for row, other in zip(rows, base, strict=True)
         ]
-        half_width = Z_95 * stdev(differences) / math.sqrt(seeds) if seeds > 1 else 0.0
-        kinds = " ".join(
-            f"{kind.name} {mean(row.credits.get(kind.name, 1.0) for row in rows):.3f}"
-            for kind in site.kinds
+        half = (
+            Z_95 * stdev(differences) / math.sqrt(len(differences))
+            if len(differences) > 1
+            else 0.0
         )
-        print(
-            f"{site.name:13} {variant.name:16}"
-            f" credit {mean(row.credits['all'] for row in rows):.3f}"
-            f" ({mean(differences):+.3f} ±{half_width:.3f}) {kinds}"
-            f" wasted {mean(row.wasted_share for row in rows):.3f}"
-            f" stops {mean(row.stops for row in rows):.0f}"
-            f" urgent wait {mean(row.urgent_wait_s for row in rows):.2f} s",
-            flush=True,
-        )
-
-
-def main() -> None:
-    """Compare all variants at both users' sites."""
-    for site in make_sites().values():
-        compare_variants(site, VARIANTS, SEED_COUNT)
+        parts.append(f"{key} {mean(values):.3f} ({mean(differences):+.3f} ±{half:.3f})")
+    parts.append(f"stops {mean(row['stops'] for row in rows):.0f}")
+    parts.append(f"wasted {mean(row['wasted'] for row in rows):.3f}")
+    return "  ".join(parts)
+
+
+def compare(
+    *names: str,
+    seeds: int = SEED_COUNT,
+    drawn: int = 48,
+    jobs: int = 4,
+    save: Path | None = None,
+    against: Path | None = None,
+    variants: bool = False,
+) -> None:
+    """Print the credit of the product's rules, and how it differs from a base.
+
+    :param names: names of sites; none for all
+    :param seeds: seeds of each named site
+    :param drawn: number of random sites, with one seed each
+    :param jobs: number of processes
+    :param save: file to write the results to
+    :param against: file with the results of another version of the code
+    :param variants: also run all of `VARIANTS`
+    """
+    known = make_sites()
+    sites = [known[name] for name in names or known]
+    sites += [draw_site(seed) for seed in range(drawn)]
+    base = None if against is None else json.loads(against.read_text())
+    for variant in VARIANTS if variants else VARIANTS[:1]:
+        results = run_variant(sites, variant, seeds, jobs)
+        base = base or results
+        print(variant.name)
+        for name, rows in results.items():
+            print("  " + describe_difference(name, rows, base[name]), flush=True)
+        if save is not None:
+            save.write_text(json.dumps(results))
+            save = None
 
 
 if __name__ == "__main__":
-    main()
+    defopt.run(compare)
--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -138,6 +138,7 @@
                         due_s=deadline.due_s,
                         zero_value_s=deadline.zero_value_s,
                         remaining_s=remaining_s[number],
+                        run_s=estimator.expected_s(job.request, step),
                         waited_s=waited_s,
                         preferred_racks=_find_racks(progress, racks)
                         if step.same_rack
--- a/chiveledge/placement/_order.py
+++ b/chiveledge/placement/_order.py
@@ -45,6 +45,8 @@
         Seconds from now until the job is late, and until it has no value.
     remaining_s : float
         Expected time from the start of the tasks to the end of the job.
+    run_s : float
+        Expected run time of the tasks.
     waited_s : float
         How long the tasks have waited for capacity.
     preferred_racks : frozenset of str
@@ -73,6 +75,7 @@
     due_s: float = 0.0
     zero_value_s: float = 0.0
     remaining_s: float = 0.0
+    run_s: float = 0.0
     waited_s: float = 0.0
     preferred_racks: frozenset[str] = frozenset()
     allowed_workers: frozenset[WorkerName] | None = None
--- a/chiveledge/placement/_packing.py
+++ b/chiveledge/placement/_packing.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import NamedTuple
 
 from chiveledge.placement._fleet import (
@@ -19,8 +20,9 @@
 from chiveledge.types import WorkerName
 from chiveledge.workload import Usage
 
-RACK_TIMEOUT_S = 2.0
-"""How long tasks wait for capacity on racks where they are not slowed down."""
+FAR_SLOWDOWN = 3.0
+"""How many times as long a task takes on another rack than that of its data or of the
+rest of its gang."""
 
 NO_CAPACITY = Usage(-1, -1, -1)
 """Free capacity of a reserved worker: not even a task without any usage fits."""
@@ -47,7 +49,8 @@
     usable = candidates if demand.urgent else exclude_reserved(candidates)
     free = dict.fromkeys((worker.name for worker in candidates), NO_CAPACITY)
     free |= {worker.name: worker.free for worker in usable}
-    pools = list_pools(candidates, demand)
+    near, far = find_pools(fleet, demand)
+    pools = [*near, far]
     if demand.step.gang:
         for pool in pools:
             chosen = _place_gang(fleet, demand, pool, free)
@@ -62,20 +65,29 @@
     return _allocate(fleet, demand, chosen)
 
 
-def list_pools(
-    candidates: list[WorkerView], demand: StepDemand
-) -> list[list[WorkerView]]:
-    """Return sets of workers to try one after another, the preferred set first.
+class Pools(NamedTuple):
+    """Workers for a demand, in sets of which one has to hold a gang.
 
-    Workers on which the tasks would be slowed down come last, and only once the tasks
-    have waited for `RACK_TIMEOUT_S` or if there are no others.
+    Attributes
+    ----------
+    near : list of list of WorkerView
+        Sets on which the tasks are not slowed down, the preferred one first.
+    far : list of WorkerView
+        Workers to use if no near set will do; empty if the tasks wait for those.
     """
+
+    near: list[list[WorkerView]]
+    far: list[WorkerView]
+
+
+def find_pools(fleet: FleetView, demand: StepDemand) -> Pools:
+    """Return the sets of workers to try for a demand."""
     step = demand.step
-    may_wait = demand.waited_s < RACK_TIMEOUT_S
+    candidates = fleet.candidates(demand)
     if step.data_rack:
         near = [worker for worker in candidates if worker.rack == step.data_rack]
         far = [worker for worker in candidates if worker.rack != step.data_rack]
-        return [near] if may_wait and near else [near, far]
+        return Pools([near], [] if near and not may_spread(demand) else far)
     if step.same_rack:
         racks = _group_racks(candidates)
         ordered = sorted(
@@ -85,9 +97,42 @@
                 _sum_free_accelerators(racks[rack]),
             ),
         )
-        pools = [racks[rack] for rack in ordered]
-        return pools if may_wait and len(pools) > 1 else [*pools, candidates]
-    return [candidates]
+        waits = _fits_on_a_rack(fleet, demand) and not may_spread(demand)
+        return Pools([racks[rack] for rack in ordered], [] if waits else candidates)
+    return Pools([candidates], [])
+
+
+def may_spread(demand: StepDemand) -> bool:
+    """Return whether tasks that belong on one rack may run where they are slower.
+
+    Load pattern: no rack has room for an urgent gang in a burst. Spread over the fleet
+    it would be late all the same, and hold its workers several times as long while the
+    next urgent jobs arrive. It is spread if it is in time even so, or once it has
+    waited for as long as a spread run takes longer, so that it takes at most twice the
+    time that was possible. A guarantee does not wait for a rack.
+    """
+    extra_s = (FAR_SLOWDOWN - 1) * demand.run_s
+    return may_stop_for_far(demand) or demand.waited_s >= extra_s
+
+
+def may_stop_for_far(demand: StepDemand) -> bool:
+    """Return whether runs may be stopped for tasks where these are slower.
+
+    Load pattern: gangs wider than any rack arrive in a burst. They are late wherever
+    they run, so work that is stopped for them is lost for nothing.
+    """
+    extra_s = (FAR_SLOWDOWN - 1) * demand.run_s
+    return demand.guaranteed or demand.remaining_s + extra_s <= demand.due_s
+
+
+def _fits_on_a_rack(fleet: FleetView, demand: StepDemand) -> bool:
+    """Return whether a rack could hold all waiting tasks if nothing else ran there."""
+    usage = charged_usage(demand.step)
+    fitting: Counter[str] = Counter()
+    for worker in fleet.workers.values():
+        if worker.service == demand.service:
+            fitting[worker.rack] += usage.count_in(worker.capacity)
+    return any(count >= len(demand.indices) for count in fitting.values())
 
 
 def fill_pool(
--- a/chiveledge/placement/_preemption.py
+++ b/chiveledge/placement/_preemption.py
@@ -17,7 +17,7 @@
     charged_usage,
 )
 from chiveledge.placement._order import StepDemand
-from chiveledge.placement._packing import Placement, list_pools
+from chiveledge.placement._packing import Placement, find_pools, may_stop_for_far
 from chiveledge.workload import Usage
 
 STOP_LOSS_CORE_S = 0.5
@@ -181,13 +181,15 @@
         the one with the least loss found by a greedy search. None if no task can be
         placed, or not the whole gang, even by stopping all runs of lower priority.
     """
-    candidates = fleet.candidates(demand)
+    near, far = find_pools(fleet, demand)
     best: Eviction | None = None
-    for pool in list_pools(candidates, demand):
+    for pool in near:
         found = _place_in_pool(fleet, demand, pool)
         if found and (best is None or _rank(found) < _rank(best)):
             best = found
-    return best or _place_in_pool(fleet, demand, candidates)
+    if best is None and far and may_stop_for_far(demand):
+        best = _place_in_pool(fleet, demand, far)
+    return best
 
 
 def _rank(eviction: Eviction) -> tuple[int, float]:
