Orders without an answer are repeated after 0.25 s instead of 0.8 s

A copy now goes out after 0.25 s; the first answer counts, and what may still be carried out late is treated as before.

--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -14,6 +14,7 @@
 
 from chiveledge.coordinator._advice import TicketCache
 from chiveledge.coordinator._context import TermContext
+from chiveledge.coordinator._hedged_orders import send_hedged
 from chiveledge.coordinator._progress_writer import ProgressWriter
 from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
 from chiveledge.leadership import Leadership
@@ -206,7 +207,11 @@
             if tracked.stopping or tracked.key not in link.runs:
                 return False
             self._metrics.count("starts_sent")
-            match await link.client.start(order):
+            answered = await send_hedged(
+                self._clock, lambda order=order: link.client.start(order)
+            )
+            unanswered |= answered.unanswered
+            match answered.result:
                 case Ok(answer):
                     self._mark_started(link, tracked, answer.clock_ms)
                     return True
@@ -274,7 +279,8 @@
     async def _send_stop(self, link: WorkerLink, tracked: TrackedRun) -> None:
         order = StopOrder(str(tracked.name), tracked.run.number, self._leadership.epoch)
         while tracked.key in link.runs:
-            match await link.client.stop(order):
+            answered = await send_hedged(self._clock, lambda: link.client.stop(order))
+            match answered.result:
                 case Ok(_):
                     if tracked.resolved_s is None:
                         tracked.resolved_s = self._clock.monotonic()
