--- a/chiveledge/coordinator/_supervision.py
+++ b/chiveledge/coordinator/_supervision.py
@@ -54,6 +54,7 @@
         self._estimator = estimator
         self._speeds = WorkerSpeeds()
         self._learnt_speeds = LearntSpeeds()
+        self._incarnations: dict[WorkerName, int] = {}
         self._next_check_s = 0.0
 
     def check_runs(self, now_s: float) -> None:
@@ -66,6 +67,7 @@
         run_speeds = self._reconciler.list_run_speeds(self._links)
         for name in self._speeds.update(run_speeds, now_s):
             self._log.write("workers", "slow", worker=name)
+        self._forget_restarted_workers()
         self._learnt_speeds.update(list_member_rates(self._links))
 
     def find_slow_workers(self, now_s: float) -> SlowWorkers:
@@ -94,6 +96,14 @@
                     for holder, member in members:
                         self._orders.stop(holder, member, f"{name} is slow")
 
+    def _forget_restarted_workers(self) -> None:
+        """Forget the speeds of workers that left or may be on another machine now."""
+        incarnations = {name: link.incarnation_ms for name, link in self._links.items()}
+        for name, incarnation_ms in self._incarnations.items():
+            if incarnations.get(name) != incarnation_ms:
+                self._learnt_speeds.forget_worker(name)
+        self._incarnations = incarnations
+
     def _should_restart_elsewhere(
         self, tracked: TrackedRun, slow_left_s: float
     ) -> bool:
--- a/chiveledge/log_report/_time_split.py
+++ b/chiveledge/log_report/_time_split.py
@@ -31,6 +31,10 @@
     REPORT = "until recorded"
 
 
+GANG_LOSSES = frozenset({TimeUse.LOST_GANG})
+"""Causes for which all members of a gang are lost together."""
+
+
 def split_time(
     job: JobHistory, leaderless: list[tuple[float, float]]
 ) -> dict[TimeUse, float]:
@@ -92,6 +96,14 @@
         last = previous
 
 
+def _is_gang_loss(run: RunRecord, last: RunRecord) -> bool:
+    """Return whether a run of another member was lost with its whole gang.
+
+    A worker may report the end of one member only.
+    """
+    return run.step == last.step and classify_loss(run) in GANG_LOSSES
+
+
 def _find_previous_done(job: JobHistory, step: int) -> RunRecord | None:
     """Return the last run of the steps before, at whose end the step was ready."""
     earlier = job.after[step] if step < len(job.after) else ()
@@ -109,7 +121,11 @@
     """Split the time from when a task was ready until its last run began."""
     at_s = ready_s
     attempts = sorted(
-        (run for run in job.runs if run.task == last.task and run is not last),
+        (
+            run
+            for run in job.runs
+            if run.how != DONE and (run.task == last.task or _is_gang_loss(run, last))
+        ),
         key=lambda run: run.began_s,
     )
     for run in attempts:
