--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -11,7 +11,7 @@
 
 import defopt
 
-from benchmarks.emulator import EmulationResult, Emulator, Site, Variant
+from benchmarks.emulator import EmulationResult, Emulator, Variant
 from benchmarks.experiment import (
     SEED_COUNT,
     describe_difference,
@@ -20,6 +20,7 @@
     make_sites,
     make_table_row,
 )
+from benchmarks.load import Site
 from chiveledge.coordinator import RunTimeEstimator
 from chiveledge.placement import FleetView, StepDemand, _packing, _preemption
 from chiveledge.placement._order import Timeliness
--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -11,7 +11,8 @@
 
 import defopt
 
-from benchmarks.emulator import Burst, EmulationResult, Emulator, JobKind, Site, Variant
+from benchmarks.emulator import EmulationResult, Emulator, Variant
+from benchmarks.load import Burst, JobKind, Site
 from chiveledge.workload import Usage
 
 SEED_COUNT = 24
--- a/tests/benchmarks/test_loads.py
+++ b/tests/benchmarks/test_loads.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from benchmarks.emulator import Emulator, Job, JobKind, Site, Variant
+from benchmarks.emulator import Emulator, Variant
+from benchmarks.load import Job, JobKind, Site
 from chiveledge.workload import Step, Usage
 
 CAPACITY = Usage(32000, 64000, 8)
