--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -1,4 +1,4 @@
-"""Loads of an emulated fleet: sites, kinds of jobs, bursts, and jobs drawn from them."""
+"""Loads of an emulated fleet: sites, kinds of jobs, bursts, and how jobs are drawn."""
 
 from __future__ import annotations
 
