--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -234,14 +234,14 @@
     assert cluster.state("j1") is JobState.COMPLETED
 
 
-async def test_urgent_gang_leaves_a_worker_that_stands_still_soon(make_cluster):
-    """A member that stood still was noticed after 3 s, whatever the run's length."""
+async def test_gang_leaves_a_worker_that_stands_still_soon(make_cluster):
+    """A member that stands still is noticed well before the run's expected end."""
     cluster = make_cluster(workers=6)
     await cluster.advance(0.5)
     whole_worker = SMALL._replace(accelerators=8)
-    step = Step(count=3, usage=whole_worker, gang=True, estimate_s=3.0)
-    await cluster.submit("g1", step, queue="urgent", work_s=3.0)
-    await cluster.advance(1.0)
+    step = Step(count=3, usage=whole_worker, gang=True, estimate_s=4.0)
+    await cluster.submit("g1", step, queue="standard", work_s=4.0)
+    await cluster.advance(0.5)
     began_s = cluster.clock.monotonic()
     slowed_task = cluster.starts("g1")[0][0]
     for worker in cluster.workers.values():
