--- a/review/harness.py
+++ b/review/harness.py
@@ -141,6 +141,11 @@
         self._target = ("127.0.0.1", 0)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
+
+    def silence(self) -> None:
+        """Deliver nothing more on the open connections; new ones work."""
+        self._silent |= self._writers
 
     async def open(self, target: str = "") -> None:
         """Accept connections; the port stays the same after a refusal."""
@@ -169,18 +174,21 @@
             return
         self._writers |= {writer, far_writer}
         await asyncio.gather(
-            _copy(reader, far_writer), _copy(far_reader, writer), return_exceptions=True
+            self._copy(reader, far_writer),
+            self._copy(far_reader, writer),
+            return_exceptions=True,
         )
         self._writers -= {writer, far_writer}
+        self._silent -= {writer, far_writer}
 
-
-async def _copy(reader, writer) -> None:
-    try:
-        while data := await reader.read(65536):
-            writer.write(data)
-            await writer.drain()
-    finally:
-        writer.close()
+    async def _copy(self, reader, writer) -> None:
+        try:
+            while data := await reader.read(65536):
+                if writer not in self._silent:
+                    writer.write(data)
+                    await writer.drain()
+        finally:
+            writer.close()
 
 
 class Record:
@@ -440,11 +448,11 @@
             await runner.cleanup()
 
 
-def main(case, folder: Path) -> None:
+def main(case, folder: Path, make_fleet=Fleet) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 on an error."""
 
     async def run() -> int:
-        fleet = Fleet(folder)
+        fleet = make_fleet(folder)
         try:
             return await asyncio.wait_for(case(fleet), 110)
         finally:
@@ -459,4 +467,12 @@
     sys.exit(code)
 
 
-__all__ = ["TROUBLE", "Fleet", "RunEnd", "StandInTask", "Usage", "main"]
+__all__ = [
+    "TROUBLE",
+    "Fleet",
+    "RunEnd",
+    "StandInTask",
+    "Usage",
+    "main",
+    "make_worker_app",
+]
