--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,62 +1,80 @@
-"""One unreadable entry in the list of minions stops all work for good."""
+"""After a change of the leader, tasks that have ended `done` are started again."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from harness import BOUNDS, TROUBLE, Fleet, StandInTask, Usage, main  # noqa: E402
+from harness import TROUBLE, Fleet, RunEnd, StandInTask, Usage, main  # noqa: E402
 
-SMALL = StandInTask(1.0, Usage(2000, 1000, 0))
-UNREADABLE = "[" * 20_000 if TROUBLE else "\x00\x01 not JSON"
-WATCHED_S = 15.0
-CALM_S = 3.0
+WORK_S = 4.0
+SMALL = StandInTask(WORK_S, Usage(40, 50, 0))
+COUNT = 700
+KILL_AT_S = 3.7
+"""When the leader is killed, in seconds after the start of the first task."""
+
+WATCHED_S = 25.0
 
 
 async def case(fleet: Fleet) -> int:
-    await fleet.start()
-    first = f"/quote/{1:016x}"
-    if not await fleet.submit_until_accepted(first, SMALL, 3):
+    await fleet.start(nodes=3, minions=4)
+    path = f"/batch/{0xB16:016x}"
+    job_id = path.rpartition("/")[2]
+    ends: dict[str, float] = {}
+    for minion in fleet.minions:
+        _note_ends(fleet, minion, ends)
+    if not await fleet.submit_until_accepted(path, SMALL, COUNT):
         return 2
-    await asyncio.sleep(4)
-    fleet.record.write(f"before: {first} is {await fleet.state(first)}")
-    fleet.store.write("servers/foreign", UNREADABLE)
-    fleet.record.write(f"entry servers/foreign of {len(UNREADABLE)} bytes written")
-    await asyncio.sleep(1)
-    paths = [f"/quote/{number:016x}" for number in range(11, 16)]
-    for path in paths:
-        if not await fleet.submit_until_accepted(path, SMALL, 3):
+    while len(fleet.starts(job_id)) < COUNT:
+        await asyncio.sleep(0.05)
+        if fleet.record.now_s > 40:
             return 2
-    await asyncio.sleep(BOUNDS["finish_s"])
-    idle_since_s = dict.fromkeys(paths, fleet.record.now_s)
-    idle_s = dict.fromkeys(paths, 0.0)
+    spread = {m.entry.name: len(m.runs) for m in fleet.minions if m.runs}
+    fleet.record.write(f"all {COUNT} tasks started: {spread}")
+    await asyncio.sleep(
+        KILL_AT_S - (fleet.clock.monotonic() - fleet.starts(job_id)[0][0])
+    )
+    if TROUBLE:
+        fleet.signal(fleet.leader(), signal.SIGKILL)
     until_s = fleet.record.now_s + WATCHED_S
     while fleet.record.now_s < until_s:
-        await asyncio.sleep(0.2)
-        for path in paths:
-            job_id = path.rpartition("/")[2]
-            state = await fleet.state(path)
-            now_s = fleet.record.now_s
-            if state == "completed" or fleet.running(job_id):
-                idle_since_s[path] = now_s
-            idle_s[path] = max(idle_s[path], now_s - idle_since_s[path])
-    for path in paths:
-        starts = len(fleet.starts(path.rpartition("/")[2]))
-        fleet.record.write(
-            f"{path}: {await fleet.state(path)}, {starts} of 3 tasks started,"
-            f" idle for {idle_s[path]:.1f} s; in use {fleet.used_share():.0%}"
-        )
-    for name in fleet.nodes:
-        events = [event.get("event") for event in fleet.read_events(name)]
+        await asyncio.sleep(0.1)
+        if await fleet.state(path) == "completed" and not fleet.running(job_id):
+            break
+    repeated = [
+        (started_s, task, run)
+        for started_s, task, run in fleet.starts(job_id)
+        if started_s > ends.get(task, float("inf"))
+    ]
+    noted = fleet.completed.acknowledged_done
+    broken = [row for row in repeated if row[1] in noted]
+    fleet.record.write(f"{path} is {await fleet.state(path)}")
+    fleet.record.write(
+        f"{len(fleet.starts(job_id))} starts of {COUNT} tasks; {len(repeated)} after"
+        f" the task had ended done, {len(broken)} of them with that end taken note of"
+    )
+    for started_s, task, run in broken[:20]:
         fleet.record.write(
-            f"{name}: took over {events.count('taken_over')} times,"
-            f" {events.count('task_failed')} terms ended by an error"
+            f"run {run} of {task} started {started_s - ends[task]:.2f} s after its end"
         )
-    return int(any(span_s > CALM_S for span_s in idle_s.values()))
+    return int(bool(broken))
+
+
+def _note_ends(fleet: Fleet, minion, ends: dict[str, float]) -> None:
+    """Record when each task first ended as done on a minion."""
+    end_run = minion._end_run
+
+    def end(key: tuple[str, int], how: RunEnd) -> None:
+        if how is RunEnd.DONE:
+            ends.setdefault(key[0], fleet.clock.monotonic())
+        end_run(key, how)
+
+    minion._end_run = end
 
 
 main(case, FOLDER)
