--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,8 +13,11 @@
 from harness import BOUNDS, TROUBLE, Fleet, StandInTask, Usage, main  # noqa: E402
 
 SMALL = StandInTask(1.0, Usage(2000, 1000, 0))
-REPEATS = 300_000
+REPEATS = 525_600
 INTERVAL_MS = 60_000
+DUE = 300_000
+"""Occurrences that are due: those of the past 208 days."""
+
 WATCHED_S = 20.0
 CALM_S = 3.0
 DEADLINE_S = 3.0
@@ -25,8 +28,8 @@
     schedule = f"/batch/{0xB16:016x}"
     fleet.tasks[schedule.rpartition("/")[2]] = SMALL
     step = {"count": 1, "cpu": 2000, "mem_mb": 1000, "estimate_ms": 1000}
-    now_s = int(time.time())
-    first_ms = now_s if TROUBLE else now_s * 1000
+    now_ms = int(time.time() * 1000)
+    first_ms = now_ms - DUE * INTERVAL_MS if TROUBLE else now_ms
     body = {
         "spec": "x",
         "steps": [step],
@@ -44,9 +47,11 @@
         fleet.record.write("the schedule was rejected")
         return 0
     paths = [f"/quote/{number:016x}" for number in range(1, 6)]
-    for path in paths:
-        if not await fleet.submit_until_accepted(path, SMALL, 3):
-            return 2
+    accepted = await asyncio.gather(
+        *(fleet.submit_until_accepted(path, SMALL, 3) for path in paths)
+    )
+    if not all(accepted):
+        return 2
     await asyncio.sleep(BOUNDS["finish_s"])
     began_s = fleet.record.now_s
     idle_since_s = dict.fromkeys(paths, began_s)
@@ -69,10 +74,11 @@
             if done or fleet.running(job_id) or fleet.used_share() >= 0.5:
                 idle_since_s[path] = now_s
             idle_s[path] = max(idle_s[path], now_s - idle_since_s[path])
-    for path in paths:
+    states = await asyncio.gather(*(fleet.state(path) for path in paths))
+    for path, state in zip(paths, states, strict=True):
         starts = len(fleet.starts(path.rpartition("/")[2]))
         fleet.record.write(
-            f"{path}: {await fleet.state(path)}, {starts} of 3 tasks started,"
+            f"{path}: {state}, {starts} of 3 tasks started,"
             f" idle for {idle_s[path]:.1f} s; in use {fleet.used_share():.0%}"
         )
     fleet.record.write(
