A record that can't be decoded is skipped instead of ending the term

Cause: the JSON parser raises RecursionError for deep nesting, and arithmetic on a number of hundreds of digits raises OverflowError. The decoders caught neither, so the task that follows the list of workers raised, its term ended, and the next leader read the same entry.

Change: chiveledge/decoding.py has the checks of all decoders, and one set of exceptions that they catch. Numbers are bounded, addresses need an IP and a port, replies are bounded and redirects not followed. Unreadable rows of our own tables are logged and skipped. Pages continue after the platform's own key, and values of other writers are not split.

Two tests changed with the code: JobStatusCache and PeerDirectory take a log. The stand-in of the store has no parts in tables that others write.

--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -18,6 +18,7 @@
 from chiveledge.coordinator._upkeep import UpkeepController
 from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
 from chiveledge.coordinator._workers import POLL_RETRY_S, WorkerMonitor
+from chiveledge.decoding import DECODE_ERRORS, describe_error
 from chiveledge.intake import (
     CANCEL_SUFFIX,
     INBOX_PREFIX,
@@ -240,13 +241,17 @@
         self._plan_due.set()
 
     def _admit(self, job_id: str, row: Row) -> None:
-        request = decode_request(row.value)
         stored = self._unmatched_progress.pop(job_id, None)
+        try:
+            job = _decode_job(row, stored)
+        except DECODE_ERRORS as error:
+            # Without its progress, the job might run a second time.
+            reason = describe_error(error)
+            self._log.write("coordinator", "bad_job", id=job_id, reason=reason)
+            return
+        request = job.request
         if stored is None:
-            job = JobProgress(request)
             self._planning.record_admission(job)
-        else:
-            job = decode_progress(request, stored.value, stored.version)
         self.jobs[job_id] = job
         self._log.write(
             "coordinator",
@@ -316,3 +321,11 @@
         keep_ms = self._context.timing.keep_ended_s * 1000
         is_old = job.state.ended and now_ms - job.ended_ms > keep_ms
         return is_old and not any(job.open_runs())
+
+
+def _decode_job(row: Row, stored: Row | None) -> JobProgress:
+    """Return a job from its request and its progress, None if it has none yet."""
+    request = decode_request(row.value)
+    if stored is None:
+        return JobProgress(request)
+    return decode_progress(request, stored.value, stored.version)
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -110,14 +110,16 @@
         self, rows: Iterable[Row], deleted: Iterable[str], is_snapshot: bool
     ) -> None:
         """Apply changes of the platform's worker list."""
+        prefix = self._context.worker_prefix
+        removed = {key.removeprefix(prefix) for key in deleted}
         listed = set()
         for row in rows:
             entry = self._context.decode_worker(row)
-            if entry is not None:
+            if entry is None:
+                removed.add(row.key.removeprefix(prefix))
+            else:
                 listed.add(entry.name)
                 self._update_entry(entry)
-        prefix = self._context.worker_prefix
-        removed = {key.removeprefix(prefix) for key in deleted}
         if is_snapshot:
             removed |= self.links.keys() - listed
         for name in removed:
--- a/chiveledge/intake/_job_store.py
+++ b/chiveledge/intake/_job_store.py
@@ -189,7 +189,7 @@
                 case Ok(None):
                     pass
                 case Ok(row):
-                    return decode_status(row.value)
+                    return decode_status(row.value).unwrap_or_else(UnknownOutcome)
                 case Err(error):
                     return cached or UnknownOutcome(str(error))
         return NotFound()
--- a/chiveledge/intake/_peers.py
+++ b/chiveledge/intake/_peers.py
@@ -13,6 +13,7 @@
 
 from chiveledge.clock import Clock
 from chiveledge.decision_log import DecisionLog
+from chiveledge.decoding import DECODE_ERRORS, check_type, describe_error, parse_json
 from chiveledge.intake._follower import TableFollower
 from chiveledge.services import Put, Row, Transaction, WatchedTable
 
@@ -43,10 +44,13 @@
     ----------
     own : PeerHost
         This process, which `list_peers` omits.
+    log : DecisionLog
+        Receives a line for each row that can't be decoded.
     """
 
-    def __init__(self, own: PeerHost) -> None:
+    def __init__(self, own: PeerHost, log: DecisionLog) -> None:
         self._own = own
+        self._log = log
         self._hosts: dict[str, PeerHost] = {}
 
     def __len__(self) -> int:
@@ -60,8 +64,13 @@
         if is_snapshot:
             self._hosts.clear()
         for row in rows:
-            host = PeerHost(*json.loads(row.value))
-            self._hosts[host.name] = host
+            try:
+                host = _decode_host(row.value)
+            except DECODE_ERRORS as error:
+                reason = describe_error(error)
+                self._log.write("relay", "bad_host", key=row.key, reason=reason)
+            else:
+                self._hosts[host.name] = host
         for key in deleted:
             self._hosts.pop(key.removeprefix(HOSTS_PREFIX), None)
 
@@ -79,6 +88,13 @@
         return peers
 
 
+def _decode_host(text: str) -> PeerHost:
+    name, region, address = check_type(parse_json(text), list)
+    return PeerHost(
+        check_type(name, str), check_type(region, str), check_type(address, str)
+    )
+
+
 async def join_peers(
     own: PeerHost,
     directory: PeerDirectory,
--- a/chiveledge/intake/_relay.py
+++ b/chiveledge/intake/_relay.py
@@ -171,10 +171,11 @@
                     f"http://{peer.address}{path}",
                     data=body or None,
                     headers=headers,
+                    allow_redirects=False,
                 ) as response:
                     return Relayed(
                         response.status,
-                        int(response.headers.get(REVISION_HEADER, 0)),
+                        int(response.headers[REVISION_HEADER]),
                         await response.read(),
                         response.headers.get("Retry-After"),
                     )
@@ -183,7 +184,8 @@
                     self._clock.monotonic() + UNREACHABLE_PENALTY_S
                 )
                 return NotTaken()
-            except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            except (aiohttp.ClientError, OSError, ValueError, KeyError) as error:
+                # The last two mean that another server has the peer's address now.
                 self._avoid_until_s[peer.name] = (
                     self._clock.monotonic() + UNREACHABLE_PENALTY_S
                 )
--- a/chiveledge/intake/_status_cache.py
+++ b/chiveledge/intake/_status_cache.py
@@ -7,6 +7,10 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from result import Err, Ok, Result
+
+from chiveledge.decision_log import DecisionLog
+from chiveledge.decoding import DECODE_ERRORS, check_type, describe_error, parse_json
 from chiveledge.services import Row, make_row_key, parse_part, parse_row_name
 from chiveledge.types import JobId, WorkspaceName
 from chiveledge.workload import JobState
@@ -60,16 +64,33 @@
     return json.dumps(list(status), separators=(",", ":"))
 
 
-def decode_status(text: str) -> JobStatus:
-    """Decode a status from the value of its row."""
-    queue, workspace, state, timed = json.loads(text)
-    return JobStatus(queue, workspace, JobState(state), timed)
+def decode_status(text: str) -> Result[JobStatus, str]:
+    """Decode a status from the value of its row, or return why it is invalid."""
+    try:
+        queue, workspace, state, timed = check_type(parse_json(text), list)
+        return Ok(
+            JobStatus(
+                check_type(queue, str),
+                check_type(workspace, str),
+                JobState(state),
+                check_type(timed, bool),
+            )
+        )
+    except DECODE_ERRORS as error:
+        return Err(f"can't decode the status: {describe_error(error)}")
 
 
 class JobStatusCache:
-    """Cache of the status rows; the leader's row of a job has precedence."""
+    """Cache of the status rows; the leader's row of a job has precedence.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    log : DecisionLog
+        Receives a line for each row that can't be decoded.
+    """
+
+    def __init__(self, log: DecisionLog) -> None:
+        self._log = log
         self._initial_statuses: dict[JobId, JobStatus] = {}
         self._current_statuses: dict[JobId, JobStatus] = {}
 
@@ -81,9 +102,11 @@
             self._initial_statuses.clear()
             self._current_statuses.clear()
         for row in rows:
-            self._statuses_of(row.key)[parse_row_name(row.key)] = decode_status(
-                row.value
-            )
+            match decode_status(row.value):
+                case Ok(status):
+                    self._statuses_of(row.key)[parse_row_name(row.key)] = status
+                case Err(reason):
+                    self._log.write("intake", "bad_status", key=row.key, reason=reason)
         for key in deleted:
             self._statuses_of(key).pop(parse_row_name(key), None)
 
--- a/chiveledge/platform/_advice.py
+++ b/chiveledge/platform/_advice.py
@@ -5,6 +5,12 @@
 from result import Err, Ok, Result
 
 from chiveledge.coordinator import Advice
+from chiveledge.decoding import (
+    DECODE_ERRORS,
+    check_number,
+    check_type,
+    describe_error,
+)
 from chiveledge.services import CallError, HttpCaller, HttpReply, Unavailable, Unsettled
 
 HTTP_OK = 200
@@ -42,7 +48,11 @@
 
 def _decode(answer: dict) -> Result[Advice, CallError]:
     try:
-        tickets = {str(name): str(ticket) for name, ticket in answer["good"]}
-        return Ok(Advice(tickets, float(answer["valid_ms"]) / 1000))
-    except (ValueError, TypeError, KeyError) as error:
-        return Err(Unsettled(f"can't decode the advice service's answer: {error!r}"))
+        tickets = {
+            check_type(name, str): check_type(ticket, str)
+            for name, ticket in answer["good"]
+        }
+        return Ok(Advice(tickets, check_number(answer["valid_ms"]) / 1000))
+    except DECODE_ERRORS as error:
+        reason = describe_error(error)
+        return Err(Unsettled(f"can't decode the advice service's answer: {reason}"))
--- a/chiveledge/platform/_api.py
+++ b/chiveledge/platform/_api.py
@@ -45,6 +45,7 @@
 """Time that the response needs to reach the caller."""
 
 MIN_ERROR_STATUS = 400
+MAX_HEADER_DIGITS = 15
 
 
 class ErrorResponse(web.Response):
@@ -349,16 +350,24 @@
 
 def _get_min_revision(request: web.BaseRequest) -> int:
     """Return the minimum configuration revision of a forwarded request, or 0."""
-    text = request.headers.get(REVISION_HEADER, "")
-    return int(text) if RELAYED_HEADER in request.headers and text.isdecimal() else 0
+    if RELAYED_HEADER not in request.headers:
+        return 0
+    return _parse_number_header(request, REVISION_HEADER) or 0
 
 
 def _get_timeout_s(request: web.BaseRequest) -> float:
     """Return the time left for processing a request, in seconds."""
-    text = request.headers.get(DEADLINE_HEADER, "")
-    if not text.isdecimal():
+    deadline_ms = _parse_number_header(request, DEADLINE_HEADER)
+    if deadline_ms is None:
         return DEFAULT_TIMEOUT_S - RESPONSE_MARGIN_S
-    return int(text) / 1000 - RESPONSE_MARGIN_S
+    return deadline_ms / 1000 - RESPONSE_MARGIN_S
+
+
+def _parse_number_header(request: web.BaseRequest, name: str) -> int | None:
+    """Return a header's value, or None if it is missing or not a usable number."""
+    text = request.headers.get(name, "")
+    is_number = text.isdecimal() and len(text) <= MAX_HEADER_DIGITS
+    return int(text) if is_number else None
 
 
 def _make_error(status: int, reason: str) -> ErrorResponse:
--- a/chiveledge/platform/_catalogue.py
+++ b/chiveledge/platform/_catalogue.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 
+from chiveledge.decoding import (
+    DECODE_ERRORS,
+    check_number,
+    check_type,
+    check_whole_number,
+    describe_error,
+    parse_json,
+)
 from chiveledge.workload import (
     AdvicePolicy,
     Catalogue,
@@ -36,7 +43,7 @@
 def decode_catalogue(text: str) -> Result[Catalogue, str]:
     """Decode the operators' configuration row, or return why it is invalid."""
     try:
-        fields = json.loads(text)
+        fields = parse_json(text)
         queues = [_decode_queue(route) for route in fields.get("routes", ())]
         services = [
             Service(
@@ -66,8 +73,8 @@
                 limits=_decode_limits(fields.get("limits") or {}),
             )
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        return Err(repr(error))
+    except DECODE_ERRORS as error:
+        return Err(describe_error(error))
 
 
 def _decode_queue(route: dict[str, Any]) -> Queue:
@@ -107,13 +114,13 @@
 ) -> Result[JobRequest, InvalidJob]:
     """Decode the body of a submission, or return its first invalid field."""
     try:
-        fields = json.loads(body)
-    except ValueError:
-        return Err(InvalidJob("body", "send JSON"))
+        fields = parse_json(body)
+    except DECODE_ERRORS:
+        return Err(InvalidJob("body", "send JSON that is not deeply nested"))
     if not isinstance(fields, dict):
         return Err(InvalidJob("body", "send an object"))
     payload = fields.get("spec", "")
-    if not isinstance(payload, str) or len(payload.encode()) > MAX_PAYLOAD_BYTES:
+    if not _is_valid_payload(payload):
         return Err(
             InvalidJob("spec", f"send a string of up to {MAX_PAYLOAD_BYTES} bytes")
         )
@@ -124,12 +131,14 @@
     for number, row in enumerate(rows):
         try:
             steps.append(_decode_step(row, number))
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
-            return Err(InvalidJob(f"steps.{number}", str(error)))
-    schedule = {name: fields.get(name, 0) for name in _SCHEDULE_FIELDS}
-    for name, value in schedule.items():
-        if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-            return Err(InvalidJob(name, "send a non-negative integer"))
+        except DECODE_ERRORS as error:
+            return Err(InvalidJob(f"steps.{number}", describe_error(error)))
+    schedule = {}
+    for name in _SCHEDULE_FIELDS:
+        try:
+            schedule[name] = check_whole_number(fields.get(name, 0))
+        except DECODE_ERRORS as error:
+            return Err(InvalidJob(name, describe_error(error)))
     if sum(step.count for step in steps) > MAX_TASKS:
         return Err(InvalidJob("steps", f"send up to {MAX_TASKS} tasks"))
     return Ok(
@@ -155,23 +164,31 @@
 _SCHEDULE_FIELDS = ("repeat_count", "first_ms", "interval_ms")
 
 
+def _is_valid_payload(payload: object) -> bool:
+    try:
+        return len(check_type(payload, str).encode()) <= MAX_PAYLOAD_BYTES
+    except DECODE_ERRORS:
+        # Not a string, or one with half of a surrogate pair, which has no encoding.
+        return False
+
+
 def _decode_step(row: dict[str, Any], number: int) -> Step:
     after = tuple(
-        _check_whole_number(earlier, "after") for earlier in row.get("after", ())
+        sorted({_check_field(earlier, "after") for earlier in row.get("after", ())})
     )
     if any(not 0 <= earlier < number for earlier in after):
         raise ValueError("after: name earlier steps only")
-    count = _check_whole_number(row.get("count", 0), "count")
+    count = _check_field(row.get("count", 0), "count")
     if count < 1:
         raise ValueError("count: request at least one task")
     return Step(
         count=count,
         usage=Usage(
-            _check_whole_number(row.get("cpu", 0), "cpu"),
-            _check_whole_number(row.get("mem_mb", 0), "mem_mb"),
-            _check_whole_number(row.get("gpu", 0), "gpu"),
+            _check_field(row.get("cpu", 0), "cpu"),
+            _check_field(row.get("mem_mb", 0), "mem_mb"),
+            _check_field(row.get("gpu", 0), "gpu"),
         ),
-        estimate_s=float(row.get("estimate_ms", 0)) / 1000,
+        estimate_s=_check_estimate(row.get("estimate_ms", 0)) / 1000,
         after=after,
         checkpoints=bool(row.get("checkpoint", False)),
         gang=bool(row.get("gang", False)),
@@ -181,19 +198,25 @@
         filler=bool(row.get("fills", False)),
         required_label=_check_text(row.get("requires", ""), "requires"),
         data_rack=_check_text(row.get("affinity", ""), "affinity"),
-        max_per_worker=_check_whole_number(
-            row.get("anti_affinity", 0), "anti_affinity"
-        ),
-        may_be_away=_check_whole_number(row.get("may_miss", 0), "may_miss"),
+        max_per_worker=_check_field(row.get("anti_affinity", 0), "anti_affinity"),
+        may_be_away=_check_field(row.get("may_miss", 0), "may_miss"),
         image=_check_text(row.get("image", ""), "image"),
-        latency_target_ms=_check_whole_number(row.get("target_ms", 0), "target_ms"),
+        latency_target_ms=_check_field(row.get("target_ms", 0), "target_ms"),
     )
 
 
-def _check_whole_number(value: object, field: str) -> int:
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-        raise ValueError(f"{field}: send a non-negative integer")
-    return value
+def _check_field(value: object, field: str) -> int:
+    try:
+        return check_whole_number(value)
+    except (TypeError, ValueError) as error:
+        raise ValueError(f"{field}: send a whole number; {error}") from error
+
+
+def _check_estimate(value: object) -> float:
+    estimate_ms = check_number(value)
+    if estimate_ms < 0:
+        raise ValueError("estimate_ms: send a time that is not negative")
+    return estimate_ms
 
 
 def _check_text(value: object, field: str) -> str:
--- a/chiveledge/platform/_machines.py
+++ b/chiveledge/platform/_machines.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
-import json
-
 from result import Err, Ok, Result
 
+from chiveledge.decoding import (
+    DECODE_ERRORS,
+    check_number,
+    check_type,
+    check_whole_number,
+    describe_error,
+    parse_json,
+)
 from chiveledge.services import CallError, HttpCaller, HttpReply, Unavailable, Unsettled
 from chiveledge.services.machines import (
     Machine,
@@ -64,9 +70,12 @@
                     machines += found
                 case Err(error):
                     return Err(error)
-            if not body.get("next_token"):
+            token = str(body.get("next_token") or "")
+            if not token:
                 return Ok(tuple(machines))
-            params = {"page_token": str(body["next_token"])}
+            if token == params.get("page_token"):
+                return Err(Unsettled("the list of machines does not advance"))
+            params = {"page_token": token}
 
     async def begin_upkeep(
         self, order: UpkeepOrder
@@ -105,17 +114,17 @@
 def decode_wave(text: str) -> Result[Wave, str]:
     """Decode a wave from an operators' row, or return why it is invalid."""
     try:
-        fields = json.loads(text)
+        fields = parse_json(text)
         return Ok(
             Wave(
-                number=int(fields["wave"]),
-                machines=tuple(str(name) for name in fields["machines"]),
-                within_s=float(fields["within_s"]),
-                max_down=max(1, int(fields["cap"])),
+                number=check_whole_number(fields["wave"]),
+                machines=tuple(check_type(name, str) for name in fields["machines"]),
+                within_s=check_number(fields["within_s"]),
+                max_down=max(1, check_whole_number(fields["cap"])),
             )
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        return Err(repr(error))
+    except DECODE_ERRORS as error:
+        return Err(describe_error(error))
 
 
 def _decode_page(body: object) -> Result[list[Machine], CallError]:
@@ -123,12 +132,13 @@
         return Ok(
             [
                 Machine(
-                    str(entry["machine"]),
+                    check_type(entry["machine"], str),
                     MachineState(entry["state"]),
                     str(entry.get("id") or ""),
                 )
                 for entry in body["machines"]
             ]
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        return Err(Unsettled(f"can't decode the list of machines: {error!r}"))
+    except DECODE_ERRORS as error:
+        reason = describe_error(error)
+        return Err(Unsettled(f"can't decode the list of machines: {reason}"))
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -122,7 +122,7 @@
         self._catalogue = Catalogue()
         self._waves: dict[str, Wave] = {}
         self._pools: list[ConnectionPool] = []
-        self._status_cache = JobStatusCache()
+        self._status_cache = JobStatusCache(self._log)
         self._draining = asyncio.Event()
 
     async def run(self) -> None:
@@ -230,7 +230,7 @@
 
     def _make_relay(self) -> Relay:
         settings = self._settings
-        self._peers = PeerDirectory(self._own_host)
+        self._peers = PeerDirectory(self._own_host, self._log)
         rng = random.Random(settings.node)
         return Relay(self._peers, settings.node, self._clock, self._log, rng)
 
--- a/chiveledge/platform/_settings.py
+++ b/chiveledge/platform/_settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import os
 from collections.abc import Mapping
 from pathlib import Path
@@ -10,7 +9,16 @@
 
 from result import Err, Ok, Result
 
+from chiveledge.decoding import (
+    DECODE_ERRORS,
+    check_number,
+    check_whole_number,
+    describe_error,
+    parse_json,
+)
+
 SETTINGS_VARIABLE = "CHIVELEDGE_BOOT"
+MAX_PORT = 65_535
 
 T = TypeVar("T")
 
@@ -141,11 +149,11 @@
             SettingsError(SETTINGS_VARIABLE, "set it to the settings file's path")
         )
     try:
-        fields = json.loads(Path(path).read_text(encoding="utf-8"))
+        fields = parse_json(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         return Err(SettingsError(path, f"make the file readable ({error.strerror})"))
-    except ValueError as error:
-        return Err(SettingsError(path, f"write valid JSON ({error})"))
+    except DECODE_ERRORS as error:
+        return Err(SettingsError(path, f"write valid JSON ({describe_error(error)})"))
     try:
         return Ok(_decode(_check_object(fields, "(top level)")))
     except _FieldError as error:
@@ -174,15 +182,15 @@
     if form != "table":
         raise _FieldError("platform.form", f"only 'table' is supported, got {form!r}")
     ip = _get_text(fields, "ip")
-    ports = fields.get("port_range") or []
+    ports = _get_ports(fields)
     return NodeSettings(
         node=_get_text(fields, "node"),
         domain=_get_text(fields, "zone"),
         region=str(fields.get("region", "")),
         api=_get_optional_endpoint(listen, "front", "listen.front"),
         ready=_get_optional_endpoint(listen, "ready", "listen.ready"),
-        metrics=Endpoint(ip, int(ports[-1])) if ports else None,
-        peers=Endpoint(ip, int(ports[0])) if len(ports) > 1 else None,
+        metrics=Endpoint(ip, ports[-1]) if ports else None,
+        peers=Endpoint(ip, ports[0]) if len(ports) > 1 else None,
         store=_parse_endpoint(store.get("address"), "platform.address"),
         advice=_get_optional_endpoint(fields, "advice", "advice"),
         machines=_get_optional_endpoint(
@@ -235,10 +243,25 @@
 def _get_number(
     fields: Mapping[str, Any], name: str, default: float, table: str = "bounds"
 ) -> float:
-    value = fields.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise _FieldError(f"{table}.{name}", f"set a number, got {value!r}")
-    return float(value)
+    try:
+        return float(check_number(fields.get(name, default)))
+    except DECODE_ERRORS as error:
+        raise _FieldError(
+            f"{table}.{name}", f"set a number; {describe_error(error)}"
+        ) from error
+
+
+def _get_ports(fields: Mapping[str, Any]) -> list[int]:
+    """Return the first and the last port for peers and metrics, if there are any."""
+    try:
+        return [
+            check_whole_number(port, at_most=MAX_PORT)
+            for port in fields.get("port_range") or ()
+        ]
+    except DECODE_ERRORS as error:
+        raise _FieldError(
+            "port_range", f"set two port numbers; {describe_error(error)}"
+        ) from error
 
 
 def _get_optional_endpoint(
@@ -251,6 +274,6 @@
 def _parse_endpoint(value: object, field: str) -> Endpoint:
     if isinstance(value, str):
         address, _, port = value.rpartition(":")
-        if address and port.isdecimal():
+        if address and port.isdecimal() and int(port) <= MAX_PORT:
             return Endpoint(address, int(port))
     raise _FieldError(field, f"set ADDRESS:PORT, got {value!r}")
--- a/chiveledge/platform/_store.py
+++ b/chiveledge/platform/_store.py
@@ -11,14 +11,19 @@
 
 import base64
 import binascii
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from functools import partial
 from typing import Any, NamedTuple, TypeVar
 
 from result import Err, Ok, Result
 
 from chiveledge.clock import Clock
-from chiveledge.platform._type_checks import DECODE_ERRORS, check_type
+from chiveledge.decoding import (
+    DECODE_ERRORS,
+    check_type,
+    check_whole_number,
+    describe_error,
+)
 from chiveledge.services import (
     CallError,
     Changes,
@@ -63,11 +68,19 @@
 
 
 class _Page(NamedTuple):
-    """Consecutive rows of a part at one version."""
+    """Consecutive rows of a part at one version.
+
+    Attributes
+    ----------
+    last_key : str
+        The platform's key of the last row, after which the next page begins; empty
+        if there are no rows.
+    """
 
     rows: tuple[Row, ...]
     version: int
     has_more: bool
+    last_key: str
 
 
 class PlatformStore:
@@ -151,7 +164,7 @@
             rows += [row for row in page.rows if row.key.startswith(prefix)]
             if not page.has_more or not page.rows:
                 return Ok(Snapshot(tuple(rows), version))
-            params["from"] = parse_row_name(page.rows[-1].key) + "\0"
+            params["from"] = page.last_key + "\0"
 
     async def _list_parts(self, table: str) -> Result[list[str], CallError]:
         """Return the numbered parts of a table."""
@@ -223,7 +236,7 @@
         )
         match reply:
             case Ok(HttpReply(status=status, body=answer)) if status == HTTP_OK:
-                return _decode(lambda body: check_type(body["ver"], int), answer)
+                return _decode(lambda body: check_whole_number(body["ver"]), answer)
             case Ok(HttpReply(status=status, body=answer)) if status == HTTP_CONFLICT:
                 found = _decode(partial(_find_mismatches, transaction.checks), answer)
                 return found.and_then(lambda keys: Err(Conflict(keys)))
@@ -278,7 +291,8 @@
     try:
         return Ok(decode(check_type(body, dict)))
     except DECODE_ERRORS as error:
-        return Err(Unsettled(f"can't decode the store's answer: {error!r}"))
+        reason = describe_error(error)
+        return Err(Unsettled(f"can't decode the store's answer: {reason}"))
 
 
 def _encode_key(key: str) -> dict[str, str]:
@@ -310,20 +324,18 @@
     except (binascii.Error, ValueError):
         text = ""
     write_id, separator, value = text.partition("\n")
-    if not separator:
+    if not separator or row["table"] in SINGLE_PART_TABLES:
         write_id, value = "", text
-    return Row(_decode_key(row), row["ver"], value, write_id)
-
-
-def _decode_rows(rows: Iterable[dict]) -> list[Row]:
-    return [_decode_row(row) for row in rows]
+    return Row(_decode_key(row), check_whole_number(row["ver"]), value, write_id)
 
 
 def _decode_page(body: dict) -> _Page:
+    rows = body["rows"]
     return _Page(
-        tuple(_decode_rows(body["rows"])),
-        check_type(body["ver"], int),
+        tuple(_decode_row(row) for row in rows),
+        check_whole_number(body["ver"]),
         bool(body.get("has_more")),
+        check_type(rows[-1]["key"], str) if rows else "",
     )
 
 
@@ -336,7 +348,7 @@
     return Changes(
         rows=tuple(_decode_row(row) for row in rows if not row.get("deleted")),
         deleted=tuple(_decode_key(row) for row in rows if row.get("deleted")),
-        version=check_type(body["ver"], int),
+        version=check_whole_number(body["ver"]),
     )
 
 
--- a/chiveledge/platform/_workers.py
+++ b/chiveledge/platform/_workers.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
-import json
+from ipaddress import IPv4Address
 
 from result import Err, Ok, Result
 
 from chiveledge.decision_log import DecisionLog
+from chiveledge.decoding import (
+    DECODE_ERRORS,
+    check_number,
+    check_type,
+    check_whole_number,
+    describe_error,
+    parse_json,
+)
 from chiveledge.metrics import Metrics
-from chiveledge.platform._type_checks import DECODE_ERRORS, check_number, check_type
+from chiveledge.platform._settings import MAX_PORT
 from chiveledge.services import (
     CallError,
     ConnectionPool,
@@ -72,43 +80,55 @@
         """Decode a row, or log it and return None if it is invalid."""
         name = row.key.removeprefix(WORKER_PREFIX)
         try:
-            return _decode_entry(name, json.loads(row.value))
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
-            self._log.write("workers", "bad_entry", worker=name, error=repr(error))
+            return _decode_entry(name, parse_json(row.value))
+        except DECODE_ERRORS as error:
+            self._log.write(
+                "workers", "bad_entry", worker=name, error=describe_error(error)
+            )
             return None
 
 
 def _decode_entry(name: str, fields: dict) -> WorkerEntry:
-    state = fields["state"]
+    if not name.isprintable() or not name:
+        raise ValueError(f"the name {name!r} can't be sent in a header")
+    state = check_type(fields["state"], str)
     if state not in USABLE_STATES:
         raise ValueError(f"unknown state {state!r}")
-    address = check_type(fields["address"], str)
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal():
-        raise ValueError(f"bad address {address!r}")
-    capacity = fields["capacity"]
+    capacity = check_type(fields["capacity"], dict)
     labels = [check_type(label, str) for label in fields["labels"]]
     remaining = fields.get("remaining_ms")
     return WorkerEntry(
         name=name,
         service=check_type(fields["service"], str),
-        address=address,
+        address=_check_address(check_type(fields["address"], str)),
         domain=check_type(fields.get("zone", ""), str),
         # The rack is the last label; the kind of the worker precedes it.
         rack=labels[-1] if labels else "",
         labels=frozenset(labels),
         capacity=Usage(
-            check_type(capacity.get("cpu", 0), int),
-            check_type(capacity.get("mem_mb", 0), int),
-            check_type(capacity.get("gpu", 0), int),
+            check_whole_number(capacity.get("cpu", 0)),
+            check_whole_number(capacity.get("mem_mb", 0)),
+            check_whole_number(capacity.get("gpu", 0)),
         ),
-        incarnation_ms=check_type(fields.get("born", 0), int),
+        incarnation_ms=check_whole_number(fields.get("born", 0)),
         draining=state == "draining",
-        leaves_s=None if remaining is None else check_type(remaining, int) / 1000,
+        leaves_s=None if remaining is None else check_whole_number(remaining) / 1000,
         machine=check_type(fields.get("machine", ""), str),
     )
 
 
+def _check_address(address: str) -> str:
+    """Return an address of the form IP:PORT, and raise ValueError for any other.
+
+    A host name would have to be looked up, which the platform does not offer.
+    """
+    host, _, port = address.rpartition(":")
+    if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"{address!r} has no port from 1 to {MAX_PORT}")
+    IPv4Address(host)
+    return address
+
+
 class PlatformWorker:
     """Client of one worker.
 
@@ -206,9 +226,9 @@
 
 def _decode_accepted(body: object) -> Result[OrderAccepted, CallError]:
     try:
-        return Ok(OrderAccepted(check_type(_get_fields(body).get("clock_ms", 0), int)))
+        return Ok(OrderAccepted(_decode_clock(_get_fields(body))))
     except DECODE_ERRORS as error:
-        return Err(Unsettled(f"can't decode the worker's answer: {error!r}"))
+        return Err(_make_decode_error("answer", error))
 
 
 def _get_fields(body: object) -> dict:
@@ -235,32 +255,41 @@
 def _decode_conflict(body: object) -> Declined | CallError:
     try:
         fields = _get_fields(body)
-        clock_ms = check_type(fields.get("clock_ms", 0), int)
+        clock_ms = _decode_clock(fields)
         reason = _DECLINE_REASONS.get(fields.get("reason"), DeclineReason.BAD_ORDER)
     except DECODE_ERRORS as error:
-        return Unsettled(f"can't decode the worker's refusal: {error!r}")
+        return _make_decode_error("refusal", error)
     return Declined(reason, clock_ms)
 
 
+def _decode_clock(fields: dict) -> int:
+    """Return the reading of the worker's clock, which some answers lack."""
+    return check_whole_number(fields.get("clock_ms", 0))
+
+
+def _make_decode_error(what: str, error: Exception) -> Unsettled:
+    return Unsettled(f"can't decode the worker's {what}: {describe_error(error)}")
+
+
 def _decode_report(body: object) -> Result[PollReport, CallError]:
     try:
         fields = check_type(body, dict)
         return Ok(
             PollReport(
-                check_type(fields["clock_ms"], int),
-                check_type(fields.get("born", 0), int),
+                check_whole_number(fields["clock_ms"]),
+                check_whole_number(fields.get("born", 0)),
                 tuple(_decode_running(row) for row in fields.get("running", ())),
                 tuple(_decode_ended(row) for row in fields.get("ended", ())),
             )
         )
     except DECODE_ERRORS as error:
-        return Err(Unsettled(f"can't decode the worker's report: {error!r}"))
+        return Err(_make_decode_error("report", error))
 
 
 def _decode_running(row: list) -> RunningTask:
     return RunningTask(
         check_type(row[0], str),
-        check_type(row[1], int),
+        check_whole_number(row[1]),
         check_type(row[2], str),
         check_number(row[3]),
         check_number(row[4]) if len(row) > 4 else 0,
@@ -269,9 +298,9 @@
 
 def _decode_ended(row: list) -> EndedTask:
     return EndedTask(
-        check_type(row[0], int),
+        check_whole_number(row[0]),
         check_type(row[1], str),
-        check_type(row[2], int),
+        check_whole_number(row[2]),
         RunEnd(row[3]),
         check_type(row[4], str),
     )
--- a/chiveledge/services/_http.py
+++ b/chiveledge/services/_http.py
@@ -10,11 +10,15 @@
 import aiohttp
 from result import Err, Ok, Result
 
+from chiveledge.decoding import DECODE_ERRORS, describe_error, parse_json
 from chiveledge.metrics import Metrics
 from chiveledge.services.errors import Unavailable, Unsettled
 
 SERVICE_UNAVAILABLE = 503
 
+MAX_REPLY_BYTES = 16 << 20
+"""Largest reply that is read; services send long lists in pages far below it."""
+
 SESSION_CLOSE_DELAY_S = 5.0
 """Time that calls of a replaced session have to finish; no call timeout is longer."""
 
@@ -81,6 +85,18 @@
         await session.close()
 
 
+async def _read_bounded(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body of a reply; raise ValueError if it is too long to be read."""
+    blocks = []
+    size = 0
+    async for block in response.content.iter_any():
+        blocks.append(block)
+        size += len(block)
+        if size > MAX_REPLY_BYTES:
+            raise ValueError(f"the reply is longer than {MAX_REPLY_BYTES} bytes")
+    return b"".join(blocks)
+
+
 class HttpCaller:
     """Makes JSON calls to one base URL and counts their bytes.
 
@@ -152,12 +168,13 @@
                 params=params,
                 timeout=timeout,
                 headers=sent_headers,
+                allow_redirects=False,
             ) as response:
-                raw = await response.read()
+                raw = await _read_bounded(response)
                 self._count_call(len(payload) + len(path) + len(raw))
                 if response.status == SERVICE_UNAVAILABLE:
                     return Err(Unavailable(f"{self._base_url} returned status 503"))
-                decoded = json.loads(raw) if raw else None
+                decoded = parse_json(raw) if raw else None
                 return Ok(HttpReply(response.status, decoded))
         except aiohttp.ClientConnectorError as error:
             return Err(Unavailable(f"{self._base_url}: {error.strerror or error}"))
@@ -166,8 +183,9 @@
             return Err(Unsettled(f"{self._base_url}: the call timed out"))
         except (aiohttp.ClientError, OSError) as error:
             return Err(Unsettled(f"{self._base_url}: {type(error).__name__}"))
-        except ValueError:
-            return Err(Unsettled(f"{self._base_url}: the reply is not valid JSON"))
+        except DECODE_ERRORS as error:
+            reason = describe_error(error)
+            return Err(Unsettled(f"{self._base_url}: bad request or reply: {reason}"))
 
     @property
     def _session(self) -> aiohttp.ClientSession:
--- a/chiveledge/workload/_model.py
+++ b/chiveledge/workload/_model.py
@@ -10,6 +10,9 @@
 ACCELERATOR_CORES = 8
 """Processor cores to which one accelerator is equivalent when work is compared."""
 
+MAX_NAME_DIGITS = 16
+"""Most digits of a number in the name of a task."""
+
 
 class JobState(StrEnum):
     """State of a job as reported to callers."""
@@ -212,6 +215,8 @@
     def parse(cls, text: str) -> TaskName | None:
         """Return the task name written as `text`, or None if it isn't one."""
         parts = text.rsplit(".", 3)
-        if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+        if len(parts) != 4 or not all(
+            part.isdecimal() and len(part) <= MAX_NAME_DIGITS for part in parts[1:]
+        ):
             return None
         return cls(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -115,9 +115,9 @@
             case Ok(snapshot):
                 pass
         keys = {
-            parse_row_name(row.key): row.key
+            _parse_name(row.key): row.key
             for row in snapshot.rows
-            if parse_part(row.key) == query.get("part", "")
+            if _parse_part(row.key) == query.get("part", "")
         }
         names = [n for n in sorted(keys) if n >= first and (last is None or n < last)]
         rows = [self._row(keys[name]) for name in names[:limit]]
@@ -128,7 +128,7 @@
             case Err(error):
                 return _respond_to_failure(request, error)
             case Ok(snapshot):
-                parts = sorted({parse_part(row.key) for row in snapshot.rows})
+                parts = sorted({_parse_part(row.key) for row in snapshot.rows})
         after = request.query.get("after", "")
         parts = [part for part in parts if not after or part > after]
         return self._respond({"parts": parts[:PAGE_PARTS]})
@@ -156,8 +156,8 @@
             return None
         return {
             "table": _parse_table(key),
-            "part": parse_part(key),
-            "key": parse_row_name(key),
+            "part": _parse_part(key),
+            "key": _parse_name(key),
             "value": row.value,
             "ver": row.version,
         }
@@ -291,11 +291,21 @@
     return key.partition("/")[0]
 
 
+def _parse_part(key: str) -> str:
+    """Return the part of a key; tables that others write have no parts."""
+    return "" if _parse_table(key) in READ_ONLY_TABLES else parse_part(key)
+
+
+def _parse_name(key: str) -> str:
+    table, _, name = key.partition("/")
+    return name if table in READ_ONLY_TABLES else parse_row_name(key)
+
+
 def _make_deletion_row(key: str, version: int) -> dict[str, object]:
     row = {
         "table": _parse_table(key),
-        "part": parse_part(key),
-        "key": parse_row_name(key),
+        "part": _parse_part(key),
+        "key": _parse_name(key),
     }
     return row | {"ver": version, "deleted": True}
 
--- a/tests/coordinator/cluster.py
+++ b/tests/coordinator/cluster.py
@@ -98,8 +98,8 @@
             worker: FaultyConnection(service, cluster.clock)
             for worker, service in cluster.workers.items()
         }
-        self.status_cache = JobStatusCache()
         self.log = NullLog()
+        self.status_cache = JobStatusCache(self.log)
         self.job_store = JobStore(
             self.store, self.status_cache, cluster.clock, self.log
         )
@@ -288,7 +288,9 @@
 
 
 def decode_worker(row: Row) -> WorkerEntry | None:
-    """Return the entry of a worker row that `Cluster.list_worker` wrote."""
+    """Return the entry of a worker row that `Cluster.list_worker` wrote, else None."""
+    if not row.value.startswith("{"):
+        return None
     fields = json.loads(row.value)
     fields["labels"] = frozenset(fields["labels"])
     fields["capacity"] = Usage(*fields["capacity"])
--- a/tests/coordinator/test_known_failures.py
+++ b/tests/coordinator/test_known_failures.py
@@ -7,8 +7,11 @@
 
 import pytest
 
-from chiveledge.intake import Accepted
-from chiveledge.workload import JobState, Step
+from chiveledge.coordinator._progress_writer import progress_key
+from chiveledge.intake import Accepted, job_key
+from chiveledge.services import Put, Transaction
+from chiveledge.services.task_worker import EndedTask
+from chiveledge.workload import JobState, RunEnd, Step
 from tests.coordinator.cluster import SMALL
 
 FULL_WORKER = SMALL._replace(accelerators=8)
@@ -69,3 +72,49 @@
     assert len(cluster.starts("j1")) == before == 4
     await cluster.advance(4.0)
     assert cluster.state("j1") is JobState.COMPLETED
+
+
+@pytest.mark.parametrize("key", [job_key("odd"), progress_key("j1")])
+async def test_unreadable_job_row_does_not_end_the_term(make_cluster, key):
+    """One unreadable row ended the term of each leader, so that no job ever ran."""
+    cluster = make_cluster(workers=2)
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(count=1, usage=SMALL), work_s=4.0)
+    await cluster.advance(0.5)
+    await cluster.nodes[0].kill()
+    cluster.table.commit(Transaction("w", puts=(Put(key, "[" * 4000),)))
+    await cluster.restart(0)
+    await cluster.submit("j2", Step(count=1, usage=SMALL), work_s=0.5)
+    await cluster.advance(4.0)
+    assert cluster.state("j2") is JobState.COMPLETED
+    assert cluster.leader.coordinator._leadership.epoch == 2
+
+
+async def test_worker_whose_entry_becomes_unreadable_is_not_used(make_cluster):
+    """The last readable entry was used on until the next snapshot of the list."""
+    cluster = make_cluster(workers=2)
+    await cluster.advance(0.5)
+    cluster.table.commit(Transaction("w", puts=(Put("servers/w0", "no entry"),)))
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(count=2, usage=FULL_WORKER), work_s=0.5)
+    await cluster.advance(2.0)
+    assert not cluster.workers["w0"].faults.started
+    cluster.list_worker(cluster.workers["w0"].entry)
+    await cluster.submit("j2", Step(count=2, usage=FULL_WORKER), work_s=0.5)
+    await cluster.advance(2.0)
+    assert cluster.workers["w0"].faults.started
+
+
+async def test_report_of_a_run_with_an_endless_number_does_not_end_the_term(
+    make_cluster,
+):
+    """`int` refuses a text of more than 4,300 digits with a ValueError."""
+    cluster = make_cluster(workers=2)
+    await cluster.advance(0.5)
+    worker = cluster.workers["w0"]
+    end = EndedTask(1, "j9.0.0." + "9" * 5000, 1, RunEnd.DONE, "")
+    worker.ended.append(end)
+    await cluster.submit("j1", Step(count=1, usage=SMALL), work_s=0.5)
+    await cluster.advance(3.0)
+    assert cluster.state("j1") is JobState.COMPLETED
+    assert cluster.leader.coordinator._leadership.epoch == 1
--- a/tests/intake/test_job_store.py
+++ b/tests/intake/test_job_store.py
@@ -33,7 +33,7 @@
         self.clock = ManualClock()
         self.table = MemoryTable(self.clock)
         self.unresponsive = False
-        self.statuses = JobStatusCache()
+        self.statuses = JobStatusCache(NullLog())
         self.jobs = JobStore(
             self.table,
             self.statuses,
--- a/tests/platform/test_api.py
+++ b/tests/platform/test_api.py
@@ -77,7 +77,7 @@
         self.age_s = 0.0
         clock = SystemClock()
         self.table = MemoryTable(clock)
-        self.status_cache = JobStatusCache()
+        self.status_cache = JobStatusCache(NullLog())
         self.follower = TableFollower(
             self.table,
             "board/",
@@ -100,7 +100,7 @@
         )
 
     def _make_relay(self, clock) -> Relay:
-        self.peers = PeerDirectory(PeerHost("n1", "east", ""))
+        self.peers = PeerDirectory(PeerHost("n1", "east", ""), NullLog())
         return Relay(self.peers, "n1", clock, NullLog(), random.Random(1))
 
     def add_peer(self, name: str, url: str) -> None:
@@ -192,6 +192,14 @@
     [
         ("{", "body"),
         ("[]", "body"),
+        ("[" * 4000, "body"),
+        ({"spec": "\ud800", "steps": [{"count": 1}]}, "spec"),
+        ({"spec": "x", "steps": [{"count": 1, "cpu": 10**400}]}, "steps.0"),
+        ({"spec": "x", "steps": [{"count": 1, "estimate_ms": 10**400}]}, "steps.0"),
+        ({"spec": "x", "steps": [{"count": 1, "estimate_ms": -1}]}, "steps.0"),
+        ('{"spec":"x","steps":[{"count":1,"estimate_ms":NaN}]}', "body"),
+        ('{"spec":"x","steps":[{"count":1,"estimate_ms":1e999}]}', "steps.0"),
+        ({"spec": "x", "steps": [{"count": 1}], "first_ms": 10**400}, "first_ms"),
         ({"spec": 3, "steps": [{"count": 1}]}, "spec"),
         ({"spec": "x" * 4001, "steps": [{"count": 1}]}, "spec"),
         ({"spec": "x"}, "steps"),
--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -5,9 +5,11 @@
 import json
 
 import pytest
+from aiohttp import web
 from result import Err, Ok
 
 from chiveledge.clock import SystemClock
+from chiveledge.platform._advice import PlatformAdvice
 from chiveledge.platform._machines import PlatformMachines, decode_wave
 from chiveledge.services import ConnectionPool, HttpCaller, Unsettled
 from chiveledge.services.machines import (
@@ -42,6 +44,50 @@
     await runner.cleanup()
 
 
+async def test_pages_that_repeat_are_an_error():
+    """A token that leads back to its own page was followed for ever."""
+
+    async def handle(request):
+        return web.json_response({"machines": [], "next_token": "t"})
+
+    app = web.Application()
+    app.router.add_get("/machines", handle)
+    runner, address = await serve(app)
+    pool = ConnectionPool()
+    client = PlatformMachines(HttpCaller(pool, f"http://{address}"))
+    assert isinstance((await client.list_machines()).err(), Unsettled)
+    await pool.close()
+    await runner.cleanup()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        "[" * 4000,
+        '{"good":[["w1","t1"]]}',
+        f'{{"good":[["w1","t1"]],"valid_ms":{10**400}}}',
+        '{"good":[["w1"]],"valid_ms":1}',
+        '{"good":5,"valid_ms":1}',
+        "[]",
+    ],
+)
+async def test_malformed_advice_is_an_error(body):
+    """It raised in the task that requests tickets, which ended the leader's term."""
+
+    async def handle(request):
+        return web.Response(text=body)
+
+    app = web.Application()
+    app.router.add_post("/advise", handle)
+    runner, address = await serve(app)
+    pool = ConnectionPool()
+    client = PlatformAdvice(HttpCaller(pool, f"http://{address}"))
+    result = await client.fetch_tickets("j.0.0", ("w1",))
+    assert isinstance(result.err(), Unsettled)
+    await pool.close()
+    await runner.cleanup()
+
+
 def make_order(machine: str, wave: int = 1) -> UpkeepOrder:
     return UpkeepOrder(machine, wave, "n1", 7)
 
@@ -88,7 +134,17 @@
 
 
 @pytest.mark.parametrize(
-    "text", ["", "[]", "{}", '{"wave":1,"machines":5,"within_s":1,"cap":1}', "null"]
+    "text",
+    [
+        "",
+        "[]",
+        "{}",
+        '{"wave":1,"machines":5,"within_s":1,"cap":1}',
+        "null",
+        "[" * 4000,
+        '{"wave":1e999,"machines":[],"within_s":1,"cap":1}',
+        f'{{"wave":1,"machines":[],"within_s":{10**400},"cap":1}}',
+    ],
 )
 def test_invalid_wave_is_an_error(text):
     assert decode_wave(text).is_err()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -57,6 +57,10 @@
         ({"orders": "heartbeat"}, "orders"),
         ({"bounds": {"stop_ms": "long"}}, "bounds.stop_ms"),
         ({"limits": {"cores": "two"}}, "limits.cores"),
+        ({"limits": {"cores": 10**400}}, "limits.cores"),
+        ({"port_range": ["a", "b"]}, "port_range"),
+        ({"port_range": [7000, 70_000]}, "port_range"),
+        ({"listen": {"front": "1.2.3.4:70000"}}, "listen.front"),
     ],
 )
 def test_error_names_invalid_field(tmp_path, change, field):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -72,6 +72,25 @@
     assert snapshot.version == fake.version
 
 
+async def test_list_with_an_odd_key_at_the_end_of_a_page_is_read_whole(
+    platform_store, stand_in
+):
+    """The next page began after a part of the key, so that it left out entries."""
+    names = [f"{number:03}" for number in range(499)]
+    names += ["499:z", *(f"{number:03}" for number in range(500, 510))]
+    for name in names:
+        stand_in.write(f"servers/{name}", {})
+    snapshot = (await platform_store.snapshot("servers/")).unwrap()
+    assert [row.key for row in snapshot.rows] == [f"servers/{name}" for name in names]
+
+
+async def test_value_of_another_writer_is_read_whole(platform_store, stand_in):
+    """The first of several lines was taken for a write ID."""
+    stand_in.write("op/config", '{\n "version": 3\n}')
+    row = (await platform_store.read("op/config")).unwrap()
+    assert (row.value, row.write_id) == ('{\n "version": 3\n}', "")
+
+
 async def test_watch_returns_changes_and_deletions_after_a_version(table_and_fake):
     table, _ = table_and_fake
     await table.transact(write("jobs/a", "1"))
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -83,6 +83,44 @@
     assert decode(describe_worker(fake, ENTRY.address) | invalid) is None
 
 
+DEEP = "[" * 4000
+HUGE = 10**400
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"address": "10.0.0.1:65536"},
+        {"address": "10.0.0.1:0"},
+        {"address": "foreign.example:80"},
+        {"address": "10.0.0.1/x:80"},
+        {"capacity": {"cpu": HUGE}},
+        {"capacity": {"cpu": -1}},
+        {"born": HUGE},
+        {"remaining_ms": HUGE},
+        {"labels": json.loads("[" * 500 + "]" * 500)},
+    ],
+)
+def test_entry_with_value_out_of_range_is_ignored(odd):
+    """A number too large or a port out of range raised later, in the leader's tasks."""
+    fake = MemoryTaskWorker(ENTRY, SystemClock(), lambda _: StandInTask())
+    assert decode(describe_worker(fake, ENTRY.address) | odd) is None
+
+
+@pytest.mark.parametrize("text", [DEEP, DEEP + "]" * 4000, '{"state":' * 4000, "1e999"])
+def test_nested_row_is_ignored(text):
+    """One entry that no JSON parser can read ended the term of each leader in turn."""
+    assert WorkerDecoder(NullLog()).decode(Row("servers/i", 1, text, "")) is None
+
+
+@pytest.mark.parametrize("name", ["", "a\r\nX: 1", "\ud800"])
+def test_row_whose_name_no_header_can_hold_is_ignored(name):
+    fake = MemoryTaskWorker(ENTRY, SystemClock(), lambda _: StandInTask())
+    text = json.dumps(describe_worker(fake, ENTRY.address))
+    row = Row(f"servers/{name}", 1, text, "")
+    assert WorkerDecoder(NullLog()).decode(row) is None
+
+
 def test_row_without_json_is_ignored():
     assert WorkerDecoder(NullLog()).decode(Row("servers/i", 1, "\x00{", "")) is None
 
@@ -173,9 +211,27 @@
     b'{"clock_ms":1,"ended":[[1,"t",1,"melted",""]]}',
     b'{"clock_ms":1,"ended":[[1,"t",1,"done",null]]}',
     b'{"clock_ms":1,"ended":{"a":1}}',
+    # Values that raised in the tasks of the leader, which ended its term.
+    DEEP.encode(),
+    b'{"clock_ms":%d}' % HUGE,
+    b'{"clock_ms":1,"born":%d}' % HUGE,
+    b'{"clock_ms":1,"running":[["t",1,"",%d]]}' % HUGE,
+    b'{"clock_ms":1,"running":[["t",1,"",NaN]]}',
+    b'{"clock_ms":1,"running":[["t",1,"",1e999]]}',
+    b'{"clock_ms":1,"running":[["t",%d,"",5]]}' % HUGE,
+    b'{"clock_ms":1,"ended":[[%d,"t",1,"done",""]]}' % HUGE,
+    b'{"clock_ms":1,"ended":[[-1,"t",1,"done",""]]}',
 ]
 
-BAD_ORDER_ANSWERS = [b"[]", b'"x"', b"{", b'{"clock_ms":"x"}', b'{"clock_ms":[]}']
+BAD_ORDER_ANSWERS = [
+    b"[]",
+    b'"x"',
+    b"{",
+    b'{"clock_ms":"x"}',
+    b'{"clock_ms":[]}',
+    DEEP.encode(),
+    b'{"clock_ms":%d}' % HUGE,
+]
 
 
 async def answer_with(status, body):
