--- a/chiveledge/coordinator/_context.py
+++ b/chiveledge/coordinator/_context.py
@@ -28,6 +28,8 @@
         Returns the client of a worker.
     catalogue : callable
         Returns the configuration in force.
+    max_row_chars : int
+        Longest text of a row that the table takes.
     advice : AdviceService, optional
         Decides which workers may run the steps of queues that require advice.
     machines : MachineService, optional
@@ -45,6 +47,7 @@
     log: DecisionLog
     metrics: Metrics
     timing: CoordinatorTiming
+    max_row_chars: int
     advice: AdviceService | None = None
     machines: MachineService | None = None
     waves: Callable[[], Iterable[Wave]] = tuple
--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -98,7 +98,11 @@
     now_s, now_ms : float
         Monotonic time in seconds and wall time in milliseconds since 1970.
     """
-    open_jobs = [job for job in jobs.values() if not job.state.ended]
+    open_jobs = [
+        job
+        for job in jobs.values()
+        if not job.state.ended and job.rests_until_s <= now_s
+    ]
     policies = {job.job_id: find_policy(job, catalogue) for job in open_jobs}
     guaranteed = find_guaranteed_jobs(
         open_jobs,
--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -84,19 +84,11 @@
 
     async def launch(self, job: JobProgress, step: Step, placed: PlacedRuns) -> None:
         """Store the runs, then send their start orders; a gang starts whole or not."""
-        await self._progress_writer.save(job)
-        if job.state.ended or not self._leadership.valid:
-            for link, tracked in placed:
-                self.discard(
-                    link, tracked, "not sent: the job ended or the leadership was lost"
-                )
-            return
-        if any(
-            link.incarnation_ms != tracked.run.incarnation_ms
-            for link, tracked in placed
-        ):
+        is_stored = await self._progress_writer.save(job)
+        obstacle = self._find_obstacle(job, placed, is_stored)
+        if obstacle:
             for link, tracked in placed:
-                self.discard(link, tracked, "not sent: a worker restarted")
+                self.discard(link, tracked, f"not sent: {obstacle}")
             return
         checkpoint = _choose_checkpoint(step, placed)
         did_start = await asyncio.gather(
@@ -109,6 +101,21 @@
             for link, tracked in placed:
                 self.stop(link, tracked, "another member of the gang did not start")
 
+    def _find_obstacle(
+        self, job: JobProgress, placed: PlacedRuns, is_stored: bool
+    ) -> str:
+        """Return why runs can't start any more; empty if they can."""
+        if not is_stored:
+            return "the store rejected the job's progress"
+        if job.state.ended or not self._leadership.valid:
+            return "the job ended or the leadership was lost"
+        if any(
+            link.incarnation_ms != tracked.run.incarnation_ms
+            for link, tracked in placed
+        ):
+            return "a worker restarted"
+        return ""
+
     def stop(self, link: WorkerLink, tracked: TrackedRun, reason: str) -> None:
         """Stop a run; its capacity becomes free once the worker reports its end."""
         if tracked.stopping or tracked.key not in link.runs:
--- a/chiveledge/coordinator/_progress_writer.py
+++ b/chiveledge/coordinator/_progress_writer.py
@@ -9,10 +9,19 @@
 import asyncio
 import uuid
 from collections.abc import Callable
+from enum import Enum, auto
+from typing import NamedTuple
 
 from result import Err, Ok
 
-from chiveledge.clock import Clock
+from chiveledge.clock import Clock, run_with_timeout
+from chiveledge.coordinator._progress_rows import (
+    JobWrite,
+    StoredJob,
+    StoredRows,
+    WriteBudget,
+    progress_key,
+)
 from chiveledge.decision_log import DecisionLog
 from chiveledge.intake import (
     JobStatus,
@@ -29,6 +38,7 @@
     Conflict,
     HedgeDelay,
     Put,
+    Rejected,
     TableService,
     Transaction,
     Unavailable,
@@ -36,26 +46,54 @@
     transact_hedged,
 )
 from chiveledge.types import JobId
-from chiveledge.workload import JobProgress, encode_progress
+from chiveledge.workload import JobProgress
 
-PROGRESS_PREFIX = "progress/"
 WRITE_RETRY_S = 0.1
 
 HEDGED_ROUND_S = 2.0
 """Duration of one round of hedged sends; rounds repeat until the outcome is known."""
 
-MAX_BATCH_JOBS = 30
-"""Most jobs in one transaction. Each takes three entries, the fence one more, and the
-store allows 100 entries in a transaction."""
+MAX_ENTRIES = 100
+"""Most checks, puts and deletes in one transaction of the store."""
+
+MIN_JOB_ENTRIES = 4
+"""Entries of a job's check, header, status and one part."""
 
 MAX_BATCH_CHARS = 500_000
 """Most characters in one transaction. Its encoding on the wire is larger by a third,
 and the store allows 1 MB."""
 
+REJECTED_PAUSE_S = 5.0
+"""How long a job rests whose progress the store rejected."""
+
+
+class _Outcome(Enum):
+    STORED = auto()
+    REJECTED = auto()
+    LOST = auto()
 
-def progress_key(job_id: JobId) -> str:
-    """Return the key of a job's progress row."""
-    return PROGRESS_PREFIX + job_id
+
+class _BatchedWrite(NamedTuple):
+    """Writes of one job in a batch, and who waits for them.
+
+    Attributes
+    ----------
+    status : str
+        Text of the job's status row.
+    writes_status : bool
+        Whether that row changes.
+    """
+
+    write: JobWrite
+    status: str
+    writes_status: bool
+    waiters: list[asyncio.Future[bool]]
+
+    @property
+    def puts(self) -> tuple[Put, ...]:
+        """All rows that the batch puts for the job."""
+        status = Put(job_status_key(self.write.job.job_id), self.status)
+        return (*self.write.puts, status) if self.writes_status else self.write.puts
 
 
 class ProgressWriter:
@@ -73,6 +111,8 @@
         Log of the writes that failed.
     metrics : Metrics
         Receives the number and duration of commits.
+    max_row_chars : int
+        Longest text of a row.
     on_lost : callable
         Called with a reason when the fence shows that another process took over.
     """
@@ -84,6 +124,7 @@
         clock: Clock,
         log: DecisionLog,
         metrics: Metrics,
+        max_row_chars: int,
         on_lost: Callable[[str], None],
     ) -> None:
         self._table = table
@@ -91,32 +132,52 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._max_row_chars = max_row_chars
         self._on_lost = on_lost
         self._dirty: dict[JobId, JobProgress] = {}
+        self._resting: dict[JobId, JobProgress] = {}
+        self._stored: dict[JobId, StoredRows] = {}
         self._stored_statuses: dict[JobId, str] = {}
-        self._waiters: dict[JobId, list[asyncio.Future[None]]] = {}
+        self._waiters: dict[JobId, list[asyncio.Future[bool]]] = {}
         self._has_dirty = asyncio.Event()
         self._hedge_delay = HedgeDelay()
 
-    async def save(self, job: JobProgress) -> None:
-        """Store the job's progress and wait until it is stored."""
+    async def save(self, job: JobProgress) -> bool:
+        """Store the job's progress and wait until it is stored.
+
+        Returns
+        -------
+        bool
+            False if the store rejects the progress, which is sent again after
+            `REJECTED_PAUSE_S`.
+        """
         stored = asyncio.get_running_loop().create_future()
         self._waiters.setdefault(job.job_id, []).append(stored)
         self.mark_dirty(job)
-        await stored
+        return await stored
 
     def mark_dirty(self, job: JobProgress) -> None:
-        """Include the job's progress in the next transaction."""
+        """Include the job's progress in the next transaction, unless the job rests."""
+        if job.rests_until_s > self._clock.monotonic():
+            self._resting[job.job_id] = job
+            return
         self._dirty[job.job_id] = job
         self._has_dirty.set()
 
+    def record_loaded(self, job_id: JobId, stored: StoredJob) -> None:
+        """Record which rows of a job an earlier leader has stored."""
+        self._stored[job_id] = StoredRows.from_store(stored)
+
     async def run(self) -> None:
         """Write dirty jobs until cancelled."""
         while True:
-            await self._has_dirty.wait()
+            await run_with_timeout(
+                self._clock, self._has_dirty.wait(), REJECTED_PAUSE_S
+            )
             self._has_dirty.clear()
+            self._wake_resting_jobs()
             while self._dirty:
-                await self._write_batch()
+                await self._store(self._take_batch())
 
     async def remove(self, job_id: JobId) -> bool:
         """Delete all rows of an expired job; return whether all are deleted.
@@ -124,63 +185,111 @@
         The request is deleted before the progress: progress without a request starts
         nothing, but a request without progress would run again.
         """
-        request_keys = (
+        request_keys = [
             job_key(job_id),
             cancel_key(job_id),
             initial_job_status_key(job_id),
-        )
-        progress_keys = (job_status_key(job_id), progress_key(job_id))
-        removed = await self._delete(job_id, request_keys, ()) and await self._delete(
-            job_id, progress_keys, (self._leadership.fence,)
-        )
-        if removed:
-            self._stored_statuses.pop(job_id, None)
-        return removed
+        ]
+        if not await self._delete(job_id, request_keys, ()):
+            return False
+        parts = self._stored.get(job_id, StoredRows()).part_hashes
+        keys = [progress_key(job_id, part) for part in parts]
+        keys += [job_status_key(job_id), progress_key(job_id)]
+        for first in range(0, len(keys), MAX_ENTRIES - 1):
+            chunk = keys[first : first + MAX_ENTRIES - 1]
+            if not await self._delete(job_id, chunk, (self._leadership.fence,)):
+                return False
+        self._stored.pop(job_id, None)
+        self._stored_statuses.pop(job_id, None)
+        return True
 
     async def _delete(
-        self, job_id: JobId, keys: tuple[str, ...], checks: tuple[Check, ...]
+        self, job_id: JobId, keys: list[str], checks: tuple[Check, ...]
     ) -> bool:
-        transaction = Transaction(uuid.uuid4().hex, checks=checks, deletes=keys)
+        transaction = Transaction(uuid.uuid4().hex, checks=checks, deletes=tuple(keys))
         result = await self._table.transact(transaction)
         if result.is_err():
             self._log.write("ledger", "not_removed", id=job_id, error=str(result.err()))
         return result.is_ok()
 
-    async def _write_batch(self) -> None:
-        batch: list[JobProgress] = []
-        puts: list[Put] = []
-        waiters: list[asyncio.Future[None]] = []
-        new_statuses: dict[JobId, str] = {}
-        size_chars = 0
-        while (
-            self._dirty and len(batch) < MAX_BATCH_JOBS and size_chars < MAX_BATCH_CHARS
-        ):
-            job_id = next(iter(self._dirty))
-            job = self._dirty.pop(job_id)
-            waiters += self._waiters.pop(job_id, [])
-            progress = encode_progress(job)
-            status = _encode_job_status(job)
-            puts.append(Put(progress_key(job_id), progress))
-            if self._stored_statuses.get(job_id) != status:
-                puts.append(Put(job_status_key(job_id), status))
-                new_statuses[job_id] = status
-            batch.append(job)
-            size_chars += len(progress)
-        if await self._commit(batch, tuple(puts)):
-            self._stored_statuses |= new_statuses
-            for waiter in waiters:
-                if not waiter.done():
-                    waiter.set_result(None)
-
-    async def _commit(self, batch: list[JobProgress], puts: tuple[Put, ...]) -> bool:
-        """Commit until the outcome is known; return False if the leadership is lost."""
+    def _wake_resting_jobs(self) -> None:
+        now_s = self._clock.monotonic()
+        for job_id, job in list(self._resting.items()):
+            if job.rests_until_s <= now_s:
+                self._dirty[job_id] = self._resting.pop(job_id)
+
+    def _take_batch(self) -> list[_BatchedWrite]:
+        """Take dirty jobs, as many as fit into a transaction beside the fence."""
+        batch: list[_BatchedWrite] = []
+        entries, chars = MAX_ENTRIES - 1, MAX_BATCH_CHARS
+        while self._dirty and entries >= MIN_JOB_ENTRIES and chars > 0:
+            job = self._dirty.pop(next(iter(self._dirty)))
+            # One entry is left for the status row.
+            item = self._make_item(job, WriteBudget(entries - 1, chars))
+            batch.append(item)
+            entries -= item.write.used.entries + item.writes_status
+            chars -= item.write.used.chars
+        return batch
+
+    def _make_item(self, job: JobProgress, budget: WriteBudget) -> _BatchedWrite:
+        stored = self._stored.setdefault(job.job_id, StoredRows())
+        write = stored.make_write(job, self._max_row_chars, budget)
+        status = _encode_job_status(job)
+        is_new = self._stored_statuses.get(job.job_id) != status
+        waiters = self._waiters.pop(job.job_id, []) if write.is_whole else []
+        return _BatchedWrite(write, status, write.is_whole and is_new, waiters)
+
+    async def _store(self, batch: list[_BatchedWrite]) -> None:
+        """Store a batch; if the store rejects it, store each job for itself."""
+        match await self._commit(batch):
+            case _Outcome.STORED:
+                for item in batch:
+                    self._record_stored(item)
+            case _Outcome.REJECTED if len(batch) > 1:
+                for item in batch:
+                    await self._store([item])
+            case _Outcome.REJECTED:
+                self._rest(batch[0])
+
+    def _record_stored(self, item: _BatchedWrite) -> None:
+        job = item.write.job
+        self._stored[job.job_id] = StoredRows(item.write.header, item.write.part_hashes)
+        if item.writes_status:
+            self._stored_statuses[job.job_id] = item.status
+        if item.write.has_more:
+            self.mark_dirty(job)
+        _resolve(item.waiters, True)
+
+    def _rest(self, item: _BatchedWrite) -> None:
+        """Set aside a job that can't be stored now, so that it holds up no other."""
+        job = item.write.job
+        job.rests_until_s = self._clock.monotonic() + REJECTED_PAUSE_S
+        self._resting[job.job_id] = job
+        waiters = item.waiters + self._waiters.pop(job.job_id, [])
+        self._log.write(
+            "ledger",
+            "rejected",
+            id=job.job_id,
+            chars=item.write.used.chars,
+            entries=item.write.used.entries,
+            waiters=len(waiters),
+            pause_s=REJECTED_PAUSE_S,
+        )
+        _resolve(waiters, False)
+
+    async def _commit(self, batch: list[_BatchedWrite]) -> _Outcome:
+        """Commit until the outcome is known."""
+        jobs = [item.write.job for item in batch]
         write_id = uuid.uuid4().hex
         sent_s = self._clock.monotonic()
         while True:
-            checks = tuple(
-                Check(progress_key(job.job_id), job.version) for job in batch
+            checks = tuple(item.write.check for item in batch)
+            transaction = Transaction(
+                write_id,
+                (self._leadership.fence, *checks),
+                tuple(put for item in batch for put in item.puts),
+                tuple(key for item in batch for key in item.write.deletes),
             )
-            transaction = Transaction(write_id, (self._leadership.fence, *checks), puts)
             self._metrics.count("ledger_transactions")
             result = await transact_hedged(
                 self._table,
@@ -191,30 +300,33 @@
             )
             match result:
                 case Ok(version):
-                    for job in batch:
+                    for job in jobs:
                         job.version = version
                     self._metrics.observe(
                         "ledger_commit_s", self._clock.monotonic() - sent_s
                     )
-                    return True
+                    return _Outcome.STORED
                 case Err(Conflict(keys)):
                     if self._leadership.fence.key in keys:
                         self._on_lost("the leadership row changed")
-                        return False
-                    if await self._refresh_versions(batch, write_id):
-                        return True
+                        return _Outcome.LOST
+                    if await self._refresh_versions(jobs, write_id):
+                        return _Outcome.STORED
+                case Err(Rejected(reason)):
+                    self._log.write("ledger", "batch_rejected", reason=reason)
+                    return _Outcome.REJECTED
                 case Err(Unsettled(reason) | Unavailable(reason)):
                     self._log.write("ledger", "write_retried", reason=reason)
                     await self._clock.sleep(WRITE_RETRY_S)
 
-    async def _refresh_versions(self, batch: list[JobProgress], write_id: str) -> bool:
+    async def _refresh_versions(self, jobs: list[JobProgress], write_id: str) -> bool:
         """Read the present row versions; return whether our own write made them.
 
         No other process writes these rows under our fence, so an unexpected version
         is that of one of our writes whose answer was lost.
         """
         is_own = False
-        for job in batch:
+        for job in jobs:
             match await self._table.read(progress_key(job.job_id)):
                 case Ok(row):
                     job.version = row.version if row else 0
@@ -225,6 +337,12 @@
         return is_own
 
 
+def _resolve(waiters: list[asyncio.Future[bool]], is_stored: bool) -> None:
+    for waiter in waiters:
+        if not waiter.done():
+            waiter.set_result(is_stored)
+
+
 def _encode_job_status(job: JobProgress) -> str:
     request = job.request
     return encode_status(
--- a/chiveledge/coordinator/_reconciliation.py
+++ b/chiveledge/coordinator/_reconciliation.py
@@ -21,7 +21,14 @@
     should_evacuate,
 )
 from chiveledge.services.task_worker import EndedTask, PollReport, RunningTask
-from chiveledge.workload import JobProgress, JobState, RunEnd, RunState, TaskName
+from chiveledge.workload import (
+    JobProgress,
+    JobState,
+    RunEnd,
+    RunState,
+    TaskName,
+    can_store_checkpoint,
+)
 
 
 class Reconciler:
@@ -238,9 +245,21 @@
                 self._suspicion.record_progress(link.name, run.began_s)
             run.percent = row.percent
             run.last_progress_s = now_s
-        if row.checkpoint:
+        if row.checkpoint and self._can_store(tracked, row.checkpoint):
             run.checkpoint = row.checkpoint
 
+    def _can_store(self, tracked: TrackedRun, checkpoint: str) -> bool:
+        if can_store_checkpoint(checkpoint):
+            return True
+        self._log.write(
+            "settlement",
+            "checkpoint_too_long",
+            id=tracked.name.job_id,
+            task=str(tracked.name),
+            chars=len(checkpoint),
+        )
+        return False
+
     def _record_end(self, link: WorkerLink, end: EndedTask) -> None:
         tracked = link.runs.get((end.task, end.run))
         if tracked is None:
@@ -283,7 +302,8 @@
             task.run = None
         task.ready_s = now_s
         if step.checkpoints and checkpoint and not task.done:
-            task.checkpoint = checkpoint
+            if self._can_store(tracked, checkpoint):
+                task.checkpoint = checkpoint
         self._metrics.count(f"runs_{how}")
         match how:
             case RunEnd.DONE:
@@ -298,7 +318,7 @@
                         done_task.done = True
             case RunEnd.FAILED:
                 self._suspicion.record_failure(link.name, tracked.name, now_s)
-                task.failed_on = (*task.failed_on, link.name)
+                task.record_failed_on(link.name)
                 self._record_failure(job, tracked)
         if step.gang and how is not RunEnd.DONE and not task.done:
             self._stop_gang(tracked, how)
@@ -346,6 +366,11 @@
         last_end: int,
         jobs: list[JobProgress],
     ) -> None:
-        await asyncio.gather(*(self._progress_writer.save(job) for job in jobs))
+        await asyncio.gather(*(self._save(job) for job in jobs))
         if link.incarnation_ms == incarnation_ms:
             link.acknowledged = max(link.acknowledged, last_end)
+
+    async def _save(self, job: JobProgress) -> None:
+        """Store a job's progress; an end that isn't stored is never acknowledged."""
+        while not await self._progress_writer.save(job):
+            pass
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -11,7 +11,12 @@
 from chiveledge.coordinator._context import TermContext
 from chiveledge.coordinator._orders import OrderDispatcher
 from chiveledge.coordinator._planning import PlanningController
-from chiveledge.coordinator._progress_writer import PROGRESS_PREFIX, ProgressWriter
+from chiveledge.coordinator._progress_rows import (
+    PROGRESS_PREFIX,
+    StoredJob,
+    group_rows,
+)
+from chiveledge.coordinator._progress_writer import ProgressWriter
 from chiveledge.coordinator._reconciliation import Reconciler
 from chiveledge.coordinator._run_times import RunTimeEstimator
 from chiveledge.coordinator._supervision import FleetSupervisor
@@ -68,7 +73,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._plan_due = asyncio.Event()
         self._began_s = self._clock.monotonic()
-        self._unmatched_progress: dict[str, Row] = {}
+        self._unmatched_progress: dict[str, StoredJob] = {}
         self._early_cancellations: set[str] = set()
         self._removed_at_s: dict[str, float] = {}
         suspicion = WorkerSuspicion()
@@ -79,6 +84,7 @@
             self._clock,
             self._log,
             context.metrics,
+            context.max_row_chars,
             self.end,
         )
         self._tickets = TicketCache(
@@ -220,10 +226,9 @@
         while True:
             match await self._context.table.snapshot(PROGRESS_PREFIX):
                 case Ok(snapshot):
-                    for row in snapshot.rows:
-                        self._unmatched_progress[
-                            row.key.removeprefix(PROGRESS_PREFIX)
-                        ] = row
+                    self._unmatched_progress = group_rows(snapshot.rows)
+                    for job_id, stored in self._unmatched_progress.items():
+                        self._progress_writer.record_loaded(job_id, stored)
                     return
                 case Err(_):
                     await self._clock.sleep(POLL_RETRY_S)
@@ -323,9 +328,10 @@
         return is_old and not any(job.open_runs())
 
 
-def _decode_job(row: Row, stored: Row | None) -> JobProgress:
+def _decode_job(row: Row, stored: StoredJob | None) -> JobProgress:
     """Return a job from its request and its progress, None if it has none yet."""
     request = decode_request(row.value)
-    if stored is None:
+    if stored is None or stored.header is None:
         return JobProgress(request)
-    return decode_progress(request, stored.value, stored.version)
+    header = stored.header
+    return decode_progress(request, header.value, header.version, stored.part_texts)
--- a/chiveledge/coordinator/_upkeep.py
+++ b/chiveledge/coordinator/_upkeep.py
@@ -319,7 +319,8 @@
             "completed": progress.completed,
             "sent": sorted(progress.sent),
             "begun": sorted(progress.begun),
-        }
+        },
+        separators=(",", ":"),
     )
 
 
--- a/chiveledge/intake/_job_store.py
+++ b/chiveledge/intake/_job_store.py
@@ -28,6 +28,7 @@
     Conflict,
     HedgeDelay,
     Put,
+    Rejected,
     TableService,
     Transaction,
     Unavailable,
@@ -69,6 +70,12 @@
     reason: str
 
 
+class Refused(NamedTuple):
+    """The job is not stored, and can't be, whenever it is submitted."""
+
+    reason: str
+
+
 class NotFound(NamedTuple):
     """No job has this ID."""
 
@@ -77,7 +84,7 @@
     """A job of another workspace has this ID; nothing was stored."""
 
 
-SubmitOutcome: TypeAlias = Accepted | NotStored | JobIdInUse | UnknownOutcome
+SubmitOutcome: TypeAlias = Accepted | NotStored | Refused | JobIdInUse | UnknownOutcome
 CancelOutcome: TypeAlias = Accepted | NotFound | UnknownOutcome
 ReadOutcome: TypeAlias = JobStatus | NotFound | UnknownOutcome
 
@@ -111,6 +118,8 @@
         Time source.
     log : DecisionLog
         Receives one line per outcome.
+    max_row_chars : int
+        Longest text of a row that the table takes.
     is_unresponsive : callable, optional
         Returns whether the table service currently answers no calls.
     """
@@ -121,12 +130,14 @@
         status_cache: JobStatusCache,
         clock: Clock,
         log: DecisionLog,
+        max_row_chars: int,
         is_unresponsive: Callable[[], bool] = lambda: False,
     ) -> None:
         self._table = table
         self._status_cache = status_cache
         self._clock = clock
         self._log = log
+        self._max_row_chars = max_row_chars
         self._is_unresponsive = is_unresponsive
         self._hedge_delay = HedgeDelay()
 
@@ -140,11 +151,16 @@
         timeout_s : float
             How long to wait for the store, in seconds.
         """
+        submission = _make_submission(request)
+        row_chars = max(len(put.value) for put in submission.puts)
+        if row_chars > self._max_row_chars:
+            reason = f"a row of {row_chars} bytes exceeds {self._max_row_chars}"
+            return self._log_submit(request, Refused(reason))
         if self._is_unresponsive():
             return self._log_submit(request, NotStored("the store does not answer"))
         result = await transact_hedged(
             self._table,
-            _make_submission(request),
+            submission,
             self._clock,
             self._hedge_delay,
             timeout_s=timeout_s,
@@ -154,6 +170,8 @@
                 return self._log_submit(request, Accepted())
             case Err(Conflict()):
                 return self._log_submit(request, await self._find_existing(request))
+            case Err(Rejected(reason)):
+                return self._log_submit(request, Refused(reason))
             case Err(Unavailable(reason)):
                 return self._log_submit(request, NotStored(reason))
             case Err(Unsettled(reason)):
--- a/chiveledge/platform/_api.py
+++ b/chiveledge/platform/_api.py
@@ -24,6 +24,7 @@
     NotFound,
     NotStored,
     NotTaken,
+    Refused,
     Relay,
     Relayed,
     UnknownOutcome,
@@ -286,6 +287,8 @@
                 return web.json_response({})
             case NotStored(reason):
                 return await self._submit_by_peer(request, reason)
+            case Refused(reason):
+                return _make_error(413, f"send a smaller job: {reason}")
             case JobIdInUse():
                 return _make_error(409, "another job has this ID; choose a new one")
             case UnknownOutcome(reason):
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -48,7 +48,7 @@
     load_settings,
     stat_settings,
 )
-from chiveledge.platform._store import PlatformStore
+from chiveledge.platform._store import WRITE_ID_CHARS, PlatformStore
 from chiveledge.platform._workers import (
     WORKER_PREFIX,
     PlatformWorker,
@@ -146,6 +146,7 @@
                 self._status_cache,
                 self._clock,
                 self._log,
+                self._max_row_chars,
                 lambda: store.unresponsive,
             ),
             self._status_cache,
@@ -234,6 +235,11 @@
         rng = random.Random(settings.node)
         return Relay(self._peers, settings.node, self._clock, self._log, rng)
 
+    @property
+    def _max_row_chars(self) -> int:
+        """Longest text of a row; all texts are ASCII."""
+        return self._settings.row_bytes - WRITE_ID_CHARS
+
     @property
     def _own_host(self) -> PeerHost:
         settings = self._settings
@@ -281,6 +287,7 @@
             log=self._log,
             metrics=self._metrics,
             timing=timing,
+            max_row_chars=self._max_row_chars,
             advice=self._make_advice(),
             machines=self._make_machines(),
             waves=lambda: list(self._waves.values()),
--- a/chiveledge/platform/_settings.py
+++ b/chiveledge/platform/_settings.py
@@ -20,6 +20,9 @@
 SETTINGS_VARIABLE = "CHIVELEDGE_BOOT"
 MAX_PORT = 65_535
 
+ROW_BYTES = 65_536
+"""Longest value of a row, if the settings name none."""
+
 T = TypeVar("T")
 
 
@@ -98,6 +101,8 @@
         Where this process accepts the requests that peers forward.
     store : Endpoint
         Where the platform's store is reached.
+    row_bytes : int
+        Longest value of a row in the store.
     advice, machines : Endpoint or None
         Where the advice service and the machine service are reached, if there are any.
     bounds : PlatformBounds
@@ -114,6 +119,7 @@
     metrics: Endpoint | None
     peers: Endpoint | None
     store: Endpoint
+    row_bytes: int
     advice: Endpoint | None
     machines: Endpoint | None
     bounds: PlatformBounds
@@ -192,6 +198,7 @@
         metrics=Endpoint(ip, ports[-1]) if ports else None,
         peers=Endpoint(ip, ports[0]) if len(ports) > 1 else None,
         store=_parse_endpoint(store.get("address"), "platform.address"),
+        row_bytes=int(_get_number(store, "row_bytes", ROW_BYTES, "platform")),
         advice=_get_optional_endpoint(fields, "advice", "advice"),
         machines=_get_optional_endpoint(
             _check_object(fields.get("cloud") or {}, "cloud"),
--- a/chiveledge/platform/_store.py
+++ b/chiveledge/platform/_store.py
@@ -33,6 +33,7 @@
     HttpCaller,
     HttpReply,
     Put,
+    Rejected,
     Row,
     Snapshot,
     Transaction,
@@ -49,6 +50,11 @@
 HTTP_OK = 200
 HTTP_GONE = 410
 HTTP_CONFLICT = 412
+REJECTED_STATUSES = frozenset({400, 403, 413})
+"""Statuses of a transaction that the store would not take at any other time either."""
+
+WRITE_ID_CHARS = 33
+"""Length of a write ID and the line break after it."""
 
 STATUS_TABLE = "status"
 """Table that operators read; its values have no write ID."""
@@ -241,7 +247,8 @@
                 found = _decode(partial(_find_mismatches, transaction.checks), answer)
                 return found.and_then(lambda keys: Err(Conflict(keys)))
             case Ok(HttpReply(status=status)):
-                return Err(Unavailable(f"the transaction failed with status {status}"))
+                failure = Rejected if status in REJECTED_STATUSES else Unavailable
+                return Err(failure(f"the transaction failed with status {status}"))
             case Err(error):
                 return Err(error)
         raise AssertionError("unreachable")
--- a/chiveledge/services/__init__.py
+++ b/chiveledge/services/__init__.py
@@ -11,6 +11,7 @@
     CallError,
     Conflict,
     HistoryGone,
+    Rejected,
     Unavailable,
     Unsettled,
 )
@@ -92,6 +93,7 @@
     "MinionRequest",
     "ObjectStore",
     "Put",
+    "Rejected",
     "Reservation",
     "Row",
     "Snapshot",
--- a/chiveledge/services/errors.py
+++ b/chiveledge/services/errors.py
@@ -13,6 +13,11 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class Rejected(Unavailable):
+    """The call had no effect, and none if it is repeated, such as one over a limit."""
+
+
 @dataclass(frozen=True)
 class Unsettled:
     """The call may have taken effect; its reply was lost, late or unreadable."""
--- a/chiveledge/services/group_commit.py
+++ b/chiveledge/services/group_commit.py
@@ -10,7 +10,13 @@
 
 from chiveledge.clock import Clock
 from chiveledge.metrics import Metrics
-from chiveledge.services.errors import CallError, Conflict, Unavailable, Unsettled
+from chiveledge.services.errors import (
+    CallError,
+    Conflict,
+    Rejected,
+    Unavailable,
+    Unsettled,
+)
 from chiveledge.services.table import (
     MAX_TRANSACTION_OPERATIONS,
     RETRY_DELAY_S,
@@ -126,6 +132,9 @@
                     # The conflict names no row of the group, so another send may pass.
                 case Err(Unsettled()):
                     may_have_committed = True
+                case Err(Rejected()):
+                    _resolve(group, result)
+                    return
                 case Err(Unavailable()):
                     pass
             if self._clock.monotonic() >= deadline_s:
--- a/chiveledge/services/hedging.py
+++ b/chiveledge/services/hedging.py
@@ -12,7 +12,13 @@
 from result import Err, Ok, Result
 
 from chiveledge.clock import Clock, run_with_timeout
-from chiveledge.services.errors import CallError, Conflict, Unavailable, Unsettled
+from chiveledge.services.errors import (
+    CallError,
+    Conflict,
+    Rejected,
+    Unavailable,
+    Unsettled,
+)
 from chiveledge.services.table import TableService, Transaction
 
 MIN_DELAY_S = 0.3
@@ -77,7 +83,8 @@
     -------
     Result
         The version of the written rows, or an error: `Conflict`, which an earlier
-        send of this transaction may have caused; `Unavailable` if certainly no send
+        send of this transaction may have caused; `Rejected` if the store takes no such
+        transaction; `Unavailable` if certainly no send
         took effect; else `Unsettled`.
     """
     deadline_s = clock.monotonic() + timeout_s
@@ -101,7 +108,7 @@
             pending -= done
             for result in [task.result() for task in done]:
                 match result:
-                    case Ok(_) | Err(Conflict()):
+                    case Ok(_) | Err(Conflict() | Rejected()):
                         return result
                     case Err(Unsettled()):
                         may_have_committed = True
--- a/chiveledge/services/table.py
+++ b/chiveledge/services/table.py
@@ -14,6 +14,7 @@
     CallError,
     Conflict,
     HistoryGone,
+    Rejected,
     Unavailable,
     Unsettled,
 )
@@ -267,6 +268,8 @@
                         pass
             case Err(Unsettled()):
                 may_have_committed = True
+            case Err(Rejected() as error):
+                return Err(error)
             case Err(Unavailable() as error):
                 if not may_have_committed and clock.monotonic() >= deadline_s:
                     return Err(error)
--- a/chiveledge/workload/__init__.py
+++ b/chiveledge/workload/__init__.py
@@ -11,12 +11,6 @@
     Service,
     Workspace,
 )
-from chiveledge.workload._codec import (
-    decode_progress,
-    decode_request,
-    encode_progress,
-    encode_request,
-)
 from chiveledge.workload._model import (
     JobRequest,
     JobState,
@@ -32,10 +26,18 @@
     StepProgress,
     TaskProgress,
 )
+from chiveledge.workload._progress_codec import (
+    EncodedProgress,
+    can_store_checkpoint,
+    decode_progress,
+    encode_progress,
+)
+from chiveledge.workload._request_codec import decode_request, encode_request
 
 __all__ = [
     "AdvicePolicy",
     "Catalogue",
+    "EncodedProgress",
     "JobProgress",
     "JobRequest",
     "JobState",
@@ -52,6 +54,7 @@
     "TaskProgress",
     "Usage",
     "Workspace",
+    "can_store_checkpoint",
     "decode_progress",
     "decode_request",
     "encode_progress",
--- a/chiveledge/workload/_progress.py
+++ b/chiveledge/workload/_progress.py
@@ -69,6 +69,10 @@
     last_progress_s: float = 0.0
 
 
+MAX_FAILED_ON = 8
+"""Most workers on which a task failed that are kept, the latest ones."""
+
+
 @dataclass
 class TaskProgress:
     """Progress of a task over all its runs.
@@ -88,7 +92,7 @@
     ready_s : float
         Monotonic time since which the task waits for a run; 0 if unknown.
     failed_on : tuple of str
-        Workers on which runs failed.
+        Workers on which the latest failed runs were.
     stalls : int
         Runs that this leader stopped because they made no progress.
     """
@@ -103,6 +107,11 @@
     failed_on: tuple[WorkerName, ...] = ()
     stalls: int = 0
 
+    def record_failed_on(self, worker: WorkerName) -> None:
+        """Record the worker of a failed run."""
+        earlier = tuple(name for name in self.failed_on if name != worker)
+        self.failed_on = (*earlier, worker)[-MAX_FAILED_ON:]
+
 
 @dataclass
 class StepProgress:
@@ -141,6 +150,9 @@
         Wall time of the end in milliseconds since 1970; 0 before.
     reason : str
         Why the job ended in its state; may be empty.
+    rests_until_s : float
+        Monotonic time until which nothing of the job starts or is stored, since the
+        store rejected its progress.
     """
 
     request: JobRequest
@@ -150,6 +162,7 @@
     version: int = 0
     ended_ms: int = 0
     reason: str = ""
+    rests_until_s: float = 0.0
 
     @property
     def job_id(self) -> str:
--- a/chiveledge/workload/_progress_codec.py
+++ b/chiveledge/workload/_progress_codec.py
@@ -1,10 +1,17 @@
-"""Encoding of jobs and their progress as JSON text in rows."""
+"""Encoding of the progress of jobs as JSON text in rows of limited length.
+
+The progress of most jobs is one row, the header. If it would be too long, the header
+keeps the state of the job, and each range of tasks of a step has a row of its own, a
+part. A part is only written when its tasks have changed.
+"""
 
 from __future__ import annotations
 
 import json
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
 
-from chiveledge.workload._model import JobRequest, JobState, Step, Usage
+from chiveledge.workload._model import JobRequest, JobState
 from chiveledge.workload._progress import (
     JobProgress,
     OpenRun,
@@ -13,97 +20,176 @@
     TaskProgress,
 )
 
-_STEP_DEFAULTS = Step()._asdict()
+MAX_PART_TASKS = 256
+"""Most tasks in a part; with short names of workers, they take some 16 kB."""
 
+MAX_CHECKPOINT_CHARS = 16_384
+"""Longest encoding of a checkpoint, so that two and the rest of a task fit in a row."""
+
+LONGEST_ESCAPE_CHARS = 6
+"""Characters of the longest escape sequence in a JSON string, as in ``\\u0001``."""
 
-def encode_request(request: JobRequest) -> str:
-    """Return the row text of a job."""
-    fields = request._asdict()
-    fields["steps"] = [_encode_step(step) for step in request.steps]
-    return json.dumps(fields, separators=(",", ":"))
 
+class EncodedProgress(NamedTuple):
+    """Row texts of a job's progress.
 
-def decode_request(text: str) -> JobRequest:
-    """Return the job encoded in a row text."""
-    fields = json.loads(text)
-    fields["steps"] = tuple(_decode_step(step) for step in fields["steps"])
-    return JobRequest(**fields)
+    Attributes
+    ----------
+    header : str
+        Text of the job's first row.
+    parts : dict
+        Texts of further rows by the name of the part; empty if the header holds all.
+    """
 
+    header: str
+    parts: dict[str, str]
 
-def _encode_step(step: Step) -> dict[str, object]:
-    return {
-        name: value
-        for name, value in step._asdict().items()
-        if value != _STEP_DEFAULTS[name]
-    }
 
+class TaskRange(NamedTuple):
+    """Consecutive tasks of a step, whose progress is in one part."""
+
+    occurrence: int
+    step: int
+    first: int
+    count: int
 
-def _decode_step(fields: dict) -> Step:
-    fields["usage"] = Usage(*fields.get("usage", ()))
-    fields["after"] = tuple(fields.get("after", ()))
-    return Step(**fields)
+    @property
+    def name(self) -> str:
+        """Name of the part."""
+        return ".".join(map(str, self))
 
+    @property
+    def indices(self) -> slice:
+        """Indices of the tasks within their step."""
+        return slice(self.first, self.first + self.count)
 
-def encode_progress(progress: JobProgress) -> str:
-    """Return the row text of a job's progress.
+    @classmethod
+    def parse(cls, name: str) -> TaskRange:
+        """Return the range of a part's name; raise ValueError if it isn't one."""
+        occurrence, step, first, count = map(int, name.split("."))
+        return cls(occurrence, step, first, count)
+
+
+def can_store_checkpoint(text: str) -> bool:
+    """Return whether a checkpoint is short enough to be stored with its task."""
+    if len(text) * LONGEST_ESCAPE_CHARS <= MAX_CHECKPOINT_CHARS:
+        return True
+    return len(json.dumps(text)) <= MAX_CHECKPOINT_CHARS
+
+
+def encode_progress(progress: JobProgress, max_chars: int) -> EncodedProgress:
+    """Return the row texts of a job's progress.
 
     Tasks are encoded as bit sets; only those that have run and are not done, or have
-    an open run, add a row of their own.
+    an open run, add a list of their own.
+
+    Parameters
+    ----------
+    progress : JobProgress
+        Progress to encode.
+    max_chars : int
+        Longest text of a row. All characters are ASCII.
     """
-    fields = {
-        "state": progress.state,
-        "ended_ms": progress.ended_ms,
-        "reason": progress.reason,
-        "finished": sorted(progress.finished_occurrences),
-        "occurrences": {
-            occurrence: [_encode_tasks(step) for step in steps]
-            for occurrence, steps in progress.occurrences.items()
-        },
+    occurrences = {
+        occurrence: [_encode_tasks(step, step.tasks) for step in steps]
+        for occurrence, steps in progress.occurrences.items()
     }
-    return json.dumps(fields, separators=(",", ":"))
+    header = _encode_header(progress, {"occurrences": occurrences})
+    if len(header) <= max_chars:
+        return EncodedProgress(header, {})
+    parts = {
+        part.name: text
+        for occurrence, steps in progress.occurrences.items()
+        for number, step in enumerate(steps)
+        for first in range(0, len(step.tasks), MAX_PART_TASKS)
+        for part, text in _encode_range(
+            step,
+            TaskRange(
+                occurrence, number, first, min(MAX_PART_TASKS, len(step.tasks) - first)
+            ),
+            max_chars,
+        )
+    }
+    return EncodedProgress(_encode_header(progress, {"has_parts": True}), parts)
 
 
-def decode_progress(request: JobRequest, text: str, version: int) -> JobProgress:
-    """Return the progress encoded in a row text.
+def decode_progress(
+    request: JobRequest,
+    header: str,
+    version: int,
+    parts: Iterable[tuple[str, str]] = (),
+) -> JobProgress:
+    """Return the progress encoded in row texts.
 
     Open runs get the state unknown, since the row doesn't tell whether they started.
+
+    Parameters
+    ----------
+    header : str
+        Text of the job's first row.
+    version : int
+        Version of that row.
+    parts : iterable of tuple
+        Name and text of each part, the one written last at the end. Of ranges that
+        overlap, it has precedence. Ignored if the header holds all tasks.
     """
-    fields = json.loads(text)
+    fields = json.loads(header)
     progress = JobProgress(
         request=request,
         state=JobState(fields["state"]),
-        finished_occurrences=set(fields["finished"]),
+        finished_occurrences=set(_expand_ranges(fields["finished"])),
         version=version,
         ended_ms=fields["ended_ms"],
         reason=fields["reason"],
     )
-    for occurrence, steps in fields["occurrences"].items():
-        progress.occurrences[int(occurrence)] = [
-            _decode_tasks(spec.count, step)
-            for spec, step in zip(request.steps, steps, strict=True)
-        ]
+    for occurrence, steps in fields.get("occurrences", {}).items():
+        found = progress.open_occurrence(int(occurrence))
+        for step, tasks in zip(found, steps, strict=True):
+            _decode_tasks(step, slice(None), tasks)
+    if fields.get("has_parts"):
+        for name, text in parts:
+            part = TaskRange.parse(name)
+            step = progress.open_occurrence(part.occurrence)[part.step]
+            _decode_tasks(step, part.indices, json.loads(text))
     return progress
 
 
-def _encode_tasks(step: StepProgress) -> dict[str, object]:
-    done = sum(1 << index for index, task in enumerate(step.tasks) if task.done)
-    begun = sum(1 << index for index, task in enumerate(step.tasks) if task.begun)
-    rest = {}
-    for index, task in enumerate(step.tasks):
-        run = task.run
-        if task.done and run is None:
-            continue
-        if task.last_run:
-            rest[index] = [
-                task.last_run,
-                task.failures,
-                task.checkpoint,
-                [run.number, run.worker, run.incarnation_ms, run.checkpoint]
-                if run
-                else None,
-                list(task.failed_on),
-            ]
+def _encode_header(progress: JobProgress, tasks: dict[str, object]) -> str:
+    fields = {
+        "state": progress.state,
+        "ended_ms": progress.ended_ms,
+        "reason": progress.reason,
+        "finished": list(_find_ranges(progress.finished_occurrences)),
+    }
+    return _to_json(fields | tasks)
+
+
+def _encode_range(
+    step: StepProgress, part: TaskRange, max_chars: int
+) -> Iterator[tuple[TaskRange, str]]:
+    """Yield the parts of a range of tasks, halved until each fits, and their texts."""
+    tasks = step.tasks[part.indices]
+    if not step.failed_run and not any(task.last_run or task.done for task in tasks):
+        return
+    text = _to_json(_encode_tasks(step, tasks))
+    if len(text) <= max_chars or part.count == 1:
+        yield part, text
+        return
+    half = part.count // 2
+    yield from _encode_range(step, part._replace(count=half), max_chars)
+    rest = part._replace(first=part.first + half, count=part.count - half)
+    yield from _encode_range(step, rest, max_chars)
+
+
+def _encode_tasks(step: StepProgress, tasks: list[TaskProgress]) -> dict[str, object]:
+    done = sum(1 << index for index, task in enumerate(tasks) if task.done)
+    begun = sum(1 << index for index, task in enumerate(tasks) if task.begun)
     fields: dict[str, object] = {"done": f"{done:x}", "begun": f"{begun:x}"}
+    rest = {
+        index: _encode_task(task)
+        for index, task in enumerate(tasks)
+        if task.last_run and not (task.done and task.run is None)
+    }
     if rest:
         fields["tasks"] = rest
     if step.failed_run:
@@ -111,7 +197,15 @@
     return fields
 
 
-def _decode_tasks(count: int, fields: dict) -> StepProgress:
+def _encode_task(task: TaskProgress) -> list[object]:
+    run = task.run
+    open_run = run and [run.number, run.worker, run.incarnation_ms, run.checkpoint]
+    failed_on = list(task.failed_on)
+    return [task.last_run, task.failures, task.checkpoint, open_run, failed_on]
+
+
+def _decode_tasks(step: StepProgress, indices: slice, fields: dict) -> None:
+    """Replace the progress of some tasks of a step by that encoded in `fields`."""
     done = int(fields["done"], 16)
     begun = int(fields["begun"], 16)
     tasks = [
@@ -120,19 +214,46 @@
             begun=bool(begun >> index & 1),
             last_run=done >> index & 1,
         )
-        for index in range(count)
+        for index in range(len(step.tasks[indices]))
     ]
     for index, row in fields.get("tasks", {}).items():
-        task = tasks[int(index)]
-        task.last_run, task.failures, task.checkpoint, run, failed_on = row
-        task.failed_on = tuple(failed_on)
-        if run is not None:
-            number, worker, incarnation_ms, checkpoint = run
-            task.run = OpenRun(
-                number,
-                worker,
-                incarnation_ms,
-                state=RunState.UNKNOWN,
-                checkpoint=checkpoint,
-            )
-    return StepProgress(tasks, fields.get("failed_run", 0))
+        _decode_task(tasks[int(index)], row)
+    step.tasks[indices] = tasks
+    step.failed_run = max(step.failed_run, fields.get("failed_run", 0))
+
+
+def _decode_task(task: TaskProgress, row: list) -> None:
+    task.last_run, task.failures, task.checkpoint, run, failed_on = row
+    task.failed_on = tuple(failed_on)
+    if run is not None:
+        number, worker, incarnation_ms, checkpoint = run
+        task.run = OpenRun(
+            number,
+            worker,
+            incarnation_ms,
+            state=RunState.UNKNOWN,
+            checkpoint=checkpoint,
+        )
+
+
+def _find_ranges(numbers: set[int]) -> Iterator[tuple[int, int]]:
+    """Yield the first and the last number of each run of consecutive numbers."""
+    first = last = None
+    for number in sorted(numbers):
+        if last is not None and number == last + 1:
+            last = number
+            continue
+        if last is not None:
+            yield first, last
+        first = last = number
+    if last is not None:
+        yield first, last
+
+
+def _expand_ranges(ranges: Iterable[tuple[int, int]]) -> Iterator[int]:
+    for first, last in ranges:
+        yield from range(first, last + 1)
+
+
+def _to_json(fields: dict[str, object]) -> str:
+    return json.dumps(fields, separators=(",", ":"))
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -19,6 +19,7 @@
     Conflict,
     HistoryGone,
     Put,
+    Rejected,
     Transaction,
     Unavailable,
     make_row_key,
@@ -46,6 +47,7 @@
 }
 
 MAX_TRANSACTION_ROWS = 100
+ROW_BYTES = 65_536
 READ_ONLY_TABLES = ("op", "servers")
 PAGE_ROWS = 500
 PAGE_PARTS = 1000
@@ -59,6 +61,8 @@
 
     def __init__(self, clock: Clock) -> None:
         self.table = MemoryTable(clock)
+        self.table.max_entries = MAX_TRANSACTION_ROWS
+        self.table.max_value_chars = 2 * ROW_BYTES
         self._clock = clock
 
     def write(self, key: str, fields: object) -> int:
@@ -87,8 +91,8 @@
         )
         puts = tuple(Put(_make_key(row), row["value"]) for row in body["set_keys"])
         deletes = tuple(_make_key(row) for row in body["remove"])
-        if len(checks) + len(puts) + len(deletes) > MAX_TRANSACTION_ROWS:
-            return web.json_response({"error": "too many entries"}, status=400)
+        if any(len(base64.b64decode(put.value)) > ROW_BYTES for put in puts):
+            return web.json_response({"error": "a value is too long"}, status=400)
         if any(_parse_table(put.key) in READ_ONLY_TABLES for put in puts):
             return web.json_response({"error": "table is read-only"}, status=403)
         result = await self.table.transact(Transaction("", checks, puts, deletes))
@@ -99,6 +103,8 @@
                 rows = [self._row(check.key) for check in checks]
                 current = [row for row in rows if row is not None]
                 return self._respond({"rows": current}, status=412)
+            case Err(Rejected(reason)):
+                return web.json_response({"error": reason}, status=400)
             case Err(error):
                 return _respond_to_failure(request, error)
         raise AssertionError("unreachable")
--- a/standins/table.py
+++ b/standins/table.py
@@ -16,6 +16,7 @@
     Conflict,
     HistoryGone,
     Put,
+    Rejected,
     Row,
     Snapshot,
     Transaction,
@@ -23,6 +24,7 @@
     Unsettled,
     parse_part,
 )
+from chiveledge.services.table import MAX_TRANSACTION_OPERATIONS
 from standins.faults import Faults, make_app
 
 LATE_WRITE_TIMEOUT_S = 0.8
@@ -48,6 +50,9 @@
         Number of transactions that get no reply and are committed late.
     late_write_delay_s : float
         Delay of these transactions.
+    max_value_chars, max_entries : int
+        Longest value of a row, and most checks, puts and deletes of a transaction;
+        others are rejected.
     """
 
     def __init__(self, clock: Clock | None = None) -> None:
@@ -61,6 +66,8 @@
         self._changed = asyncio.Event()
         self.late_writes = 0
         self.late_write_delay_s = 2.0
+        self.max_value_chars = 65_536
+        self.max_entries = MAX_TRANSACTION_OPERATIONS
         self._clock = clock or SystemClock()
 
     async def read(self, key: str) -> Result[Row | None, CallError]:
@@ -141,6 +148,12 @@
         keys = [row[0] for row in (*transaction.checks, *transaction.puts)]
         if len({parse_part(key) for key in (*keys, *transaction.deletes)}) > 1:
             return Err(Unavailable("all rows of a transaction must be in one part"))
+        entries = len(keys) + len(transaction.deletes)
+        if entries > self.max_entries:
+            return Err(Rejected(f"{entries} entries are too many"))
+        for key, value in transaction.puts:
+            if len(value) > self.max_value_chars:
+                return Err(Rejected(f"the value of {key} is too long"))
         failed = [
             check.key
             for check in transaction.checks
@@ -189,8 +202,11 @@
         match table.commit(transaction):
             case Ok(version):
                 return web.json_response({"version": version})
-            case Err(conflict):
-                return web.json_response({"keys": conflict.keys}, status=409)
+            case Err(Conflict(keys)):
+                return web.json_response({"keys": keys}, status=409)
+            case Err(error):
+                return web.json_response({"error": str(error)}, status=400)
+        raise AssertionError("unreachable")
 
     async def statistics(_: web.Request) -> web.Response:
         counts = {"transactions": table.transactions, "reads": table.reads}
--- a/tests/coordinator/cluster.py
+++ b/tests/coordinator/cluster.py
@@ -101,7 +101,11 @@
         self.log = NullLog()
         self.status_cache = JobStatusCache(self.log)
         self.job_store = JobStore(
-            self.store, self.status_cache, cluster.clock, self.log
+            self.store,
+            self.status_cache,
+            cluster.clock,
+            self.log,
+            cluster.table.max_value_chars,
         )
         self.metrics = Metrics()
         self.follower = TableFollower(
@@ -121,6 +125,7 @@
             log=self.log,
             metrics=self.metrics,
             timing=cluster.timing,
+            max_row_chars=cluster.table.max_value_chars,
             machines=cluster.machines,
             waves=lambda: cluster.waves,
         )
@@ -163,9 +168,12 @@
         *,
         capacity: Usage = CAPACITY,
         timing: CoordinatorTiming | None = None,
+        max_value_chars: int = 65_536,
     ) -> None:
         self.clock = ManualClock()
         self.table = MemoryTable(self.clock)
+        self.table.max_value_chars = max_value_chars
+        self.table.max_entries = 100
         self.timing = timing or CoordinatorTiming()
         self.catalogue = CATALOGUE
         self.tasks: dict[str, StandInTask] = {}
--- a/tests/coordinator/test_known_failures.py
+++ b/tests/coordinator/test_known_failures.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from chiveledge.coordinator._progress_writer import progress_key
+from chiveledge.coordinator._progress_rows import progress_key
 from chiveledge.intake import Accepted, job_key
 from chiveledge.services import Put, Transaction
 from chiveledge.services.task_worker import EndedTask
--- a/tests/coordinator/test_progress_writer.py
+++ b/tests/coordinator/test_progress_writer.py
@@ -7,14 +7,20 @@
 import pytest
 
 from chiveledge.clock import ManualClock
-from chiveledge.coordinator._progress_writer import ProgressWriter, progress_key
+from chiveledge.coordinator._progress_rows import progress_key
+from chiveledge.coordinator._progress_writer import (
+    MAX_ENTRIES,
+    REJECTED_PAUSE_S,
+    ProgressWriter,
+)
 from chiveledge.decision_log import NullLog
 from chiveledge.metrics import Metrics
 from chiveledge.services import Check, Put, Transaction
-from chiveledge.workload import JobProgress, JobRequest, Step
+from chiveledge.workload import JobProgress, JobRequest, OpenRun, Step
 from standins.table import MemoryTable
 
 FENCE_KEY = "leadership/all/holder"
+MAX_ROW_CHARS = 2000
 
 
 class HeldLeadership:
@@ -30,8 +36,16 @@
     clock = ManualClock()
     table = MemoryTable(clock)
     lost = []
+    table.max_value_chars = MAX_ROW_CHARS
+    table.max_entries = MAX_ENTRIES
     writer = ProgressWriter(
-        table, HeldLeadership(table), clock, NullLog(), Metrics(), on_lost=lost.append
+        table,
+        HeldLeadership(table),
+        clock,
+        NullLog(),
+        Metrics(),
+        MAX_ROW_CHARS,
+        on_lost=lost.append,
     )
     writer.table, writer.clock, writer.lost = table, clock, lost
     writer_task = asyncio.ensure_future(writer.run())
@@ -69,3 +83,37 @@
     take_over(writer.table)
     assert not await writer.remove("j1")
     assert writer.table.find(progress_key("j1")) is not None
+
+
+async def test_rejected_progress_holds_up_no_other_job(writer):
+    """The batch was sent again for ever, and nothing else was stored meanwhile."""
+    odd = make_job("odd")
+    odd.reason = "x" * 2 * MAX_ROW_CHARS
+    saving = [asyncio.ensure_future(writer.save(job)) for job in (odd, make_job("j2"))]
+    await writer.clock.advance(0.1)
+    assert [task.result() for task in saving] == [False, True]
+    assert odd.rests_until_s > writer.clock.monotonic()
+    odd.reason = ""
+    again = asyncio.ensure_future(writer.save(odd))
+    await writer.clock.advance(2 * REJECTED_PAUSE_S + 0.1)
+    assert again.result()
+
+
+async def test_unchanged_parts_are_not_written_again(writer):
+    step = Step(count=600)
+    job = JobProgress(JobRequest("j1", "q", "team", "text", (step,), 0))
+    for number, task in enumerate(job.open_occurrence(0)[0].tasks):
+        task.run = OpenRun(1, f"w{number}", 1)
+        task.last_run = 1
+    saving = asyncio.ensure_future(writer.save(job))
+    await writer.clock.advance(0.1)
+    assert saving.result()
+    keys = [row.key for row in writer.table.find_all(progress_key("j1"))]
+    assert len(keys) > 5
+    versions = {key: writer.table.find(key).version for key in keys}
+    job.occurrences[0][0].tasks[0].begun = True
+    saving = asyncio.ensure_future(writer.save(job))
+    await writer.clock.advance(0.1)
+    assert saving.result()
+    changed = [key for key in keys if writer.table.find(key).version != versions[key]]
+    assert len(changed) == 2
--- a/tests/intake/test_job_store.py
+++ b/tests/intake/test_job_store.py
@@ -39,6 +39,7 @@
             self.statuses,
             self.clock,
             NullLog(),
+            65_536,
             lambda: self.unresponsive,
         )
 
--- a/tests/intake/test_odd_rows.py
+++ b/tests/intake/test_odd_rows.py
@@ -53,5 +53,5 @@
     clock = ManualClock()
     table = MemoryTable(clock)
     table.commit(Transaction("w", puts=(Put(job_status_key("odd"), text),)))
-    jobs = JobStore(table, JobStatusCache(NullLog()), clock, NullLog())
+    jobs = JobStore(table, JobStatusCache(NullLog()), clock, NullLog(), 65_536)
     assert isinstance(await jobs.read("odd"), UnknownOutcome)
--- a/tests/intake/test_slow_store.py
+++ b/tests/intake/test_slow_store.py
@@ -69,7 +69,7 @@
     rng = random.Random(seed)
     clock = ManualClock()
     table = QueuedTable(clock)
-    jobs = JobStore(table, JobStatusCache(NullLog()), clock, NullLog())
+    jobs = JobStore(table, JobStatusCache(NullLog()), clock, NullLog(), 65_536)
     leader = asyncio.ensure_future(write_as_leader(table, clock))
     submits = []
     while clock.monotonic() < DURATION_S:
--- a/tests/platform/test_api.py
+++ b/tests/platform/test_api.py
@@ -91,7 +91,7 @@
             lambda: self.age_s,
             2.0,
             lambda: False,
-            JobStore(self.table, self.status_cache, clock, NullLog()),
+            JobStore(self.table, self.status_cache, clock, NullLog(), 65_536),
             self.status_cache,
             self._make_relay(clock),
             clock,
@@ -217,6 +217,15 @@
     assert not api.table.rows
 
 
+async def test_job_too_large_for_a_row_is_refused_for_good(api):
+    """The caller was told to come back with the same job, again and again."""
+    job = {"spec": "x", "steps": [{"count": 1, "requires": "a" * 70_000}]}
+    status, answer, headers = await api.call("POST", f"/q/{ID}", job)
+    assert (status, "Retry-After" in headers) == (413, False)
+    assert answer["error"].startswith("send a smaller job")
+    assert not api.table.rows
+
+
 async def test_refused_job_is_not_stored_and_has_retry_after(api):
     api.table.faults.down = True
     status, _, headers = await api.call("POST", f"/q/{ID}", JOB)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,7 +10,7 @@
 
 from chiveledge.clock import SystemClock
 from chiveledge.metrics import Metrics
-from chiveledge.platform._store import PlatformStore
+from chiveledge.platform._store import WRITE_ID_CHARS, PlatformStore
 from chiveledge.services import (
     Check,
     Conflict,
@@ -18,6 +18,7 @@
     HistoryGone,
     HttpCaller,
     Put,
+    Rejected,
     Transaction,
     Unavailable,
     Unsettled,
@@ -56,6 +57,19 @@
     assert (await table.read("jobs/a")).unwrap().value == "text"
 
 
+async def test_row_or_transaction_over_a_limit_is_rejected_for_good(platform_store):
+    """It was taken for an outage of the store, and sent again for ever."""
+    largest = "x" * (65_536 - WRITE_ID_CHARS)
+    write_id = "w" * (WRITE_ID_CHARS - 1)
+    fits = write("jobs/a", largest, write_id=write_id)
+    assert (await platform_store.transact(fits)).is_ok()
+    too_long = write("jobs/a", largest + "x", write_id=write_id)
+    puts = tuple(Put(f"jobs/{number}", "") for number in range(101))
+    for rejected in (too_long, Transaction("w", (), puts)):
+        result = await platform_store.transact(rejected)
+        assert isinstance(result.err(), Rejected)
+
+
 async def test_missing_row_is_none(table_and_fake):
     table, _ = table_and_fake
     await table.transact(write("jobs/b", "text"))
--- a/tests/workload/test_progress_codec.py
+++ b/tests/workload/test_progress_codec.py
@@ -13,12 +13,16 @@
     RunState,
     Step,
     TaskName,
+    TaskProgress,
     Usage,
+    can_store_checkpoint,
     decode_progress,
     decode_request,
     encode_progress,
     encode_request,
 )
+from chiveledge.workload._progress import MAX_FAILED_ON
+from chiveledge.workload._progress_codec import MAX_CHECKPOINT_CHARS
 
 STEPS = (
     Step(count=3, usage=Usage(100, 200, 1), estimate_s=1.5, checkpoints=True),
@@ -40,8 +44,12 @@
 
 
 @settings(derandomize=True, max_examples=300)
-@given(st.lists(tasks, max_size=20), st.sampled_from(JobState))
-def test_progress_round_trip(rows, state):
+@given(
+    st.lists(tasks, max_size=20),
+    st.sampled_from(JobState),
+    st.sampled_from([100, 300, 10_000]),
+)
+def test_progress_round_trip(rows, state, max_chars):
     job = JobProgress(REQUEST, state=state, finished_occurrences={2})
     for occurrence, number, run, failures, state_name in rows:
         if occurrence == 2:
@@ -58,10 +66,57 @@
         if state_name == "open":
             task.run = OpenRun(run, "w1", 5, RunState.UNKNOWN, checkpoint="c")
             task.checkpoint = "b"
-    found = decode_progress(REQUEST, encode_progress(job), 0)
+    header, parts = encode_progress(job, max_chars)
+    assert max(map(len, parts.values()), default=0) <= max_chars
+    found = decode_progress(REQUEST, header, 0, parts.items())
     assert found == job
 
 
+def test_part_written_last_has_precedence():
+    """A part that was halved stays in the store until its halves are written."""
+    job = JobProgress(REQUEST)
+    task = job.open_occurrence(0)[1].tasks[60]
+    task.last_run = 1
+    _, old = encode_progress(job, 10)
+    task.last_run = 2
+    header, new = encode_progress(job, 100)
+    assert old.keys().isdisjoint(new)
+    rows = [*old.items(), *new.items()]
+    found = decode_progress(REQUEST, header, 0, rows)
+    assert found.find_task(TaskName("j", 0, 1, 60)).last_run == 2
+
+
+def test_parts_beside_a_whole_header_are_ignored():
+    """They are those of an unfinished write, or are about to be deleted."""
+    job = JobProgress(REQUEST)
+    header, _ = encode_progress(job, 10_000)
+    job.open_occurrence(0)[0].tasks[0].last_run = 3
+    _, parts = encode_progress(job, 10)
+    assert decode_progress(REQUEST, header, 0, parts.items()) == JobProgress(REQUEST)
+
+
+def test_finished_occurrences_are_stored_as_ranges():
+    """A schedule of each minute of a year took more than a row as single numbers."""
+    job = JobProgress(REQUEST, finished_occurrences=set(range(500_000)) - {7})
+    header, _ = encode_progress(job, 1000)
+    assert len(header) < 1000
+    assert decode_progress(REQUEST, header, 0) == job
+
+
+def test_long_checkpoint_is_not_stored():
+    assert can_store_checkpoint("a" * (MAX_CHECKPOINT_CHARS // 2))
+    assert not can_store_checkpoint("\x01" * (MAX_CHECKPOINT_CHARS // 6 + 1))
+
+
+def test_task_remembers_the_last_workers_that_failed_it():
+    task = TaskProgress()
+    for number in range(20):
+        task.record_failed_on(f"w{number}")
+        task.record_failed_on("w0")
+    assert len(task.failed_on) == MAX_FAILED_ON
+    assert task.failed_on[-2:] == ("w19", "w0")
+
+
 def test_task_name_round_trip():
     name = TaskName("5c0e7a21d94b36f8", 0, 1, 17)
     assert TaskName.parse(str(name)) == name
