A run missing from a full report is not taken for one that never started

Cause: a worker lists 500 ends at a time. The leader closed each open run that was neither at work nor in the list as one that never started, so the ends beyond the first 500 were lost and their tasks ran again.

Evidence: the next leader's log on has 200 lines (the limit of a second) settlement/closed, not_started, "the worker does not report it".

Change: a report says whether there may be more ends, and meanwhile no absent run is closed. On a related path, a machine that one reading of the list leaves out no longer counts as removed.

--- a/chiveledge/coordinator/_reconciliation.py
+++ b/chiveledge/coordinator/_reconciliation.py
@@ -100,7 +100,8 @@
         reported |= {(end.task, end.run) for end in report.ended}
         for end in new_ends:
             self._record_end(link, end)
-        self._close_absent(link, reported, sent_s)
+        if not report.has_more_ends:
+            self._close_absent(link, reported, sent_s)
         if not new_ends:
             return None
         link.last_received_end = max(end.number for end in new_ends)
--- a/chiveledge/coordinator/_upkeep.py
+++ b/chiveledge/coordinator/_upkeep.py
@@ -93,6 +93,7 @@
         self._progress: dict[int, WaveProgress] = {}
         self._emptying_since_s: dict[MachineName, float] = {}
         self._ordered_s: dict[MachineName, float] = {}
+        self._missing: dict[int, frozenset[MachineName]] = {}
 
     async def run(self) -> None:
         """Run waves until cancelled."""
@@ -142,7 +143,7 @@
             return
         machines = [known[name] for name in wave.machines if name in known]
         left = [machine for machine in machines if machine.name not in progress.begun]
-        if not left:
+        if not left and self._are_gone(wave, known):
             progress.completed = True
             if not await self._save(wave, progress):
                 progress.completed = False
@@ -152,6 +153,16 @@
             if machine.name in self._emptying_since_s:
                 await self._empty_machine(wave, progress, machine)
 
+    def _are_gone(self, wave: Wave, known: dict[MachineName, Machine]) -> bool:
+        """Return whether all machines that the list lacks were missing before, too.
+
+        The list comes in pages, and one that changes meanwhile may leave a machine out.
+        """
+        missing = frozenset(name for name in wave.machines if name not in known)
+        before = self._missing.get(wave.number, frozenset())
+        self._missing[wave.number] = missing
+        return missing <= before
+
     def _choose_machines(
         self,
         wave: Wave,
--- a/chiveledge/platform/_workers.py
+++ b/chiveledge/platform/_workers.py
@@ -55,6 +55,9 @@
 
 USABLE_STATES = ("ready", "draining")
 
+MAX_LISTED_ENDS = 500
+"""Most ends in one report; a report with fewer lists all of them."""
+
 _DECLINE_REASONS = {
     "fence": DeclineReason.FENCE,
     "old": DeclineReason.OLD_RUN,
@@ -274,12 +277,14 @@
 def _decode_report(body: object) -> Result[PollReport, CallError]:
     try:
         fields = check_type(body, dict)
+        ended = tuple(_decode_ended(row) for row in fields.get("ended", ()))
         return Ok(
             PollReport(
                 check_whole_number(fields["clock_ms"]),
                 check_whole_number(fields.get("born", 0)),
                 tuple(_decode_running(row) for row in fields.get("running", ())),
-                tuple(_decode_ended(row) for row in fields.get("ended", ())),
+                ended,
+                has_more_ends=len(ended) >= MAX_LISTED_ENDS,
             )
         )
     except DECODE_ERRORS as error:
--- a/chiveledge/services/task_worker.py
+++ b/chiveledge/services/task_worker.py
@@ -153,12 +153,16 @@
         Time of the worker's clock, in which leases are expressed.
     incarnation_ms : int
         Incarnation of the worker; see `WorkerEntry`.
+    has_more_ends : bool
+        Whether the worker may have further ends, which it lists once these are
+        acknowledged. A run that is not in the report may then have ended.
     """
 
     clock_ms: int
     incarnation_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    has_more_ends: bool = False
 
 
 class DeclineReason(StrEnum):
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -31,6 +31,8 @@
 STOP_DELAY_S = 0.2
 """Time from a stop order until the run ends."""
 
+MAX_LISTED_ENDS = 500
+
 MAX_LEASE_MS = 10_000
 """Longest lease, counted from the arrival of a request; longer ones are cut."""
 
@@ -334,7 +336,11 @@
             for run in self.runs.values()
         )
         return PollReport(
-            self.clock_ms, self.entry.incarnation_ms, running, tuple(self.ended[:500])
+            self.clock_ms,
+            self.entry.incarnation_ms,
+            running,
+            tuple(self.ended[:MAX_LISTED_ENDS]),
+            has_more_ends=len(self.ended) > MAX_LISTED_ENDS,
         )
 
     def _drop_acknowledged(self, acknowledged: int) -> None:
--- a/tests/coordinator/test_upkeep.py
+++ b/tests/coordinator/test_upkeep.py
@@ -5,8 +5,9 @@
 import json
 
 import pytest
+from result import Ok
 
-from chiveledge.services.machines import Wave
+from chiveledge.services.machines import MachineState, Wave
 from chiveledge.workload import JobState, Step
 from tests.coordinator.cluster import SMALL, Cluster
 
@@ -57,6 +58,30 @@
     assert cluster.state("long") is JobState.COMPLETED
 
 
+async def test_machine_missing_from_one_list_still_has_its_upkeep(cluster):
+    """The list comes in pages, and a change between them may leave a machine out.
+
+    The wave was reported as completed without the upkeep of such a machine.
+    """
+    await cluster.advance(FIRST_ORDER_S)
+    list_machines = cluster.machines.list_machines
+    is_left_out = False
+
+    async def list_without_last():
+        nonlocal is_left_out
+        machines = (await list_machines()).unwrap()
+        up = [m for m in machines if m.state is MachineState.UP]
+        done = {upkeep.order.machine for upkeep in cluster.machines.upkeeps}
+        is_left_out = not is_left_out and len(done) == 3 and len(up) == 4
+        last = set(WAVE.machines) - done if is_left_out else set()
+        return Ok(tuple(m for m in machines if m.name not in last))
+
+    cluster.machines.list_machines = list_without_last
+    await cluster.advance(WAVE.within_s)
+    check_upkeeps(cluster)
+    assert read_state(cluster) == "completed"
+
+
 @pytest.mark.parametrize("kill_at_s", [3.2, 4.0, 6.0, 9.0])
 async def test_next_leader_completes_the_wave_within_its_bound(cluster, kill_at_s):
     await cluster.advance(kill_at_s)
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -16,6 +16,7 @@
 from chiveledge.services.task_worker import (
     Declined,
     DeclineReason,
+    EndedTask,
     OrderAccepted,
     PollRequest,
     StartOrder,
@@ -139,6 +140,19 @@
     assert report.ended == ()
 
 
+async def test_report_says_whether_it_lists_all_ends(worker):
+    """The ends that a full report leaves out were taken for runs that never started."""
+    fake, client = worker
+    fake.ended = [
+        EndedTask(number, f"j.0.0.{number}", 1, RunEnd.DONE, "")
+        for number in range(1, 601)
+    ]
+    report = (await client.poll(PollRequest(7, 0))).unwrap()
+    assert (len(report.ended), report.has_more_ends) == (500, True)
+    report = (await client.poll(PollRequest(7, 500))).unwrap()
+    assert (len(report.ended), report.has_more_ends) == (100, False)
+
+
 async def test_run_stopped_before_its_start_does_not_start(worker):
     fake, client = worker
     assert (await client.stop(StopOrder(START.task, 1, 7))).is_ok()
