--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import signal
 
 import pytest
+from aiohttp import web
 
 from chiveledge.clock import ManualClock
 from chiveledge.platform._node import SETTINGS_POLL_S, Node
 from chiveledge.platform._settings import SETTINGS_VARIABLE, load_settings
 from chiveledge.workload import Usage
-from standins.deployment import Deployment
+from standins.deployment import Deployment, serve
+from standins.platform import describe_worker
 from standins.task_worker import StandInTask
 
 GANG = StandInTask(0.4, Usage(1000, 0, 1), gang=3)
@@ -52,6 +55,51 @@
     assert events[-1] == "stop"
 
 
+async def answer_nested(request):
+    return web.Response(text="[" * 4000)
+
+
+async def answer_elsewhere(request):
+    raise web.HTTPFound("http://foreign.example/")
+
+
+async def answer_endlessly(request):
+    response = web.StreamResponse()
+    await response.prepare(request)
+    with contextlib.suppress(ConnectionError):
+        while True:
+            await response.write(b" " * 65_536)
+    return response
+
+
+async def test_odd_entries_and_answers_end_no_process_and_no_term(deployment):
+    """Processes that read an odd entry, or polled its worker, ended again and again."""
+    texts = ["[" * 4000, "\x00", "", '{"state":{}}', '{"born":' + "9" * 400 + "}"]
+    for number, text in enumerate(texts):
+        deployment.store.write(f"servers/odd-{number}", text)
+    entry = describe_worker(deployment.workers[0], "127.0.0.1:99999")
+    deployment.store.write("servers/no-port", entry)
+    runners = []
+    for answer in (answer_nested, answer_elsewhere, answer_endlessly):
+        app = web.Application()
+        app.router.add_post("/hold", answer)
+        runner, entry["address"] = await serve(app)
+        runners.append(runner)
+        deployment.store.write(f"servers/{answer.__name__}", entry)
+    paths = [f"/q/00000000000000b{number}" for number in range(1, 5)]
+    for path in paths:
+        await run_gang(deployment, "n1", path)
+        await asyncio.sleep(0.5)
+    assert [deployment.count_starts(path) for path in paths] == [3] * 4
+    for name, process in deployment.processes.items():
+        events = [line["event"] for line in deployment.read_events(name)]
+        assert process.returncode is None
+        assert events.count("taken_over") == (name == deployment.leader())
+        assert "task_failed" not in events
+    for runner in runners:
+        await runner.cleanup()
+
+
 async def test_settings_are_reloaded_without_signal(tmp_path, monkeypatch):
     """Valid settings are applied; invalid ones leave the current ones in force."""
     fields = {
