Replies of all outside services are decoded by one function

Change: decode_reply takes the place of four copies in the adapter and of none in the product's clients; odd entries of the list of hosts are logged and skipped. A nested body sent to the gateway is a 400.

--- a/chiveledge/gateway/_commands.py
+++ b/chiveledge/gateway/_commands.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import json
-
 from aiohttp import web
 from result import Err, Ok
 
 from chiveledge.configuration import ConfigurationReplica
+from chiveledge.decoding import DECODE_ERRORS, parse_json
 from chiveledge.gateway._admission import (
     check_key,
     check_request,
@@ -143,8 +142,8 @@
     match await read_body(request):
         case Ok(raw):
             try:
-                return Ok(json.loads(raw))
-            except ValueError as error:
+                return Ok(parse_json(raw))
+            except DECODE_ERRORS as error:
                 detail = f"the body is not valid JSON: {error}"
                 return Err(make_refusal(Reason.BAD_INPUT, detail))
         case Err(refusal):
--- a/chiveledge/platform/_advice.py
+++ b/chiveledge/platform/_advice.py
@@ -5,13 +5,14 @@
 from result import Err, Ok, Result
 
 from chiveledge.coordinator import Advice
-from chiveledge.decoding import (
-    DECODE_ERRORS,
-    check_number,
-    check_type,
-    describe_error,
+from chiveledge.decoding import check_number, check_type
+from chiveledge.services import (
+    CallError,
+    HttpCaller,
+    HttpReply,
+    Unavailable,
+    decode_reply,
 )
-from chiveledge.services import CallError, HttpCaller, HttpReply, Unavailable, Unsettled
 
 HTTP_OK = 200
 FETCH_TIMEOUT_S = 4.0
@@ -38,7 +39,7 @@
             "POST", "/advise", body, timeout_s=FETCH_TIMEOUT_S
         ):
             case Ok(HttpReply(status=status, body=answer)) if status == HTTP_OK:
-                return _decode(answer)
+                return decode_reply(_decode, answer, "the advice service")
             case Ok(HttpReply(status=status)):
                 return Err(Unavailable(f"the advice service answered {status}"))
             case Err(error):
@@ -46,13 +47,9 @@
         raise AssertionError("unreachable")
 
 
-def _decode(answer: dict) -> Result[Advice, CallError]:
-    try:
-        tickets = {
-            check_type(name, str): check_type(ticket, str)
-            for name, ticket in answer["good"]
-        }
-        return Ok(Advice(tickets, check_number(answer["valid_ms"]) / 1000))
-    except DECODE_ERRORS as error:
-        reason = describe_error(error)
-        return Err(Unsettled(f"can't decode the advice service's answer: {reason}"))
+def _decode(answer: dict) -> Advice:
+    tickets = {
+        check_type(name, str): check_type(ticket, str)
+        for name, ticket in answer["good"]
+    }
+    return Advice(tickets, check_number(answer["valid_ms"]) / 1000)
--- a/chiveledge/platform/_catalogue.py
+++ b/chiveledge/platform/_catalogue.py
@@ -132,13 +132,13 @@
         try:
             steps.append(_decode_step(row, number))
         except DECODE_ERRORS as error:
-            return Err(InvalidJob(f"steps.{number}", describe_error(error)))
+            return Err(InvalidJob(f"steps.{number}", str(error)))
     schedule = {}
     for name in _SCHEDULE_FIELDS:
         try:
             schedule[name] = check_whole_number(fields.get(name, 0))
         except DECODE_ERRORS as error:
-            return Err(InvalidJob(name, describe_error(error)))
+            return Err(InvalidJob(name, f"send a whole number; {error}"))
     if sum(step.count for step in steps) > MAX_TASKS:
         return Err(InvalidJob("steps", f"send up to {MAX_TASKS} tasks"))
     return Ok(
@@ -213,13 +213,17 @@
 
 
 def _check_estimate(value: object) -> float:
-    estimate_ms = check_number(value)
+    try:
+        estimate_ms = check_number(value)
+    except (TypeError, ValueError) as error:
+        raise ValueError(f"estimate_ms: send a number; {error}") from error
     if estimate_ms < 0:
         raise ValueError("estimate_ms: send a time that is not negative")
     return estimate_ms
 
 
 def _check_text(value: object, field: str) -> str:
-    if not isinstance(value, str):
-        raise ValueError(f"{field}: send a string")
-    return value
+    try:
+        return check_type(value, str)
+    except TypeError as error:
+        raise ValueError(f"{field}: send a string; {error}") from error
--- a/chiveledge/platform/_machines.py
+++ b/chiveledge/platform/_machines.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from result import Err, Ok, Result
 
 from chiveledge.decoding import (
@@ -12,7 +14,14 @@
     describe_error,
     parse_json,
 )
-from chiveledge.services import CallError, HttpCaller, HttpReply, Unavailable, Unsettled
+from chiveledge.services import (
+    CallError,
+    HttpCaller,
+    HttpReply,
+    Unavailable,
+    Unsettled,
+    decode_reply,
+)
 from chiveledge.services.machines import (
     Machine,
     MachineState,
@@ -36,6 +45,13 @@
 }
 
 
+class _Page(NamedTuple):
+    """Some machines, and the token of the next page; empty on the last one."""
+
+    machines: list[Machine]
+    next_token: str
+
+
 class PlatformMachines:
     """Client that lists machines and orders their upkeep.
 
@@ -58,7 +74,7 @@
             )
             match reply:
                 case Ok(HttpReply(status=status, body=body)) if status == HTTP_OK:
-                    page = _decode_page(body)
+                    page = decode_reply(_decode_page, body, "the machine service")
                 case Ok(HttpReply(status=status)):
                     return Err(
                         Unavailable(f"listing machines failed with status {status}")
@@ -66,11 +82,10 @@
                 case Err(error):
                     return Err(error)
             match page:
-                case Ok(found):
+                case Ok(_Page(found, token)):
                     machines += found
                 case Err(error):
                     return Err(error)
-            token = str(body.get("next_token") or "")
             if not token:
                 return Ok(tuple(machines))
             if token == params.get("page_token"):
@@ -127,18 +142,13 @@
         return Err(describe_error(error))
 
 
-def _decode_page(body: object) -> Result[list[Machine], CallError]:
-    try:
-        return Ok(
-            [
-                Machine(
-                    check_type(entry["machine"], str),
-                    MachineState(entry["state"]),
-                    str(entry.get("id") or ""),
-                )
-                for entry in body["machines"]
-            ]
+def _decode_page(body: dict) -> _Page:
+    machines = [
+        Machine(
+            check_type(entry["machine"], str),
+            MachineState(entry["state"]),
+            check_type(entry.get("id") or "", str),
         )
-    except DECODE_ERRORS as error:
-        reason = describe_error(error)
-        return Err(Unsettled(f"can't decode the list of machines: {reason}"))
+        for entry in body["machines"]
+    ]
+    return _Page(machines, str(body.get("next_token") or ""))
--- a/chiveledge/platform/_store.py
+++ b/chiveledge/platform/_store.py
@@ -18,12 +18,7 @@
 from result import Err, Ok, Result
 
 from chiveledge.clock import Clock
-from chiveledge.decoding import (
-    DECODE_ERRORS,
-    check_type,
-    check_whole_number,
-    describe_error,
-)
+from chiveledge.decoding import check_type, check_whole_number
 from chiveledge.services import (
     CallError,
     Changes,
@@ -39,6 +34,7 @@
     Transaction,
     Unavailable,
     Unsettled,
+    decode_reply,
     make_row_key,
     parse_part,
     parse_row_name,
@@ -294,12 +290,7 @@
 
 
 def _decode(decode: Callable[[Any], T], body: object) -> Result[T, Unsettled]:
-    """Decode an answer; one that can't be decoded leaves the call unsettled."""
-    try:
-        return Ok(decode(check_type(body, dict)))
-    except DECODE_ERRORS as error:
-        reason = describe_error(error)
-        return Err(Unsettled(f"can't decode the store's answer: {reason}"))
+    return decode_reply(decode, body, "the store")
 
 
 def _encode_key(key: str) -> dict[str, str]:
--- a/chiveledge/platform/_workers.py
+++ b/chiveledge/platform/_workers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from ipaddress import IPv4Address
+from typing import Any, TypeVar
 
 from result import Err, Ok, Result
 
@@ -25,6 +27,7 @@
     Row,
     Unavailable,
     Unsettled,
+    decode_reply,
 )
 from chiveledge.services.task_worker import (
     Declined,
@@ -41,6 +44,8 @@
 )
 from chiveledge.workload import RunEnd, Usage
 
+T = TypeVar("T")
+
 WORKER_PREFIX = "servers/"
 
 HTTP_OK = 200
@@ -203,7 +208,7 @@
         )
         match reply:
             case Ok(HttpReply(status=status, body=answer)) if status == HTTP_OK:
-                return _decode_report(answer)
+                return _decode(_decode_report, answer)
             case Ok(answer):
                 return Err(_decode_decline(answer))
             case Err(error):
@@ -219,7 +224,7 @@
     ) -> Result[OrderAccepted, Declined | CallError]:
         match await self._caller.call("POST", path, body, headers=self._headers):
             case Ok(HttpReply(status=status, body=answer)) if status == HTTP_OK:
-                return _decode_accepted(answer)
+                return _decode(_decode_accepted, answer)
             case Ok(answer):
                 return Err(_decode_decline(answer))
             case Err(error):
@@ -227,11 +232,12 @@
         raise AssertionError("unreachable")
 
 
-def _decode_accepted(body: object) -> Result[OrderAccepted, CallError]:
-    try:
-        return Ok(OrderAccepted(_decode_clock(_get_fields(body))))
-    except DECODE_ERRORS as error:
-        return Err(_make_decode_error("answer", error))
+def _decode(decode: Callable[[Any], T], body: object) -> Result[T, Unsettled]:
+    return decode_reply(decode, body, "the worker")
+
+
+def _decode_accepted(body: object) -> OrderAccepted:
+    return OrderAccepted(_decode_clock(_get_fields(body)))
 
 
 def _get_fields(body: object) -> dict:
@@ -255,14 +261,19 @@
             return Unsettled(f"the worker answered {status}")
 
 
-def _decode_conflict(body: object) -> Declined | CallError:
-    try:
-        fields = _get_fields(body)
-        clock_ms = _decode_clock(fields)
-        reason = _DECLINE_REASONS.get(fields.get("reason"), DeclineReason.BAD_ORDER)
-    except DECODE_ERRORS as error:
-        return _make_decode_error("refusal", error)
-    return Declined(reason, clock_ms)
+def _decode_conflict(body: object) -> Declined | Unsettled:
+    match _decode(_decode_reason, body):
+        case Ok(declined):
+            return declined
+        case Err(error):
+            return error
+    raise AssertionError("unreachable")
+
+
+def _decode_reason(body: object) -> Declined:
+    fields = _get_fields(body)
+    reason = _DECLINE_REASONS.get(fields.get("reason"), DeclineReason.BAD_ORDER)
+    return Declined(reason, _decode_clock(fields))
 
 
 def _decode_clock(fields: dict) -> int:
@@ -270,25 +281,16 @@
     return check_whole_number(fields.get("clock_ms", 0))
 
 
-def _make_decode_error(what: str, error: Exception) -> Unsettled:
-    return Unsettled(f"can't decode the worker's {what}: {describe_error(error)}")
-
-
-def _decode_report(body: object) -> Result[PollReport, CallError]:
-    try:
-        fields = check_type(body, dict)
-        ended = tuple(_decode_ended(row) for row in fields.get("ended", ()))
-        return Ok(
-            PollReport(
-                check_whole_number(fields["clock_ms"]),
-                check_whole_number(fields.get("born", 0)),
-                tuple(_decode_running(row) for row in fields.get("running", ())),
-                ended,
-                has_more_ends=len(ended) >= MAX_LISTED_ENDS,
-            )
-        )
-    except DECODE_ERRORS as error:
-        return Err(_make_decode_error("report", error))
+def _decode_report(body: object) -> PollReport:
+    fields = check_type(body, dict)
+    ended = tuple(_decode_ended(row) for row in fields.get("ended", ()))
+    return PollReport(
+        check_whole_number(fields["clock_ms"]),
+        check_whole_number(fields.get("born", 0)),
+        tuple(_decode_running(row) for row in fields.get("running", ())),
+        ended,
+        has_more_ends=len(ended) >= MAX_LISTED_ENDS,
+    )
 
 
 def _decode_running(row: list) -> RunningTask:
--- a/chiveledge/services/__init__.py
+++ b/chiveledge/services/__init__.py
@@ -6,7 +6,12 @@
 
 from __future__ import annotations
 
-from chiveledge.services._http import ConnectionPool, HttpCaller, HttpReply
+from chiveledge.services._http import (
+    ConnectionPool,
+    HttpCaller,
+    HttpReply,
+    decode_reply,
+)
 from chiveledge.services.errors import (
     CallError,
     Conflict,
@@ -108,6 +113,7 @@
     "Worker",
     "WorkerReport",
     "commit_with_retries",
+    "decode_reply",
     "make_row_key",
     "parse_part",
     "parse_row_name",
--- a/chiveledge/services/_http.py
+++ b/chiveledge/services/_http.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import json
-from collections.abc import Mapping
-from typing import Any, NamedTuple
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple, TypeVar
 
 import aiohttp
 from result import Err, Ok, Result
@@ -14,6 +14,8 @@
 from chiveledge.metrics import Metrics
 from chiveledge.services.errors import Unavailable, Unsettled
 
+T = TypeVar("T")
+
 SERVICE_UNAVAILABLE = 503
 
 MAX_REPLY_BYTES = 16 << 20
@@ -85,6 +87,27 @@
         await session.close()
 
 
+def decode_reply(
+    decode: Callable[[Any], T], body: object, sender: str
+) -> Result[T, Unsettled]:
+    """Decode the body of a reply; one that can't be decoded leaves the call unsettled.
+
+    Parameters
+    ----------
+    decode : callable
+        Returns the decoded body, or raises one of `DECODE_ERRORS`.
+    body : object
+        Body as decoded from JSON.
+    sender : str
+        Service that sent the reply, for the error.
+    """
+    try:
+        return Ok(decode(body))
+    except DECODE_ERRORS as error:
+        reason = describe_error(error)
+        return Err(Unsettled(f"can't decode the reply of {sender}: {reason}"))
+
+
 async def _read_bounded(response: aiohttp.ClientResponse) -> bytes:
     """Return the body of a reply; raise ValueError if it is too long to be read."""
     blocks = []
--- a/chiveledge/services/hosts.py
+++ b/chiveledge/services/hosts.py
@@ -7,13 +7,17 @@
 
 from result import Err, Ok, Result
 
+from chiveledge.decoding import DECODE_ERRORS, check_type, describe_error
+from chiveledge.logs import PartLogger
 from chiveledge.services import _wire
-from chiveledge.services._http import HttpCaller
+from chiveledge.services._http import HttpCaller, decode_reply
 from chiveledge.services.errors import CallError, Unavailable
 from chiveledge.types import DomainName, RegionName
 
 HTTP_OK = 200
 
+log = PartLogger("hosts")
+
 
 class HostState(StrEnum):
     """State of an entry in the list of hosts."""
@@ -88,19 +92,31 @@
         params = {"known": self._version}
         match await self._caller.call("GET", _wire.HOSTS, params=params):
             case Ok(answer) if answer.status == HTTP_OK:
-                # A reply with the known version has no entries.
-                if answer.body["version"] != self._version:
-                    self._entries = [
-                        _decode_entry(entry) for entry in answer.body["hosts"]
-                    ]
-                    self._version = answer.body["version"]
-                return Ok(self._entries)
+                return decode_reply(self._update, answer.body, "the list of hosts")
             case Ok(answer):
                 return Err(Unavailable(f"the list of hosts returned {answer.status}"))
             case Err(error):
                 return Err(error)
         raise AssertionError("unreachable")
 
+    def _update(self, body: dict) -> list[HostEntry]:
+        # A reply with the known version has no entries.
+        if body["version"] != self._version:
+            self._entries = _decode_entries(body["hosts"])
+            self._version = check_type(body["version"], str)
+        return self._entries
+
+
+def _decode_entries(rows: list[dict[str, object]]) -> list[HostEntry]:
+    """Return the entries that can be decoded; the others are logged."""
+    entries = []
+    for row in rows:
+        try:
+            entries.append(_decode_entry(row))
+        except DECODE_ERRORS as error:
+            log.warning("Skipped an entry.", reason=describe_error(error))
+    return entries
+
 
 def _decode_entry(fields: dict[str, object]) -> HostEntry:
     entry = HostEntry(**fields)
--- a/chiveledge/services/objects.py
+++ b/chiveledge/services/objects.py
@@ -7,8 +7,9 @@
 
 from result import Err, Ok, Result
 
+from chiveledge.decoding import check_type
 from chiveledge.services import _wire
-from chiveledge.services._http import HttpCaller
+from chiveledge.services._http import HttpCaller, decode_reply
 from chiveledge.services.errors import CallError, Unavailable
 
 HTTP_OK = 200
@@ -55,10 +56,14 @@
             case Ok(answer) if answer.status == HTTP_NOT_FOUND:
                 return Ok(None)
             case Ok(answer) if answer.status == HTTP_OK:
-                return Ok(str(answer.body["text"]))
+                return decode_reply(_decode_text, answer.body, "the object store")
             case Ok(answer):
                 detail = json.dumps(answer.body)
                 return Err(Unavailable(f"read of {name!r} returned {detail}"))
             case Err(error):
                 return Err(error)
         raise AssertionError("unreachable")
+
+
+def _decode_text(body: dict) -> str:
+    return check_type(body["text"], str)
--- a/chiveledge/services/table.py
+++ b/chiveledge/services/table.py
@@ -8,8 +8,9 @@
 from result import Err, Ok, Result
 
 from chiveledge.clock import Clock
+from chiveledge.decoding import check_type, check_whole_number
 from chiveledge.services import _wire
-from chiveledge.services._http import HttpCaller
+from chiveledge.services._http import HttpCaller, decode_reply
 from chiveledge.services.errors import (
     CallError,
     Conflict,
@@ -179,7 +180,7 @@
             case Ok(answer) if answer.status == HTTP_NOT_FOUND:
                 return Ok(None)
             case Ok(answer) if answer.status == HTTP_OK:
-                return Ok(Row(**answer.body))
+                return decode_reply(_decode_row, answer.body, "the table service")
             case Ok(answer):
                 return Err(Unavailable(f"read of {key!r} returned {answer.status}"))
             case Err(error):
@@ -192,7 +193,7 @@
         )
         match reply:
             case Ok(answer) if answer.status == HTTP_OK:
-                return Ok([Row(**row) for row in answer.body["rows"]])
+                return decode_reply(_decode_rows, answer.body, "the table service")
             case Ok(answer):
                 return Err(Unavailable(f"scan of {prefix!r} returned {answer.status}"))
             case Err(error):
@@ -208,9 +209,10 @@
         }
         match await self._caller.call("POST", _wire.TABLE_TRANSACT, body):
             case Ok(answer) if answer.status == HTTP_OK:
-                return Ok(answer.body["version"])
+                return decode_reply(_decode_version, answer.body, "the table service")
             case Ok(answer) if answer.status == HTTP_CONFLICT:
-                return Err(Conflict(tuple(answer.body["keys"])))
+                found = decode_reply(_decode_keys, answer.body, "the table service")
+                return found.and_then(lambda keys: Err(Conflict(keys)))
             case Ok(answer):
                 return Err(Unavailable(f"transaction returned {answer.status}"))
             case Err(error):
@@ -218,6 +220,27 @@
         raise AssertionError("unreachable")
 
 
+def _decode_row(fields: dict) -> Row:
+    return Row(
+        check_type(fields["key"], str),
+        check_whole_number(fields["version"]),
+        check_type(fields["value"], str),
+        check_type(fields["write_id"], str),
+    )
+
+
+def _decode_rows(body: dict) -> list[Row]:
+    return [_decode_row(row) for row in body["rows"]]
+
+
+def _decode_version(body: dict) -> int:
+    return check_whole_number(body["version"])
+
+
+def _decode_keys(body: dict) -> tuple[str, ...]:
+    return tuple(check_type(key, str) for key in body["keys"])
+
+
 async def commit_with_retries(
     table: TableService,
     transaction: Transaction,
--- a/chiveledge/services/worker.py
+++ b/chiveledge/services/worker.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from chiveledge.services import _wire
-from chiveledge.services._http import HttpCaller
+from chiveledge.services._http import HttpCaller, decode_reply
 from chiveledge.services.errors import CallError, Conflict, Unavailable
 from chiveledge.types import AttemptId, Epoch, JobId, RegionName
 
@@ -194,7 +194,7 @@
         )
         match reply:
             case Ok(answer) if answer.status == HTTP_OK:
-                return Ok(_decode_report(answer.body))
+                return decode_reply(_decode_report, answer.body, "the worker")
             case Ok(answer):
                 return _decode_error(answer.status, answer.body)
             case Err(error):
@@ -236,10 +236,15 @@
 
 def _decode_error(status: int, body: dict[str, object]) -> Err[CallError]:
     if status == HTTP_CONFLICT:
-        return Err(Conflict(tuple(body["keys"]), str(body["reason"])))
+        found = decode_reply(_decode_conflict, body, "the worker")
+        return found.and_then(Err)
     return Err(Unavailable(f"the worker returned status {status}"))
 
 
+def _decode_conflict(body: dict[str, object]) -> Conflict:
+    return Conflict(tuple(body["keys"]), str(body["reason"]))
+
+
 def _decode_report(fields: dict[str, object]) -> WorkerReport:
     if "tasks" not in fields:
         return WorkerReport(fields["event"], None)
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -12,11 +12,11 @@
 
 from chiveledge.clock import ManualClock
 from chiveledge.decision_log import NullLog
+from chiveledge.decoding import parse_json
 from chiveledge.intake import JobStatus, decode_status, encode_status
 from chiveledge.platform import _advice, _machines, _store, _workers
 from chiveledge.platform._catalogue import decode_catalogue, decode_job
-from chiveledge.services import HttpReply, Row
-from chiveledge.services._http import parse_json
+from chiveledge.services import HttpReply, Row, decode_reply
 from chiveledge.services.task_worker import WorkerEntry
 from chiveledge.workload import JobRequest, JobState, decode_request, encode_request
 from standins.platform import describe_worker
@@ -41,10 +41,13 @@
         WORKER | {"remaining_ms": 9},
         lambda text: _workers.WorkerDecoder(NullLog()).decode(Row("s/w", 1, text, "")),
     ),
-    "report": (REPORT, lambda text: _workers._decode_report(parse_json(text))),
+    "report": (
+        REPORT,
+        lambda text: _workers._decode(_workers._decode_report, parse_json(text)),
+    ),
     "order": (
         {"clock_ms": 5},
-        lambda text: _workers._decode_accepted(parse_json(text)),
+        lambda text: _workers._decode(_workers._decode_accepted, parse_json(text)),
     ),
     "refusal": (
         {"clock_ms": 5, "reason": "old"},
@@ -61,11 +64,11 @@
     ),
     "advice": (
         {"good": [["w1", "t1"]], "valid_ms": 100},
-        lambda text: _advice._decode(parse_json(text)),
+        lambda text: decode_reply(_advice._decode, parse_json(text), "advice"),
     ),
     "machines": (
         {"machines": [{"machine": "m1", "state": "up", "id": "w1"}]},
-        lambda text: _machines._decode_page(parse_json(text)),
+        lambda text: decode_reply(_machines._decode_page, parse_json(text), "list"),
     ),
     "wave": (
         {"wave": 1, "machines": ["m1"], "within_s": 5, "cap": 1},
--- /dev/null
+++ b/tests/services/test_odd_replies.py
@@ -0,0 +1,76 @@
+"""Replies of outside services that can't be decoded are errors, not exceptions."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+
+import pytest
+from aiohttp import web
+
+from chiveledge.services import (
+    HttpCaller,
+    HttpHostList,
+    HttpObjectStore,
+    HttpTable,
+    HttpWorker,
+    SyncRequest,
+    Transaction,
+    Unsettled,
+)
+from standins.hosts import MemoryHosts, make_hosts_app
+from tests.services.conftest import ENTRIES, open_http
+
+CALLS = {
+    "read": lambda caller: HttpTable(caller).read("a/b"),
+    "scan": lambda caller: HttpTable(caller).scan("a/"),
+    "transact": lambda caller: HttpTable(caller).transact(Transaction("w")),
+    "object": lambda caller: HttpObjectStore(caller).read("a"),
+    "hosts": lambda caller: HttpHostList(caller).read(),
+    "sync": lambda caller: HttpWorker(caller).sync(
+        SyncRequest("r", 1, (), 1.0, 0, 0.0)
+    ),
+}
+
+
+@contextlib.asynccontextmanager
+async def open_caller(status: int, body: str):
+    """Yield a caller of a service that always sends the same reply."""
+
+    async def handle(request):
+        return web.Response(status=status, text=body)
+
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", handle)
+    async with open_http(app, lambda session, url: HttpCaller(session, url)) as caller:
+        yield caller
+
+
+@pytest.mark.parametrize("body", ["", "[]", "5", "{}", "[" * 4000, '{"rows":[[]]}'])
+@pytest.mark.parametrize("name", CALLS)
+async def test_odd_reply_is_unsettled(name, body):
+    async with open_caller(200, body) as caller:
+        assert isinstance((await CALLS[name](caller)).err(), Unsettled)
+
+
+@pytest.mark.parametrize("name", ["transact", "sync"])
+async def test_odd_conflict_is_unsettled(name):
+    async with open_caller(409, "[]") as caller:
+        assert isinstance((await CALLS[name](caller)).err(), Unsettled)
+
+
+async def test_odd_host_is_skipped():
+    """One odd entry stopped all processes from following the list of hosts."""
+    fake = MemoryHosts(ENTRIES)
+    app = make_hosts_app(fake)
+
+    @web.middleware
+    async def add_odd_entries(request, handler):
+        response = await handler(request)
+        body = json.loads(response.text)
+        body["hosts"] = [{}, 5, {"name": []}, *body["hosts"]]
+        return web.json_response(body)
+
+    app.middlewares.append(add_odd_entries)
+    async with open_http(app, lambda session, url: HttpCaller(session, url)) as caller:
+        assert (await HttpHostList(caller).read()).unwrap() == ENTRIES
