A suspected worker is probed beside its earlier runs

Cause: a probe started only on a worker without runs, and only its success clears the worker. A lasting task never ends.

Change: a probe is a run that started after the worker was avoided, and there is one at a time, whatever else runs. Urgent work may stop runs for it if no other worker is left, also with a bound per worker, for which the probe was ignored before.

--- a/chiveledge/coordinator/_fleet_view.py
+++ b/chiveledge/coordinator/_fleet_view.py
@@ -31,6 +31,7 @@
     filling: bool
     accepting: bool
     probing: bool
+    probe_running: bool
     suspected: bool
     slow: bool
     slowdown: float
@@ -129,6 +130,7 @@
                 link.filler_runs > 0,
                 is_accepting(link, now_s) and name not in avoided,
                 name in probing,
+                name in probing and _has_probe(link, suspicion),
                 name in suspected,
                 name in slow.now,
                 slow.slowdowns.get(name, 1.0),
@@ -156,6 +158,7 @@
             future_free=later,
             accepting=inputs.accepting,
             probing=inputs.probing,
+            probe_running=inputs.probe_running,
             suspected=inputs.suspected,
             slow=inputs.slow,
             slowdown=inputs.slowdown,
@@ -181,6 +184,13 @@
         ]
 
 
+def _has_probe(link: WorkerLink, suspicion: WorkerSuspicion) -> bool:
+    return any(
+        suspicion.is_probe(link.name, tracked.run.began_s)
+        for tracked in link.runs.values()
+    )
+
+
 def is_accepting(link: WorkerLink, now_s: float) -> bool:
     """Return whether new runs may be placed on a worker.
 
--- a/chiveledge/coordinator/_reconciliation.py
+++ b/chiveledge/coordinator/_reconciliation.py
@@ -246,6 +246,8 @@
                 self._suspicion.record_progress(link.name, run.began_s)
             run.percent = row.percent
             run.last_progress_s = now_s
+        if tracked.step.lasting and row.percent >= COMPLETE_PERCENT:
+            self._suspicion.record_serving(link.name, tracked.name, run.began_s, now_s)
         if row.checkpoint and self._can_store(tracked, row.checkpoint):
             run.checkpoint = row.checkpoint
 
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -66,6 +66,8 @@
         Whether new runs may start there.
     probing : bool
         Whether it was avoided as suspected and is now tried with one task at a time.
+    probe_running : bool
+        Whether such a task runs there or is allocated to it.
     suspected : bool
         Whether a task failed or stalled there since its last success.
     slow : bool
@@ -96,6 +98,7 @@
     future_free: Usage | None = None
     accepting: bool = True
     probing: bool = False
+    probe_running: bool = False
     suspected: bool = False
     slow: bool = False
     slowdown: float = 1.0
@@ -108,11 +111,27 @@
 
     def __post_init__(self) -> None:
         self.future_free = self.free if self.future_free is None else self.future_free
-        self._initial_state = (self.free, self.future_free, self.serving, self.filling)
+        self._initial_state = self._allocation_state
+
+    @property
+    def _allocation_state(self) -> tuple[Usage, Usage, bool, bool, bool]:
+        return (
+            self.free,
+            self.future_free,
+            self.serving,
+            self.filling,
+            self.probe_running,
+        )
 
     def reset(self) -> None:
         """Undo all allocations on this view and drop its cached runs."""
-        self.free, self.future_free, self.serving, self.filling = self._initial_state
+        (
+            self.free,
+            self.future_free,
+            self.serving,
+            self.filling,
+            self.probe_running,
+        ) = self._initial_state
         self.reserved = False
         self.stop_costs.clear()
         self.__dict__.pop("runs", None)
@@ -277,7 +296,7 @@
             placed = self.count_placed(worker, step_name)
             count = min(count, step.max_per_worker - placed)
         if worker.probing:
-            count = min(count, 0 if worker.runs else 1)
+            count = min(count, 0 if worker.probe_running else 1)
         return max(0, count)
 
     def count_placed(self, worker: WorkerView, step_name: str) -> int:
@@ -298,6 +317,7 @@
         self._allocated[step_name, worker.name] += 1
         worker.serving |= bool(step.latency_target_ms)
         worker.filling |= step.filler
+        worker.probe_running |= worker.probing
 
 
 def exclude_reserved(workers: list[WorkerView]) -> list[WorkerView]:
--- a/chiveledge/placement/_preemption.py
+++ b/chiveledge/placement/_preemption.py
@@ -134,11 +134,14 @@
         self.loss += stop_cost.loss
 
     def _accepts_task(self, worker: WorkerView) -> bool:
+        placed_here = self._placed.get(worker.name, 0)
+        if worker.probing and (worker.probe_running or placed_here):
+            return False
         limit = self._demand.step.max_per_worker
         if not limit:
-            return not worker.probing
+            return True
         placed = self._fleet.count_placed(worker, self._demand.step_name)
-        return placed + self._placed.get(worker.name, 0) < limit
+        return placed + placed_here < limit
 
     def _cheapest_groups(self, worker: WorkerView) -> list[tuple[str, float, Usage]]:
         """Return group, loss and usage on the worker, the least loss first."""
@@ -185,6 +188,8 @@
         placed, or not the whole gang, even by stopping all runs of lower priority.
     """
     candidates = fleet.candidates(demand)
+    # A probe may fail, so it isn't worth a stop while there are other workers.
+    candidates = [worker for worker in candidates if not worker.probing] or candidates
     best: Eviction | None = None
     for pool in list_pools(candidates, demand):
         found = _place_in_pool(fleet, demand, pool)
--- a/chiveledge/placement/_suspicion.py
+++ b/chiveledge/placement/_suspicion.py
@@ -65,6 +65,20 @@
         latest_s = self._healthy_start_s.get(worker, began_s)
         self._healthy_start_s[worker] = max(latest_s, began_s)
 
+    def record_serving(
+        self, worker: WorkerName, task: TaskName, began_s: float, now_s: float
+    ) -> None:
+        """Record that a lasting task that started at `began_s` is at work.
+
+        It never succeeds, so it clears a worker that was avoided before its start once
+        it has lasted longer than failing starts do.
+        """
+        record = self._workers.get(worker)
+        if record is None or now_s - began_s < TRUST_S:
+            return
+        if record.avoided_since_s is not None and began_s > record.avoided_since_s:
+            self.record_success(worker, task)
+
     def record_failure(self, worker: WorkerName, task: TaskName, now_s: float) -> None:
         """Record that a run failed, be it by a fault of the task or of the worker."""
         job = self._jobs.setdefault(task.job_id, _JobRecord())
@@ -129,6 +143,10 @@
             and now_s >= record.avoided_since_s + AVOID_S
         }
 
+    def is_probe(self, worker: WorkerName, began_s: float) -> bool:
+        """Return whether a run on a probing worker started after it was avoided."""
+        return began_s > (self._workers[worker].avoided_since_s or 0.0)
+
     def _discard_failures(self, job_id: JobId) -> None:
         """Remove the failures of a faulty job from the records of workers."""
         for name, record in list(self._workers.items()):
--- a/tests/coordinator/test_known_failures.py
+++ b/tests/coordinator/test_known_failures.py
@@ -9,6 +9,7 @@
 
 from chiveledge.coordinator._progress_rows import progress_key
 from chiveledge.intake import Accepted, job_key
+from chiveledge.placement._suspicion import AVOID_S, TRUST_S
 from chiveledge.services import Put, Transaction
 from chiveledge.services.task_worker import EndedTask
 from chiveledge.workload import JobState, RunEnd, Step
@@ -118,3 +119,25 @@
     await cluster.advance(3.0)
     assert cluster.state("j1") is JobState.COMPLETED
     assert cluster.leader.coordinator._leadership.epoch == 1
+
+
+@pytest.mark.parametrize("lasting_probe", [False, True])
+async def test_worker_with_a_lasting_task_is_used_again_after_failures(
+    make_cluster, lasting_probe
+):
+    """A suspected worker was probed only once it was empty, so never."""
+    cluster = make_cluster(workers=1)
+    await cluster.advance(0.5)
+    lasting = Step(count=1, usage=SMALL, lasting=True)
+    await cluster.submit("lasting", lasting, work_s=1e6)
+    await cluster.advance(0.5)
+    failing = Step(count=4, usage=SMALL)
+    await cluster.submit("j1", failing, work_s=0.05, fails=True)
+    await cluster.advance(2.0)
+    if lasting_probe:
+        await cluster.submit("probe", lasting, work_s=1e6)
+        cluster.tasks["probe"].ready_at_once = True
+    await cluster.advance(AVOID_S + TRUST_S)
+    await cluster.submit("j2", Step(count=4, usage=SMALL), work_s=0.5)
+    await cluster.advance(6.0)
+    assert cluster.state("j2") is JobState.COMPLETED
--- a/tests/placement/test_packing.py
+++ b/tests/placement/test_packing.py
@@ -84,6 +84,16 @@
     assert list_workers(fleet, make_demand(count=9)).count("w1") == 1
 
 
+def test_probing_worker_is_probed_beside_its_earlier_runs():
+    """With a task there that never ends, the worker was not used again."""
+    lasting = make_run("old", "w1")
+    fleet = make_fleet(make_worker("w1", runs=[lasting], probing=True))
+    assert list_workers(fleet, make_demand("a", count=2)) == ["w1"]
+    assert list_workers(fleet, make_demand("b")) == []
+    probed = make_worker("w1", runs=[lasting], probing=True, probe_running=True)
+    assert list_workers(make_fleet(probed), make_demand("a")) == []
+
+
 def test_fillers_and_latency_bound_tasks_do_not_share_a_worker():
     fleet = make_fleet(make_worker("w1"))
     assert list_workers(fleet, make_demand("s", latency_target_ms=50)) == ["w1"]
--- a/tests/placement/test_preemption.py
+++ b/tests/placement/test_preemption.py
@@ -23,6 +23,21 @@
     assert found.groups == {"new.0.0.0"}
 
 
+@pytest.mark.parametrize("spread", [{}, {"max_per_worker": 8}])
+def test_runs_are_stopped_for_one_probe_at_most(spread):
+    """Urgent work never stopped anything there, or, if spread, for any number."""
+    old = make_run("old", "w1", 8)
+    demand = make_demand(count=2, priority=0, accelerators=1, **spread)
+    probing = make_worker("w1", runs=[old], probing=True)
+    found = choose_victims(make_fleet(probing), demand)
+    assert [placement.worker for placement in found.placements] == ["w1"]
+    probing = make_worker("w1", runs=[old], probing=True, probe_running=True)
+    assert choose_victims(make_fleet(probing), demand) is None
+    sound = make_worker("w2", runs=[make_run("long", "w2", 8, unsaved_s=99.0)])
+    found = choose_victims(make_fleet(probing, sound), demand)
+    assert {placement.worker for placement in found.placements} == {"w2"}
+
+
 def test_stopping_a_gang_counts_the_loss_of_all_members():
     gang = [
         make_run("g", f"w{i}", 8, index=i, unsaved_s=1.0, gang=True) for i in (1, 2)
