Nothing is acknowledged to a worker whose incarnation is in doubt

Cause: after an unanswered poll, the next one acknowledged the ends of the earlier incarnation. The new one forgot its own ends up to that number before the leader had seen them.

Change: a poll acknowledges nothing after an unanswered one, or when the worker's clock went back in the answer to an order.

--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -241,6 +241,7 @@
         self, link: WorkerLink, tracked: TrackedRun, clock_ms: int
     ) -> None:
         now_s = self._clock.monotonic()
+        link.record_order_clock(clock_ms)
         tracked.resolved_s = now_s
         if tracked.run.state is not RunState.RUNNING:
             tracked.run.state = RunState.RUNNING
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -21,6 +21,10 @@
 MIN_PERCENT_GAIN = 15
 """Progress from which a mean rate is known within a few percent."""
 
+MAX_OVERTAKING_MS = 1000
+"""How much earlier than a poll an order may have been answered whose answer arrives
+after that of the poll; longer than the timeout of an order."""
+
 MAX_OVERDUE_S = 0.5
 """How much later than predicted a run may end. Covers rounded percents, the duration
 of a poll and the transmission of its answer."""
@@ -155,6 +159,9 @@
         Start time of the worker process, in milliseconds since 1970.
     incarnation_began_s : float
         Monotonic time at which this incarnation was first seen.
+    clock_went_back : bool
+        Whether the answer to an order showed an earlier time than the last poll, as
+        that of a later incarnation does.
     acknowledged : int
         Number of the last end that is stored.
     last_received_end : int
@@ -192,6 +199,7 @@
     clock_read_s: float = 0.0
     incarnation_ms: int = 0
     incarnation_began_s: float = float("-inf")
+    clock_went_back: bool = False
     emptying: bool = False
     used: Usage = Usage()
     stopping: Usage = Usage()
@@ -231,6 +239,7 @@
         self.last_answer_s = now_s
         self.unresponsive_since_s = None
         self.refused = False
+        self.clock_went_back = False
         if clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
             self.clock_read_s = now_s
@@ -241,6 +250,22 @@
         if self.unresponsive_since_s is None:
             self.unresponsive_since_s = now_s
 
+    def record_order_clock(self, clock_ms: int) -> None:
+        """Record the reading of the worker's clock in the answer to an order."""
+        if clock_ms + MAX_OVERTAKING_MS < self.clock_ms:
+            self.clock_went_back = True
+
+    @property
+    def acknowledgement(self) -> int:
+        """Number of the last end that the next poll acknowledges.
+
+        Another incarnation numbers its ends anew and would forget ends that were not
+        seen. Without an answer to the last poll, or if the clock went back, there may
+        be another one, so nothing is acknowledged until a poll is answered.
+        """
+        in_doubt = self.unresponsive_since_s is not None or self.clock_went_back
+        return 0 if in_doubt else self.acknowledged
+
     def extend_lease(self, now_s: float, lease_s: float) -> int | None:
         """Extend the lease to at least `lease_s` from now; return its end.
 
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -222,7 +222,7 @@
         if is_storing:
             wait_s = 0.0
         request = PollRequest(
-            self._leadership.epoch, link.acknowledged, lease_end_ms, wait_s
+            self._leadership.epoch, link.acknowledgement, lease_end_ms, wait_s
         )
         match await link.client.poll(request):
             case Ok(report):
--- a/tests/coordinator/test_known_failures.py
+++ b/tests/coordinator/test_known_failures.py
@@ -6,15 +6,18 @@
 from __future__ import annotations
 
 import pytest
+from result import Err
 
 from chiveledge.coordinator._progress_rows import progress_key
 from chiveledge.intake import Accepted, job_key
 from chiveledge.placement._suspicion import AVOID_S, TRUST_S
-from chiveledge.services import Put, Transaction
+from chiveledge.services import Put, Transaction, Unsettled
 from chiveledge.services.task_worker import EndedTask
 from chiveledge.workload import JobState, RunEnd, Step
 from tests.coordinator.cluster import SMALL
 
+POLL_WAIT_S = 2.0
+POLL_TIMEOUT_S = 0.8
 FULL_WORKER = SMALL._replace(accelerators=8)
 
 
@@ -141,3 +144,29 @@
     await cluster.submit("j2", Step(count=4, usage=SMALL), work_s=0.5)
     await cluster.advance(6.0)
     assert cluster.state("j2") is JobState.COMPLETED
+
+
+async def test_ends_of_a_restarted_worker_are_not_acknowledged_unseen(make_cluster):
+    """The poll after an unanswered one acknowledged the end of another incarnation.
+
+    The worker forgot that end, and its task was started again.
+    """
+    cluster = make_cluster(workers=1)
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(count=1, usage=SMALL), work_s=0.2)
+    await cluster.advance(1.5)
+    connection = cluster.leader.workers["w0"]
+    worker = cluster.workers["w0"]
+
+    async def poll_without_answer(request):
+        await cluster.clock.sleep(POLL_WAIT_S + POLL_TIMEOUT_S)
+        return Err(Unsettled("the connection went silent"))
+
+    connection.poll = poll_without_answer
+    await cluster.advance(POLL_WAIT_S)
+    del connection.poll
+    worker.crash(incarnation_ms=2)
+    await cluster.submit("j2", Step(count=1, usage=SMALL), work_s=0.2)
+    await cluster.advance(POLL_WAIT_S + POLL_TIMEOUT_S + 2.0)
+    assert cluster.state("j2") is JobState.COMPLETED
+    assert len(cluster.starts("j2")) == 1
--- /dev/null
+++ b/tests/coordinator/test_worker_link.py
@@ -0,0 +1,33 @@
+"""What is believed of a worker whose incarnation is in doubt."""
+
+from __future__ import annotations
+
+import pytest
+
+from chiveledge.coordinator._worker_link import WorkerLink
+from chiveledge.services.task_worker import WorkerEntry
+from chiveledge.workload import Usage
+
+
+@pytest.fixture
+def link():
+    entry = WorkerEntry("w", "pool", "10.0.0.1:1", "z", "r", frozenset(), Usage())
+    link = WorkerLink(entry, client=None)
+    link.record_answer(60_000, 10.0)
+    link.acknowledged = 7
+    return link
+
+
+def test_nothing_is_acknowledged_after_an_unanswered_poll(link):
+    assert link.acknowledgement == 7
+    link.record_no_answer(11.0, refused=False)
+    assert link.acknowledgement == 0
+    link.record_answer(62_000, 12.0)
+    assert link.acknowledgement == 7
+
+
+@pytest.mark.parametrize("clock_ms,expected", [(300, 0), (59_500, 7), (60_100, 7)])
+def test_nothing_is_acknowledged_after_the_clock_went_back(link, clock_ms, expected):
+    """A worker may start again and run a task between two answered polls."""
+    link.record_order_clock(clock_ms)
+    assert link.acknowledgement == expected
