A draining worker counts as gone only if it removed its entry

Cause: a refused connection and a missing entry were taken for the end of a draining worker, but a cut may refuse connections while the entry lapses.

Change: the entry must have gone within two heartbeat intervals of the worker's last answer, which is sooner than an entry can lapse. Otherwise the runs wait for the end of the lease.

--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -25,6 +25,10 @@
 """How much earlier than a poll an order may have been answered whose answer arrives
 after that of the poll; longer than the timeout of an order."""
 
+LAPSE_HEARTBEATS = 2
+"""Least time between the last answer of a worker that is cut off and the removal of
+its entry, in heartbeat intervals: the entry lapses after three without a heartbeat."""
+
 MAX_OVERDUE_S = 0.5
 """How much later than predicted a run may end. Covers rounded percents, the duration
 of a poll and the transmission of its answer."""
@@ -140,6 +144,8 @@
         Sends orders and polls to the worker.
     listed : bool
         Whether the platform lists the worker now.
+    unlisted_s : float
+        Monotonic time at which the platform ceased to list it.
     refused : bool
         Whether the connection was refused at the last poll.
     draining_since_s : float, optional
@@ -184,6 +190,7 @@
     entry: WorkerEntry
     client: TaskWorker
     listed: bool = True
+    unlisted_s: float = float("inf")
     fence_raised: bool = False
     acknowledged: int = 0
     last_received_end: int = 0
@@ -266,6 +273,11 @@
         in_doubt = self.unresponsive_since_s is not None or self.clock_went_back
         return 0 if in_doubt else self.acknowledged
 
+    def mark_unlisted(self, now_s: float) -> None:
+        """Record that the platform does not list the worker any more."""
+        self.listed = False
+        self.unlisted_s = now_s
+
     def extend_lease(self, now_s: float, lease_s: float) -> int | None:
         """Extend the lease to at least `lease_s` from now; return its end.
 
@@ -285,10 +297,23 @@
         passed_ms = (now_s - self.clock_read_s) * 1000 * CLOCK_RATE
         return self.clock_ms + passed_ms > self.lease_end_ms
 
-    @property
-    def has_left(self) -> bool:
-        """Whether the worker announced its departure and is gone."""
-        return self.entry.draining and not self.listed and self.refused
+    def has_left(self, heartbeat_s: float) -> bool:
+        """Return whether the worker announced its departure and is gone.
+
+        A worker that leaves removes its entry. A worker that is cut off may refuse
+        connections too, but its entry lapses only some time after its last answer.
+
+        Parameters
+        ----------
+        heartbeat_s : float
+            Interval at which workers renew their entries.
+        """
+        if not self.entry.draining or self.listed or not self.refused:
+            return False
+        if self.last_answer_s is None:
+            return False
+        silent_s = self.unlisted_s - self.last_answer_s
+        return silent_s < LAPSE_HEARTBEATS * heartbeat_s
 
     def leaves_in_s(self, now_s: float, least_s: float) -> float | None:
         """Return for how long a draining worker stays at least; None if not draining.
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -125,7 +125,7 @@
         for name in removed:
             link = self.links.get(name)
             if link is not None and link.listed:
-                link.listed = False
+                link.mark_unlisted(self._clock.monotonic())
                 self._log.write("workers", "unlisted", worker=name)
         self._request_plan()
 
@@ -269,7 +269,8 @@
         now_s = self._clock.monotonic()
         if not link.runs or link.unresponsive_since_s is None and link.entry.address:
             return
-        if link.has_left:
+        has_left = link.has_left(self._context.timing.heartbeat_s)
+        if has_left:
             is_over = True
         elif link.last_answer_s is None:
             longest_lease_s = self._context.timing.longest_lease_s / CLOCK_RATE
@@ -279,9 +280,7 @@
             is_over = link.is_lease_over(now_s)
         if not is_over:
             return
-        reason = (
-            "the worker has left" if link.has_left else "the worker's lease has lapsed"
-        )
+        reason = "the worker has left" if has_left else "the worker's lease has lapsed"
         for tracked in list(link.runs.values()):
             self._reconciler.close_run(link, tracked, RunEnd.LAPSED, reason)
         self._request_plan()
--- a/tests/coordinator/test_known_failures.py
+++ b/tests/coordinator/test_known_failures.py
@@ -170,3 +170,26 @@
     await cluster.advance(POLL_WAIT_S + POLL_TIMEOUT_S + 2.0)
     assert cluster.state("j2") is JobState.COMPLETED
     assert len(cluster.starts("j2")) == 1
+
+
+@pytest.mark.parametrize("lapse_s", [3.2, 4.5])
+async def test_draining_worker_that_is_cut_off_is_not_taken_for_gone(
+    make_cluster, lapse_s
+):
+    """Its connection was refused and its entry had lapsed, but its tasks ran on."""
+    cluster = make_cluster(workers=2)
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(count=2, usage=FULL_WORKER), work_s=9.0)
+    await cluster.advance(0.5)
+    worker = cluster.workers["w0"]
+    cluster.list_worker(worker.entry._replace(draining=True, leaves_s=30.0))
+    await cluster.advance(0.5)
+    worker.faults.refuses_connections = True
+    await cluster.advance(lapse_s)
+    cluster.unlist_worker("w0")
+    await cluster.advance(4.8 - lapse_s)
+    worker.faults.refuses_connections = False
+    cluster.list_worker(worker.entry._replace(draining=True, leaves_s=25.0))
+    await cluster.advance(8.0)
+    assert cluster.state("j1") is JobState.COMPLETED
+    assert len(cluster.starts("j1")) == 2
