A plan considers the first unfinished occurrences of a schedule only

Cause: each plan opened and listed all due occurrences, went over the finished ones again, and their numbers were stored one by one.

Change: at most 2,000 tasks of a schedule, or four occurrences, are planned at a time; finished occurrences are a mark and the few beyond it. More than a million occurrences are refused at once.

test_progress_codec.py builds the finished occurrences as an OccurrenceSet.

--- a/chiveledge/platform/_catalogue.py
+++ b/chiveledge/platform/_catalogue.py
@@ -32,6 +32,9 @@
 MAX_STEPS = 100
 MAX_TASKS = 10_000
 
+MAX_OCCURRENCES = 1_000_000
+"""Nearly two years of a schedule of each minute."""
+
 
 class InvalidJob(NamedTuple):
     """Invalid field of a submitted job, and how to correct it."""
@@ -139,6 +142,8 @@
             schedule[name] = check_whole_number(fields.get(name, 0))
         except DECODE_ERRORS as error:
             return Err(InvalidJob(name, f"send a whole number; {error}"))
+    if schedule["repeat_count"] > MAX_OCCURRENCES:
+        return Err(InvalidJob("repeat_count", f"send up to {MAX_OCCURRENCES}"))
     if sum(step.count for step in steps) > MAX_TASKS:
         return Err(InvalidJob("steps", f"send up to {MAX_TASKS} tasks"))
     return Ok(
--- a/chiveledge/workload/__init__.py
+++ b/chiveledge/workload/__init__.py
@@ -18,6 +18,7 @@
     TaskName,
     Usage,
 )
+from chiveledge.workload._occurrences import OccurrenceSet
 from chiveledge.workload._progress import (
     JobProgress,
     OpenRun,
@@ -41,6 +42,7 @@
     "JobProgress",
     "JobRequest",
     "JobState",
+    "OccurrenceSet",
     "OpenRun",
     "Queue",
     "RequestLimits",
--- a/chiveledge/workload/_progress.py
+++ b/chiveledge/workload/_progress.py
@@ -8,6 +8,7 @@
 
 from chiveledge.types import WorkerName
 from chiveledge.workload._model import JobRequest, JobState, TaskName
+from chiveledge.workload._occurrences import OccurrenceSet
 
 
 class RunState(StrEnum):
@@ -69,6 +70,13 @@
     last_progress_s: float = 0.0
 
 
+MAX_OPEN_TASKS = 2000
+"""Most tasks of a schedule that are planned at the same time, unless few occurrences
+have more."""
+
+MIN_OPEN_OCCURRENCES = 4
+"""Occurrences of a schedule that may overlap, however many tasks they have."""
+
 MAX_FAILED_ON = 8
 """Most workers on which a task failed that are kept, the latest ones."""
 
@@ -144,7 +152,7 @@
     occurrences : dict
         Steps of the open occurrences: those that have begun and are not finished, or
         still have an open run.
-    finished_occurrences : set of int
+    finished_occurrences : OccurrenceSet
         Occurrences whose steps are all done.
     ended_ms : int
         Wall time of the end in milliseconds since 1970; 0 before.
@@ -158,7 +166,7 @@
     request: JobRequest
     state: JobState = JobState.QUEUED
     occurrences: dict[int, list[StepProgress]] = field(default_factory=dict)
-    finished_occurrences: set[int] = field(default_factory=set)
+    finished_occurrences: OccurrenceSet = field(default_factory=OccurrenceSet)
     version: int = 0
     ended_ms: int = 0
     reason: str = ""
@@ -186,11 +194,19 @@
         return steps
 
     def due_occurrences(self, now_ms: float) -> Iterator[int]:
-        """Yield the occurrences that are due and not finished."""
-        for occurrence in range(self.total_occurrences):
-            if self.request.due_ms(occurrence) > now_ms:
+        """Yield the first occurrences that are due and not finished.
+
+        There may be more, if a schedule began long ago. Only those whose tasks may run
+        at the same time are yielded.
+        """
+        tasks = sum(step.count for step in self.request.steps)
+        left = max(MIN_OPEN_OCCURRENCES, MAX_OPEN_TASKS // tasks)
+        first = self.finished_occurrences.first_missing
+        for occurrence in range(first, self.total_occurrences):
+            if not left or self.request.due_ms(occurrence) > now_ms:
                 return
             if occurrence not in self.finished_occurrences:
+                left -= 1
                 yield occurrence
 
     def step_ready(self, occurrence: int, step: int) -> bool:
--- a/chiveledge/workload/_progress_codec.py
+++ b/chiveledge/workload/_progress_codec.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from chiveledge.workload._model import JobRequest, JobState
+from chiveledge.workload._occurrences import OccurrenceSet
 from chiveledge.workload._progress import (
     JobProgress,
     OpenRun,
@@ -137,7 +138,7 @@
     progress = JobProgress(
         request=request,
         state=JobState(fields["state"]),
-        finished_occurrences=set(_expand_ranges(fields["finished"])),
+        finished_occurrences=OccurrenceSet.from_ranges(fields["finished"]),
         version=version,
         ended_ms=fields["ended_ms"],
         reason=fields["reason"],
@@ -159,7 +160,7 @@
         "state": progress.state,
         "ended_ms": progress.ended_ms,
         "reason": progress.reason,
-        "finished": list(_find_ranges(progress.finished_occurrences)),
+        "finished": list(progress.finished_occurrences.ranges()),
     }
     return _to_json(fields | tasks)
 
@@ -236,24 +237,5 @@
         )
 
 
-def _find_ranges(numbers: set[int]) -> Iterator[tuple[int, int]]:
-    """Yield the first and the last number of each run of consecutive numbers."""
-    first = last = None
-    for number in sorted(numbers):
-        if last is not None and number == last + 1:
-            last = number
-            continue
-        if last is not None:
-            yield first, last
-        first = last = number
-    if last is not None:
-        yield first, last
-
-
-def _expand_ranges(ranges: Iterable[tuple[int, int]]) -> Iterator[int]:
-    for first, last in ranges:
-        yield from range(first, last + 1)
-
-
 def _to_json(fields: dict[str, object]) -> str:
     return json.dumps(fields, separators=(",", ":"))
--- a/tests/coordinator/test_known_failures.py
+++ b/tests/coordinator/test_known_failures.py
@@ -13,7 +13,8 @@
 from chiveledge.placement._suspicion import AVOID_S, TRUST_S
 from chiveledge.services import Put, Transaction, Unsettled
 from chiveledge.services.task_worker import EndedTask
-from chiveledge.workload import JobState, RunEnd, Step
+from chiveledge.workload import JobRequest, JobState, RunEnd, Step
+from standins.task_worker import StandInTask
 from tests.coordinator.cluster import SMALL
 
 POLL_WAIT_S = 2.0
@@ -193,3 +194,31 @@
     await cluster.advance(8.0)
     assert cluster.state("j1") is JobState.COMPLETED
     assert len(cluster.starts("j1")) == 2
+
+
+async def test_schedule_that_began_long_ago_does_not_stop_other_jobs(make_cluster):
+    """Each plan opened all due occurrences, for minutes, so that the lease lapsed."""
+    cluster = make_cluster(workers=2)
+    await cluster.advance(0.5)
+    now_ms = int(cluster.clock.now().timestamp() * 1000)
+    schedule = JobRequest(
+        "j1",
+        "standard",
+        "cafes",
+        "payload",
+        (Step(count=1, usage=SMALL),),
+        now_ms,
+        occurrences=525_600,
+        first_due_ms=now_ms - 300_000 * 60_000,
+        interval_ms=60_000,
+        service="pool",
+        priority=1,
+        max_attempts=3,
+    )
+    cluster.tasks["j1"] = StandInTask(0.5, SMALL)
+    await cluster.call(cluster.nodes[0].job_store.submit(schedule, 2.0))
+    await cluster.submit("j2", Step(count=3, usage=SMALL), queue="urgent", work_s=0.5)
+    await cluster.advance(5.0)
+    assert cluster.state("j2") is JobState.COMPLETED
+    assert len(cluster.starts("j1")) > 50
+    assert cluster.leader.coordinator._leadership.epoch == 1
--- a/tests/platform/test_api.py
+++ b/tests/platform/test_api.py
@@ -208,6 +208,7 @@
         ({"spec": "x", "steps": [{"count": 1, "cpu": -1}]}, "steps.0"),
         ({"spec": "x", "steps": [{"count": 1, "after": [0]}]}, "steps.0"),
         ({"spec": "x", "steps": [{"count": 1}], "repeat_count": -1}, "repeat_count"),
+        ({"spec": "x", "steps": [{"count": 1}], "repeat_count": 2**40}, "repeat_count"),
     ],
 )
 async def test_error_names_field_of_invalid_job(api, body, field):
--- a/tests/workload/test_progress_codec.py
+++ b/tests/workload/test_progress_codec.py
@@ -9,6 +9,7 @@
     JobProgress,
     JobRequest,
     JobState,
+    OccurrenceSet,
     OpenRun,
     RunState,
     Step,
@@ -50,7 +51,7 @@
     st.sampled_from([100, 300, 10_000]),
 )
 def test_progress_round_trip(rows, state, max_chars):
-    job = JobProgress(REQUEST, state=state, finished_occurrences={2})
+    job = JobProgress(REQUEST, state=state, finished_occurrences=OccurrenceSet({2}))
     for occurrence, number, run, failures, state_name in rows:
         if occurrence == 2:
             continue
@@ -97,7 +98,9 @@
 
 def test_finished_occurrences_are_stored_as_ranges():
     """A schedule of each minute of a year took more than a row as single numbers."""
-    job = JobProgress(REQUEST, finished_occurrences=set(range(500_000)) - {7})
+    job = JobProgress(
+        REQUEST, finished_occurrences=OccurrenceSet(set(range(500_000)) - {7})
+    )
     header, _ = encode_progress(job, 1000)
     assert len(header) < 1000
     assert decode_progress(REQUEST, header, 0) == job
