SIGHUP and SIGTERM during the start of a process

Cause: the handler of SIGHUP was set after the imports, and the loop that reads the first configuration didn't look at SIGTERM. A change of the settings file before it was watched was missed.

--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -112,10 +112,15 @@
     ----------
     settings : NodeSettings
         Settings of the process.
+    settings_file : tuple of int, optional
+        State of the settings file before it was read; see `stat_settings`.
     """
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(
+        self, settings: NodeSettings, settings_file: tuple[int, int] | None
+    ) -> None:
         self._settings = settings
+        self._settings_file = settings_file
         self._clock = SystemClock()
         self._log = JsonLog(settings.node, self._clock, domain=settings.domain)
         self._metrics = Metrics()
@@ -162,6 +167,19 @@
             await listen(self._handle_metrics, self._settings.metrics),
         ]
         rank = await self._load_first_configuration()
+        if rank is not None:
+            await self._serve(store, rank, handler)
+        for runner in runners:
+            if runner is not None:
+                await runner.cleanup()
+        for pool in self._pools:
+            await pool.close()
+        self._log.write("node", "stop")
+
+    async def _serve(
+        self, store: PlatformStore, rank: int, handler: ApiHandler
+    ) -> None:
+        """Follow the tables and compete to lead until the process drains."""
         coordinator = self._make_coordinator(store, rank)
         tasks = [
             asyncio.create_task(self._configuration_follower.run()),
@@ -184,12 +202,6 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for runner in runners:
-            if runner is not None:
-                await runner.cleanup()
-        for pool in self._pools:
-            await pool.close()
-        self._log.write("node", "stop")
 
     def _make_store(self) -> PlatformStore:
         url = f"http://{self._settings.store}"
@@ -246,25 +258,25 @@
         address = str(settings.peers) if settings.peers else ""
         return PeerHost(settings.node, settings.region, address)
 
-    async def _load_first_configuration(self) -> int:
+    async def _load_first_configuration(self) -> int | None:
         """Read the first configuration.
 
         Returns
         -------
-        int
+        int or None
             Rank of this process among the candidates to lead, which depends on the
-            duration of the successful call.
+            duration of the successful call. None if the process drains before.
         """
-        while True:
+        while not self._draining.is_set():
             sent_s = self._clock.monotonic()
             if await self._configuration_follower.step():
-                break
+                return rank_candidate(
+                    self._clock.monotonic() - sent_s,
+                    self._settings.limits.cores,
+                    self._settings.limits.link_mbps,
+                )
             await self._clock.sleep(POLL_INTERVAL_S)
-        return rank_candidate(
-            self._clock.monotonic() - sent_s,
-            self._settings.limits.cores,
-            self._settings.limits.link_mbps,
-        )
+        return None
 
     def _make_coordinator(self, store: PlatformStore, rank: int) -> Coordinator:
         bounds = self._settings.bounds
@@ -385,13 +397,15 @@
 
     async def _watch_settings(self) -> None:
         """Reload the settings when their file changes without a signal."""
-        previous = stat_settings()
         while True:
             await self._clock.sleep(SETTINGS_POLL_S)
-            current = stat_settings()
-            if current != previous:
-                previous = current
-                self._reload()
+            self._check_settings()
+
+    def _check_settings(self) -> None:
+        current = stat_settings()
+        if current != self._settings_file:
+            self._settings_file = current
+            self._reload()
 
     def _reload(self) -> None:
         match load_settings(os.environ.get(SETTINGS_VARIABLE)):
@@ -413,9 +427,10 @@
 
 def main() -> int:
     """Run a process and return its exit code."""
+    settings_file = stat_settings()
     match load_settings(os.environ.get(SETTINGS_VARIABLE)):
         case Ok(settings):
-            asyncio.run(Node(settings).run())
+            asyncio.run(Node(settings, settings_file).run())
             return 0
         case Err(error):
             print(error, file=sys.stderr, flush=True)
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -6,18 +6,31 @@
 import contextlib
 import json
 import signal
+import subprocess
+import sys
 
 import pytest
 from aiohttp import web
 
 from chiveledge.clock import ManualClock
 from chiveledge.platform._node import SETTINGS_POLL_S, Node
-from chiveledge.platform._settings import SETTINGS_VARIABLE, load_settings
+from chiveledge.platform._settings import (
+    SETTINGS_VARIABLE,
+    load_settings,
+    stat_settings,
+)
 from chiveledge.workload import Usage
-from standins.deployment import Deployment, serve
+from standins.deployment import Deployment, find_free_port, serve
 from standins.platform import describe_worker
 from standins.task_worker import StandInTask
 
+SETTINGS = {
+    "node": "n1",
+    "zone": "z",
+    "ip": "127.0.0.1",
+    "platform": {"address": "127.0.0.1:9", "form": "table"},
+    "bounds": {"grace_s": 4},
+}
 GANG = StandInTask(0.4, Usage(1000, 0, 1), gang=3)
 
 
@@ -55,6 +68,40 @@
     assert events[-1] == "stop"
 
 
+async def test_process_without_configuration_stops_at_once(deployment):
+    """SIGTERM was not looked at until a configuration had been read."""
+    deployment._store_addresses["n3"] = f"127.0.0.1:{find_free_port()}"
+    await deployment.launch("n3")
+    process = deployment.processes["n3"]
+    while not any(e["event"] == "store_lost" for e in deployment.read_events("n3")):
+        await asyncio.sleep(0.05)
+    process.send_signal(signal.SIGTERM)
+    assert await asyncio.wait_for(process.wait(), 30.0) == 0
+    assert deployment.read_events("n3")[-1]["event"] == "stop"
+
+
+def test_hangup_during_the_imports_does_not_end_the_process():
+    """The handler was set after the imports; the default action ends a process."""
+    check = (
+        "import signal, sys\n"
+        "import chiveledge.platform.__main__\n"
+        "assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN\n"
+        "assert 'aiohttp' not in sys.modules\n"
+    )
+    subprocess.run([sys.executable, "-c", check], check=True)
+
+
+def test_settings_changed_before_they_are_watched_are_reloaded(tmp_path, monkeypatch):
+    """A change between the first read and the first look at the file was missed."""
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(SETTINGS))
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    node = Node(load_settings(str(path)).unwrap(), stat_settings())
+    path.write_text(json.dumps(SETTINGS | {"bounds": {"grace_s": 17}}))
+    node._check_settings()
+    assert node._settings.bounds.grace_s == 17
+
+
 async def answer_nested(request):
     return web.Response(text="[" * 4000)
 
@@ -102,22 +149,15 @@
 
 async def test_settings_are_reloaded_without_signal(tmp_path, monkeypatch):
     """Valid settings are applied; invalid ones leave the current ones in force."""
-    fields = {
-        "node": "n1",
-        "zone": "z",
-        "ip": "127.0.0.1",
-        "platform": {"address": "127.0.0.1:9", "form": "table"},
-        "bounds": {"grace_s": 4},
-    }
     path = tmp_path / "node.json"
-    path.write_text(json.dumps(fields))
+    path.write_text(json.dumps(SETTINGS))
     monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
-    node = Node(load_settings(str(path)).unwrap())
+    node = Node(load_settings(str(path)).unwrap(), stat_settings())
     node._clock = clock = ManualClock()
     watching = asyncio.create_task(node._watch_settings())
     await clock.advance(SETTINGS_POLL_S + 0.1)
     for text, grace_s in (
-        (json.dumps(fields | {"bounds": {"grace_s": 17}}), 17),
+        (json.dumps(SETTINGS | {"bounds": {"grace_s": 17}}), 17),
         ("{", 17),
     ):
         path.write_text(text)
