A refused send doesn't hide another one that ends with it

Found in the review by reading: transact_hedged may answer Unavailable, which promises that nothing was stored, while another send that ended in the same step of the event loop was unsettled or had succeeded.

Cause: the results were looked at in the arbitrary order of a set, and a refusal that came first was returned.

Change: successes, conflicts and unsettled sends are looked at first.

--- a/chiveledge/services/hedging.py
+++ b/chiveledge/services/hedging.py
@@ -106,14 +106,17 @@
             await run_with_timeout(clock, _wait_for_any(pending), max(wait_s, 0.0))
             done = {task for task in pending if task.done()}
             pending -= done
-            for result in [task.result() for task in done]:
+            results = [task.result() for task in done]
+            # Several sends may end at once. One that was refused says nothing of the
+            # others, so it is looked at last.
+            for result in results:
                 match result:
                     case Ok(_) | Err(Conflict() | Rejected()):
                         return result
                     case Err(Unsettled()):
                         may_have_committed = True
-                    case Err(Unavailable()) if not pending and not may_have_committed:
-                        return result
+            if results and not pending and not may_have_committed:
+                return results[0]
             if clock.monotonic() >= deadline_s:
                 return _make_timeout_error(may_have_committed or bool(pending))
     finally:
--- a/tests/services/test_hedging.py
+++ b/tests/services/test_hedging.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 from result import Err, Ok
 
@@ -66,3 +68,41 @@
         assert isinstance(result.err(), Unsettled)
     else:
         assert result == outcome
+
+
+class SimultaneousTable:
+    """Table service that replies to two sends at the same moment, then to no other."""
+
+    def __init__(self, *results) -> None:
+        self._results = list(results)
+        self._both_sent = asyncio.Event()
+
+    async def transact(self, transaction):
+        if self._both_sent.is_set():
+            await asyncio.Event().wait()
+        result = self._results.pop(0)
+        if not self._results:
+            self._both_sent.set()
+        await self._both_sent.wait()
+        return result
+
+
+@pytest.mark.parametrize(
+    "first,outcome", [(Err(Unsettled("lost")), Unsettled), (Ok(7), Ok(7))]
+)
+@pytest.mark.parametrize("swapped", [False, True])
+async def test_refused_send_does_not_hide_another_that_ends_with_it(
+    first, outcome, swapped
+):
+    """The caller was told that a job never runs whose first send may have stored it."""
+    for _ in range(20):
+        clock = ManualClock()
+        results = [first, Err(Unavailable("busy"))]
+        table = SimultaneousTable(*(reversed(results) if swapped else results))
+        sending = asyncio.ensure_future(
+            transact_hedged(table, WRITE, clock, HedgeDelay(), timeout_s=0.5)
+        )
+        await clock.advance(0.6)
+        result = sending.result()
+        assert result == outcome or isinstance(result.err(), Unsettled)
+        assert not isinstance(result.err(), Unavailable)
