Each wave orders upkeep only for the machines that it emptied itself

Found in the review by reading: two waves that share machines.

Cause: which machines are being emptied was kept for all waves together, so a wave ordered the upkeep of machines that another had emptied, beyond its own bound (LIMIT).

Change: it is kept by wave. A machine that is emptied for one wave isn't chosen by another.

Result: the new test fails before (two upkeeps of a wave with the bound 1 at once); the 12 tests of test_upkeep.py pass.

--- a/chiveledge/coordinator/_upkeep.py
+++ b/chiveledge/coordinator/_upkeep.py
@@ -91,7 +91,7 @@
         self._jobs = jobs
         self._orders = orders
         self._progress: dict[int, WaveProgress] = {}
-        self._emptying_since_s: dict[MachineName, float] = {}
+        self._emptying_since_s: dict[tuple[int, MachineName], float] = {}
         self._ordered_s: dict[MachineName, float] = {}
         self._missing: dict[int, frozenset[MachineName]] = {}
 
@@ -150,7 +150,7 @@
             return
         self._choose_machines(wave, progress, machines, left, polled_s)
         for machine in left:
-            if machine.name in self._emptying_since_s:
+            if (wave.number, machine.name) in self._emptying_since_s:
                 await self._empty_machine(wave, progress, machine)
 
     def _are_gone(self, wave: Wave, known: dict[MachineName, Machine]) -> bool:
@@ -175,17 +175,18 @@
         now_s = self._clock.monotonic()
         for name in progress.sent:
             # A former leader's order may not have been executed.
-            self._emptying_since_s.setdefault(name, now_s)
+            self._emptying_since_s.setdefault((wave.number, name), now_s)
         down = {m.name for m in machines if self._may_be_down(m, polled_s)}
         down |= progress.sent
-        unavailable = down | {m.name for m in left if m.name in self._emptying_since_s}
+        emptying = {name for number, name in self._emptying_since_s}
+        unavailable = down | {m.name for m in left if m.name in emptying}
         losses = {
             machine.name: self._stop_loss(machine)
             for machine in left
             if machine.name not in unavailable and machine.state is MachineState.UP
         }
         for name in choose_next_machines(losses, wave.max_down - len(unavailable)):
-            self._emptying_since_s[name] = now_s
+            self._emptying_since_s[wave.number, name] = now_s
             self._log.write(
                 "upkeep",
                 "emptying",
@@ -237,7 +238,9 @@
         """Stop runs that would not end in time, except protected ones."""
         timing = self._timing
         timeout_s = find_drain_timeout_s(wave, timing.upkeep_s, timing.stop_s)
-        waited_s = self._clock.monotonic() - self._emptying_since_s[machine.name]
+        waited_s = (
+            self._clock.monotonic() - self._emptying_since_s[wave.number, machine.name]
+        )
         protected = find_protected_tasks(list(self._links.values()), self._jobs)
         for tracked in list(link.runs.values()):
             if tracked.name in protected:
@@ -277,7 +280,7 @@
             case Err(_):
                 return
         progress.sent.discard(machine.name)
-        self._emptying_since_s.pop(machine.name, None)
+        self._emptying_since_s.pop((wave.number, machine.name), None)
         await self._save(wave, progress)
 
     async def _save(self, wave: Wave, progress: WaveProgress) -> bool:
@@ -316,9 +319,9 @@
 
     def _release_machines(self, waves: list[Wave]) -> None:
         """Allow runs on machines that are in no open wave any more."""
-        open_names = {name for wave in waves for name in wave.machines}
-        for name in [name for name in self._emptying_since_s if name not in open_names]:
-            del self._emptying_since_s[name]
+        open_keys = {(wave.number, name) for wave in waves for name in wave.machines}
+        for key in self._emptying_since_s.keys() - open_keys:
+            del self._emptying_since_s[key]
         if not self._emptying_since_s and not waves:
             for link in self._links.values():
                 link.emptying = False
--- a/tests/coordinator/test_upkeep.py
+++ b/tests/coordinator/test_upkeep.py
@@ -140,3 +140,28 @@
     await cluster.advance(FIRST_ORDER_S + 6.0)
     assert read_state(cluster) == "completed"
     assert [u.order.machine for u in cluster.machines.upkeeps] == ["m-w0"]
+
+
+async def test_waves_that_share_machines_keep_their_own_bounds(cluster):
+    """A machine that one wave had emptied got the upkeep of the other, too."""
+    waves = [
+        Wave(1, ("m-w0", "m-w1", "m-w2", "m-w3"), within_s=40.0, max_down=1),
+        Wave(2, ("m-w0", "m-w1", "m-w2"), within_s=40.0, max_down=3),
+    ]
+    cluster.waves = waves
+    await cluster.advance(0.5)
+    full = Step(count=4, usage=SMALL._replace(accelerators=8))
+    await cluster.submit("j1", full, work_s=5.0)
+    await cluster.advance(45.0)
+    upkeeps = cluster.machines.upkeeps
+    for wave in waves:
+        own = [upkeep for upkeep in upkeeps if upkeep.order.wave == wave.number]
+        assert sorted(u.order.machine for u in own) == sorted(wave.machines)
+        for upkeep in own:
+            began_s = upkeep.at_s - cluster.timing.upkeep_s
+            others = [
+                other
+                for other in own
+                if other is not upkeep and began_s < other.at_s <= upkeep.at_s
+            ]
+            assert len(others) < wave.max_down
