Pending starts count against a step's bound on tasks per worker

Found in the review by reading: while runs are being stopped for some tasks of an urgent step with anti_affinity, a later plan doesn't count these tasks and may place another one beside them (ROUTE).

Cause: a fleet view counted running tasks and those of its own plan, but not the deferred starts of earlier plans.

Change: pending starts are counted as placed.

--- a/chiveledge/coordinator/_pending_starts.py
+++ b/chiveledge/coordinator/_pending_starts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -35,10 +36,13 @@
         Capacity on each worker that is reserved for them.
     tasks : set of TaskName
         Their tasks, which need no other placement.
+    placed : Counter
+        Number of their tasks by name of the step and worker.
     """
 
     usage: dict[WorkerName, Usage]
     tasks: set[TaskName]
+    placed: Counter[tuple[str, WorkerName]]
 
 
 class PendingStarts:
@@ -69,7 +73,7 @@
 
     def review(self, now_s: float) -> Reservations:
         """Start the tasks whose capacity is free by now; reserve that of the others."""
-        reservations = Reservations({}, set())
+        reservations = Reservations({}, set(), Counter())
         pending: list[PendingStart] = []
         for item in self._pending:
             if self._is_obsolete(item, now_s):
@@ -129,6 +133,7 @@
     for placement in deferred.placements:
         before = reservations.usage.get(placement.worker, Usage())
         reservations.usage[placement.worker] = before.plus(usage)
+        reservations.placed[demand.step_name, placement.worker] += 1
         reservations.tasks.add(
             TaskName(
                 demand.job_id, demand.occurrence, demand.step_number, placement.index
--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -127,6 +127,7 @@
         fleet = self._view_builder.build(
             self._links.values(), self._suspicion, slow, reservations.usage, now_s
         )
+        fleet.count_as_placed(reservations.placed)
         self._reserve_for_urgent(fleet, now_s)
         demands = list_demands(
             self._jobs,
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -304,6 +304,10 @@
         running = sum(run.task.step_name == step_name for run in worker.runs)
         return running + self._allocated[step_name, worker.name]
 
+    def count_as_placed(self, placed: Counter[tuple[str, WorkerName]]) -> None:
+        """Count tasks that wait for stops, by name of the step and worker."""
+        self._allocated.update(placed)
+
     def allocate(self, worker: WorkerView, step: Step, step_name: str) -> None:
         """Allocate capacity to a task that starts now."""
         worker.free = worker.free.minus(charged_usage(step))
--- a/tests/coordinator/test_known_failures.py
+++ b/tests/coordinator/test_known_failures.py
@@ -222,3 +222,20 @@
     assert cluster.state("j2") is JobState.COMPLETED
     assert len(cluster.starts("j1")) > 50
     assert cluster.leader.coordinator._leadership.epoch == 1
+
+
+async def test_pending_starts_count_against_the_bound_per_worker(make_cluster):
+    """While runs were being stopped for two tasks, the third was placed beside one."""
+    cluster = make_cluster(workers=2)
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(count=16, usage=SMALL), queue="batch", work_s=60.0)
+    await cluster.advance(1.0)
+    spread = Step(count=3, usage=SMALL, max_per_worker=1)
+    await cluster.submit("j2", spread, queue="urgent", work_s=3.0)
+    # The arrival of another job makes the leader plan again.
+    await cluster.submit("j3", Step(count=1, usage=SMALL), queue="batch", work_s=1.0)
+    for _ in range(40):
+        await cluster.advance(0.05)
+        for worker in cluster.workers.values():
+            assert sum(task.startswith("j2.") for task, _ in worker.runs) <= 1
+    assert len(cluster.starts("j2")) == 2
