The longest lease is assumed after a restart with open runs

Found in the review by reading: a start order that reaches the next incarnation of a worker grants it the longest lease, since the end it carries is on the clock of the earlier one. The leader counted on its own shorter lease, so a worker that fell silent then could have its tasks started elsewhere while they ran (TWICE).

Change: after a restart of a worker with open runs, the first answer sets the end of the lease that is known to the longest one.

--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -154,6 +154,9 @@
         Whether the present incarnation has answered a poll with this term's fence.
     lease_end_ms : int
         Latest lease end that any order of this term carried, on the worker's clock.
+    unknown_lease_s : float
+        Lease that an order to an earlier incarnation may have granted to this one, in
+        seconds from the next answer; 0 if there was no such order.
     last_answer_s, unresponsive_since_s : float, optional
         Monotonic time of the last answered poll, and of the first unanswered one
         since then.
@@ -196,6 +199,7 @@
     last_received_end: int = 0
     storing_task: asyncio.Task | None = None
     lease_end_ms: int = 0
+    unknown_lease_s: float = 0.0
     runs: dict[tuple[str, int], TrackedRun] = field(default_factory=dict)
     last_answer_s: float | None = None
     unresponsive_since_s: float | None = None
@@ -250,6 +254,9 @@
         if clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
             self.clock_read_s = now_s
+        if self.unknown_lease_s:
+            self.lease_end_ms = clock_ms + int(self.unknown_lease_s * 1000)
+            self.unknown_lease_s = 0.0
 
     def record_no_answer(self, now_s: float, *, refused: bool) -> None:
         """Record an unanswered poll; `refused` if the connection was refused."""
@@ -329,8 +336,15 @@
         total_s = least_s if announced_s is None else announced_s
         return max(0.0, total_s - (now_s - self.draining_since_s))
 
-    def begin_incarnation(self, incarnation_ms: int, now_s: float) -> None:
-        """Reset the state that a restart of the worker process has lost."""
+    def begin_incarnation(
+        self, incarnation_ms: int, now_s: float, longest_lease_s: float
+    ) -> None:
+        """Reset the state that a restart of the worker process has lost.
+
+        Orders carry the end of a lease on the clock of the incarnation that they are
+        meant for. The next one, whose clock began anew, cuts it to `longest_lease_s`.
+        """
+        self.unknown_lease_s = longest_lease_s if self.runs else 0.0
         self.incarnation_began_s = now_s
         self.incarnation_ms = incarnation_ms
         self.fence_raised = False
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -163,7 +163,11 @@
 
     def _handle_restart(self, link: WorkerLink, incarnation_ms: int) -> None:
         self._log.write("workers", "reborn", worker=link.name, born_ms=incarnation_ms)
-        link.begin_incarnation(incarnation_ms, self._clock.monotonic())
+        link.begin_incarnation(
+            incarnation_ms,
+            self._clock.monotonic(),
+            self._context.timing.longest_lease_s,
+        )
         self._suspicion.forget_worker(link.name)
         for tracked in list(link.runs.values()):
             self._carry_over_run(link, tracked)
--- a/tests/coordinator/test_worker_link.py
+++ b/tests/coordinator/test_worker_link.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from chiveledge.coordinator._worker_link import WorkerLink
+from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
 from chiveledge.services.task_worker import WorkerEntry
-from chiveledge.workload import Usage
+from chiveledge.workload import OpenRun, Step, TaskName, TaskProgress, Usage
 
 
 @pytest.fixture
@@ -31,3 +31,23 @@
     """A worker may start again and run a task between two answered polls."""
     link.record_order_clock(clock_ms)
     assert link.acknowledgement == expected
+
+
+def test_lease_of_an_order_to_the_earlier_incarnation_is_waited_for(link):
+    """Such an order grants the next incarnation the longest lease there is."""
+    task = TaskProgress(run=OpenRun(1, "w", 1))
+    run = TrackedRun(TaskName("j", 0, 0, 0), task, task.run, Step())
+    link.add_run(run)
+    link.extend_lease(10.0, 6.0)
+    link.begin_incarnation(2, 20.0, longest_lease_s=10.0)
+    link.record_answer(500, 21.0)
+    link.extend_lease(21.0, 6.0)
+    assert not link.is_lease_over(30.0)
+    assert link.is_lease_over(32.0)
+
+
+def test_lease_of_an_idle_worker_is_not_longer_after_a_restart(link):
+    link.begin_incarnation(2, 20.0, longest_lease_s=10.0)
+    link.record_answer(500, 21.0)
+    link.extend_lease(21.0, 6.0)
+    assert link.is_lease_over(28.0)
