Soak: odd entries, changes, series of signals and large jobs beside the faults

They are drawn from a random sequence of their own, so that the faults of the kept seeds stay as they were. A process that ended by itself is a violation now.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,7 @@
 
 from soak.callers import Caller
 from soak.checks import InvariantChecker
+from soak.disturbances import Disturber
 from soak.faults import FaultInjector, draw_fault
 from soak.proxy import LinkProxy
 from standins.deployment import Deployment
@@ -36,8 +37,9 @@
         try:
             for name in names:
                 await deployment.launch(name)
+            disturber = Disturber(deployment, names, random.Random(f"odd {seed}"))
             violations = await _run_faults(
-                deployment, links, names, rng, seconds, callers
+                deployment, links, names, rng, seconds, callers, disturber
             )
             _print_job_logs(deployment, names, violations)
             return violations
@@ -65,6 +67,7 @@
     rng: random.Random,
     seconds: float,
     callers: int,
+    disturber: Disturber,
 ) -> list[str]:
     """Inject faults for `seconds` while callers submit jobs; return the violations."""
     for name in names:
@@ -74,7 +77,8 @@
         Caller(deployment, names, random.Random(rng.random()), number)
         for number in range(callers)
     ]
-    tasks = [asyncio.create_task(x.run()) for x in (checker, *active_callers)]
+    active = (checker, disturber, *active_callers)
+    tasks = [asyncio.create_task(x.run()) for x in active]
     injector = FaultInjector(deployment, links)
     faults = []
     clock = deployment.clock
@@ -88,9 +92,10 @@
     for task in tasks[1:]:
         task.cancel()
     await asyncio.gather(*tasks[1:], return_exceptions=True)
-    jobs = [job for caller in active_callers for job in caller.jobs]
+    jobs = [job for caller in (disturber, *active_callers) for job in caller.jobs]
     await checker.check_jobs(jobs, names[0])
     tasks[0].cancel()
+    checker.check_processes()
     accepted = sum(job.accepted for job in jobs)
     refused = sum(job.refused for job in jobs)
     print(f"  {len(jobs)} jobs, {accepted} accepted, {refused} refused", flush=True)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -66,6 +66,14 @@
             for task in restarted
         )
 
+    def check_processes(self) -> None:
+        """Check that no process ended by itself; the others were started again."""
+        self._record(
+            f"{name} ended by itself with {process.returncode}"
+            for name, process in self._deployment.processes.items()
+            if process.returncode is not None
+        )
+
     def _check_outcome(self, job: JobRecord) -> None:
         started = self._deployment.count_starts(job.path)
         if job.refused and started:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,8 +18,9 @@
 SHORT_TIMEOUT = aiohttp.ClientTimeout(total=0.3)
 
 
-async def test_short_soak_violates_no_invariant():
-    assert await run_seed(1, seconds=6.0, nodes=2, callers=2) == []
+@pytest.mark.parametrize("seed,nodes,callers", [(1, 2, 2), (2, 6, 3)])
+async def test_short_soak_violates_no_invariant(seed, nodes, callers):
+    assert await run_seed(seed, seconds=6.0, nodes=nodes, callers=callers) == []
 
 
 async def greet(request: web.Request) -> web.Response:
