Mends: large modules, repeated logic, one factor under two names

TrackedRun is a module of its own, as are the operators' rows of a process and the allocator's types; the command line prints a first reply in one function; the factor after which a job has no value stands once, and two weights of one name are told apart. No behaviour changes.

The stand-in's crash of a worker closes its connections, and the worker is away for 0.3 s.

--- a/benchmarks/credit.py
+++ b/benchmarks/credit.py
@@ -6,9 +6,7 @@
 from typing import NamedTuple
 
 from benchmarks.load import Job
-
-LATE_FACTOR = 3.0
-"""Multiple of its objective after which a job earns nothing."""
+from chiveledge.workload import ZERO_VALUE_FACTOR
 
 MIN_WEIGHT = 0.3
 MAX_WEIGHT = 4.0
@@ -72,4 +70,4 @@
     took_s = job.finished_s - job.arrival_s
     if took_s <= objective_s:
         return job.kind.credit
-    return job.kind.late_credit if took_s <= LATE_FACTOR * objective_s else 0.0
+    return job.kind.late_credit if took_s <= ZERO_VALUE_FACTOR * objective_s else 0.0
--- a/benchmarks/emulator.py
+++ b/benchmarks/emulator.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from benchmarks.credit import LATE_FACTOR, sum_credit
+from benchmarks.credit import sum_credit
 from benchmarks.load import ARRIVALS_S, Burst, Job, Site, draw_jobs
 from chiveledge.coordinator import RunTimeEstimator
 from chiveledge.placement import (
@@ -29,7 +29,7 @@
     count_reserved,
     make_plan,
 )
-from chiveledge.workload import TaskName, Usage
+from chiveledge.workload import ZERO_VALUE_FACTOR, TaskName, Usage
 
 SERVICE = "pool"
 SUBMIT_DELAY_S = 0.08
@@ -299,7 +299,7 @@
                 priority=job.kind.priority,
                 indices=indices,
                 due_s=objective_s - age_s,
-                zero_value_s=LATE_FACTOR * objective_s - age_s,
+                zero_value_s=ZERO_VALUE_FACTOR * objective_s - age_s,
                 remaining_s=expected_s,
                 run_s=expected_s,
                 waited_s=age_s,
--- a/chiveledge/cells/__init__.py
+++ b/chiveledge/cells/__init__.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from chiveledge.cells._allocator import (
-    CellAllocator,
+from chiveledge.cells._allocations import (
     CellGuarantee,
     GangAllocation,
     GuaranteeRisk,
     GuaranteeUse,
 )
+from chiveledge.cells._allocator import CellAllocator
 from chiveledge.cells._packing import CellShape, count_unplaced, free_blocks
 from chiveledge.cells._topology import (
     Cell,
--- a/chiveledge/cli/_client.py
+++ b/chiveledge/cli/_client.py
@@ -109,6 +109,26 @@
     sys.exit(EXIT_BAD_INPUT)
 
 
+def print_first_reply(url: str, call: Call, *, as_json: bool) -> int:
+    """Make a call to the first URL that can be reached, and print its reply.
+
+    Parameters
+    ----------
+    url : str
+        URLs, separated by commas; see `read_urls`.
+    call : Call
+        Call to make.
+    as_json : bool
+        Whether the reply is printed as JSON.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    return print_reply(call_first_reachable(read_urls(url), call), as_json=as_json)
+
+
 async def _call_first_reachable(urls: list[str], call: Call) -> Reply:
     reply = Reply(0, {"detail": "no process could be reached"})
     async with _open_session() as session:
--- a/chiveledge/cli/_commands.py
+++ b/chiveledge/cli/_commands.py
@@ -14,12 +14,10 @@
     EXIT_BAD_INPUT,
     EXIT_SUCCESS,
     Call,
-    call_first_reachable,
     exit_bad_input,
     make_caller_headers,
     make_operator_headers,
-    print_reply,
-    read_urls,
+    print_first_reply,
 )
 from chiveledge.configuration import parse_document
 from chiveledge.process import run_process
@@ -70,7 +68,7 @@
     if deadline_ms:
         headers["Chiveledge-Deadline-Ms"] = str(deadline_ms)
     call = Call("POST", f"/v1/requests/{kind}", headers, body.encode())
-    return print_reply(call_first_reachable(read_urls(url), call), as_json=json)
+    return print_first_reply(url, call, as_json=json)
 
 
 def submit(
@@ -121,7 +119,7 @@
     headers = make_caller_headers(token, workspace)
     headers["Idempotency-Key"] = key or uuid.uuid4().hex
     call = Call("POST", "/v1/jobs", headers, json_codec.dumps(job).encode())
-    return print_reply(call_first_reachable(read_urls(url), call), as_json=json)
+    return print_first_reply(url, call, as_json=json)
 
 
 def cancel(
@@ -142,7 +140,7 @@
     """
     headers = make_caller_headers(token, workspace)
     call = Call("DELETE", f"/v1/jobs/{job_id}", headers)
-    return print_reply(call_first_reachable(read_urls(url), call), as_json=json)
+    return print_first_reply(url, call, as_json=json)
 
 
 def preset(
@@ -165,11 +163,10 @@
     :param token: operator token
     :param json: print the reply as JSON
     """
-    headers = make_operator_headers(token)
-    headers |= {"If-Match": str(expect), "Chiveledge-Operator": operator}
+    headers = _make_change_headers(token, expect, operator)
     path = f"/v1/admin/preset/{name}" + ("?dry_run=1" if dry_run else "")
     call = Call("PUT", path, headers)
-    return print_reply(call_first_reachable(read_urls(url), call), as_json=json)
+    return print_first_reply(url, call, as_json=json)
 
 
 def set_configuration(
@@ -199,11 +196,15 @@
     problem = parse_document(str(file), text).err()
     if problem is not None:
         exit_bad_input(str(problem))
-    headers = make_operator_headers(token)
-    headers |= {"If-Match": str(expect), "Chiveledge-Operator": operator}
+    headers = _make_change_headers(token, expect, operator)
     path = "/v1/admin/configuration" + ("?dry_run=1" if dry_run else "")
     call = Call("PUT", path, headers, text.encode())
-    return print_reply(call_first_reachable(read_urls(url), call), as_json=json)
+    return print_first_reply(url, call, as_json=json)
+
+
+def _make_change_headers(token: str, expect: int, operator: str) -> dict[str, str]:
+    change = {"If-Match": str(expect), "Chiveledge-Operator": operator}
+    return make_operator_headers(token) | change
 
 
 def drain(*, url: str = "", token: str = "", json: bool = False) -> int:
@@ -214,4 +215,4 @@
     :param json: print the reply as JSON
     """
     call = Call("POST", "/v1/admin/drain", make_operator_headers(token))
-    return print_reply(call_first_reachable(read_urls(url), call), as_json=json)
+    return print_first_reply(url, call, as_json=json)
--- a/chiveledge/cli/_queries.py
+++ b/chiveledge/cli/_queries.py
@@ -14,9 +14,9 @@
     Call,
     Reply,
     call_all,
-    call_first_reachable,
     make_caller_headers,
     make_operator_headers,
+    print_first_reply,
     print_reply,
     read_urls,
 )
@@ -47,7 +47,7 @@
     :param json: print the reply as JSON
     """
     call = Call("GET", f"/v1/jobs/{job_id}", make_caller_headers(token, workspace))
-    return print_reply(call_first_reachable(read_urls(url), call), as_json=json)
+    return print_first_reply(url, call, as_json=json)
 
 
 def result(
@@ -69,7 +69,7 @@
     call = Call(
         "GET", f"/v1/jobs/{job_id}/result", make_caller_headers(token, workspace)
     )
-    return print_reply(call_first_reachable(read_urls(url), call), as_json=json)
+    return print_first_reply(url, call, as_json=json)
 
 
 def explain(job_id: str, *, url: str = "", token: str = "", json: bool = False) -> int:
@@ -152,7 +152,7 @@
     :param json: print the reply as JSON
     """
     call = Call("GET", "/v1/admin/configuration", make_operator_headers(token))
-    return print_reply(call_first_reachable(read_urls(url), call), as_json=json)
+    return print_first_reply(url, call, as_json=json)
 
 
 def hosts(*, url: str = "", token: str = "", json: bool = False) -> int:
--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -7,11 +7,11 @@
 
 from chiveledge.coordinator._run_times import RunTimeEstimator
 from chiveledge.placement import (
-    ZERO_VALUE_FACTOR,
     StepDemand,
     find_guaranteed_jobs,
 )
 from chiveledge.workload import (
+    ZERO_VALUE_FACTOR,
     Catalogue,
     JobProgress,
     StepProgress,
--- a/chiveledge/coordinator/_fleet_view.py
+++ b/chiveledge/coordinator/_fleet_view.py
@@ -8,7 +8,8 @@
 from typing import NamedTuple
 
 from chiveledge.coordinator._demands import find_policy
-from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
+from chiveledge.coordinator._tracked_run import TrackedRun
+from chiveledge.coordinator._worker_link import WorkerLink
 from chiveledge.placement import FleetView, RunView, WorkerSuspicion, WorkerView
 from chiveledge.services.task_worker import WorkerEntry
 from chiveledge.types import WorkerName
--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -16,7 +16,8 @@
 from chiveledge.coordinator._context import TermContext
 from chiveledge.coordinator._hedged_orders import send_hedged
 from chiveledge.coordinator._progress_writer import ProgressWriter
-from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
+from chiveledge.coordinator._tracked_run import TrackedRun
+from chiveledge.coordinator._worker_link import WorkerLink
 from chiveledge.leadership import Leadership
 from chiveledge.services import Unavailable
 from chiveledge.services.task_worker import (
--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -15,7 +15,8 @@
 from chiveledge.coordinator._pending_starts import PendingStarts
 from chiveledge.coordinator._run_times import RunTimeEstimator
 from chiveledge.coordinator._supervision import FleetSupervisor
-from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
+from chiveledge.coordinator._tracked_run import TrackedRun
+from chiveledge.coordinator._worker_link import WorkerLink
 from chiveledge.leadership import Leadership
 from chiveledge.placement import (
     URGENT_PRIORITY,
--- a/chiveledge/coordinator/_reconciliation.py
+++ b/chiveledge/coordinator/_reconciliation.py
@@ -11,7 +11,8 @@
 from chiveledge.coordinator._orders import OrderDispatcher
 from chiveledge.coordinator._progress_writer import ProgressWriter
 from chiveledge.coordinator._run_times import RunTimeEstimator
-from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
+from chiveledge.coordinator._tracked_run import TrackedRun
+from chiveledge.coordinator._worker_link import WorkerLink
 from chiveledge.placement import (
     COMPLETE_PERCENT,
     MIN_STALL_S,
--- a/chiveledge/coordinator/_stragglers.py
+++ b/chiveledge/coordinator/_stragglers.py
@@ -4,7 +4,7 @@
 
 from chiveledge.coordinator._demands import find_deadline, find_policy
 from chiveledge.coordinator._run_times import RunTimeEstimator
-from chiveledge.coordinator._worker_link import TrackedRun
+from chiveledge.coordinator._tracked_run import TrackedRun
 from chiveledge.placement import COMPLETE_PERCENT, Straggler, should_restart
 from chiveledge.workload import Catalogue, JobProgress, RunState
 
--- a/chiveledge/coordinator/_supervision.py
+++ b/chiveledge/coordinator/_supervision.py
@@ -8,7 +8,8 @@
 from chiveledge.coordinator._reconciliation import Reconciler
 from chiveledge.coordinator._run_times import RunTimeEstimator
 from chiveledge.coordinator._stragglers import should_restart_elsewhere
-from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
+from chiveledge.coordinator._tracked_run import TrackedRun
+from chiveledge.coordinator._worker_link import WorkerLink
 from chiveledge.placement import FleetView, LearntSpeeds, MemberRate, WorkerSpeeds
 from chiveledge.types import WorkerName
 from chiveledge.workload import JobProgress
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -20,8 +20,9 @@
 from chiveledge.coordinator._reconciliation import Reconciler
 from chiveledge.coordinator._run_times import RunTimeEstimator
 from chiveledge.coordinator._supervision import FleetSupervisor
+from chiveledge.coordinator._tracked_run import TrackedRun
 from chiveledge.coordinator._upkeep import UpkeepController
-from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
+from chiveledge.coordinator._worker_link import WorkerLink
 from chiveledge.coordinator._workers import POLL_RETRY_S, WorkerMonitor
 from chiveledge.decoding import DECODE_ERRORS, describe_error
 from chiveledge.intake import (
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -3,24 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from dataclasses import dataclass, field
 
-from chiveledge.placement import COMPLETE_PERCENT, charged_usage
+from chiveledge.coordinator._tracked_run import TrackedRun
 from chiveledge.services.task_worker import TaskWorker, WorkerEntry
 from chiveledge.types import WorkerName
-from chiveledge.workload import OpenRun, Step, TaskName, TaskProgress, Usage
+from chiveledge.workload import Usage
 
 CLOCK_RATE = 0.98
 """Lowest rate of a worker's clock relative to the leader's."""
 
-MAX_PERCENT_SAMPLES = 8
-MIN_RATE_SPAN_S = 0.4
-"""Shortest time over which a rate is computed, as percents are whole numbers."""
-
-MIN_PERCENT_GAIN = 15
-"""Progress from which a mean rate is known within a few percent."""
-
 MAX_OVERTAKING_MS = 1000
 """How much earlier than a poll an order may have been answered whose answer arrives
 after that of the poll; longer than the timeout of an order."""
@@ -29,108 +21,6 @@
 """Least time between the last answer of a worker that is cut off and the removal of
 its entry, in heartbeat intervals: the entry lapses after three without a heartbeat."""
 
-MAX_OVERDUE_S = 0.5
-"""How much later than predicted a run may end. Covers rounded percents, the duration
-of a poll and the transmission of its answer."""
-
-
-@dataclass(eq=False)
-class TrackedRun:
-    """An open run and what is needed to detect its end.
-
-    Attributes
-    ----------
-    resolved_s : float, optional
-        A poll that is sent at this monotonic time or later and does not show the run
-        proves that the run is gone. None while the start order may still be executed.
-    stopping : bool
-        Whether a stop order was issued.
-    adopted : bool
-        Whether an earlier leader started the run, so that its start time is unknown.
-    reported : bool
-        Whether the present incarnation of the worker has reported the run.
-    percent_samples : deque
-        Monotonic times and percents of the last polls.
-    """
-
-    name: TaskName
-    task: TaskProgress
-    run: OpenRun
-    step: Step
-    resolved_s: float | None = None
-    stopping: bool = False
-    adopted: bool = False
-    reported: bool = False
-    percent_samples: deque[tuple[float, int]] = field(
-        default_factory=lambda: deque(maxlen=MAX_PERCENT_SAMPLES)
-    )
-
-    @property
-    def usage(self) -> Usage:
-        """Capacity that the run takes on its worker."""
-        return charged_usage(self.step)
-
-    @property
-    def is_serving(self) -> bool:
-        """Whether the task answers requests under a latency target."""
-        return self.step.latency_target_ms > 0
-
-    @property
-    def is_filler(self) -> bool:
-        """Whether the task uses only capacity that other runs leave."""
-        return self.step.filler
-
-    @property
-    def key(self) -> tuple[str, int]:
-        """Task and number of the run."""
-        return str(self.name), self.run.number
-
-    def ran_s(self, now_s: float) -> float | None:
-        """Return the run time so far; None if an earlier leader started the run."""
-        return None if self.adopted else round(now_s - self.run.began_s, 3)
-
-    def record_percent(self, percent: int, now_s: float) -> None:
-        """Record the progress that a poll showed."""
-        self.percent_samples.append((now_s, percent))
-
-    @property
-    def percent_per_s(self) -> float | None:
-        """Rate over the last polls; None if they span less than `MIN_RATE_SPAN_S`."""
-        if len(self.percent_samples) < 2:
-            return None
-        newest_s, newest = self.percent_samples[-1]
-        for began_s, percent in reversed(self.percent_samples):
-            if newest_s - began_s >= MIN_RATE_SPAN_S:
-                return (newest - percent) / (newest_s - began_s)
-        return None
-
-    @property
-    def mean_percent_per_s(self) -> float | None:
-        """Rate since the start, or the first poll for a run that resumed.
-
-        None while too little of the run is done, or if it stands still.
-        """
-        rows = [row for row in self.percent_samples if row[1] < COMPLETE_PERCENT]
-        if not self.adopted and not self.task.checkpoint:
-            rows.insert(0, (self.run.began_s, 0))
-        if len(rows) < 2 or rows[-1][1] - rows[0][1] < MIN_PERCENT_GAIN:
-            return None
-        if rows[-1][1] == rows[-2][1]:
-            return None
-        return (rows[-1][1] - rows[0][1]) / (rows[-1][0] - rows[0][0])
-
-    def ends_within(self, span_s: float, now_s: float) -> bool:
-        """Return whether the run is expected to end by itself within a time span.
-
-        False for a run that is overdue, as its prediction has failed.
-        """
-        rate = self.percent_per_s
-        if not rate or self.step.lasting:
-            return False
-        newest_s, newest = self.percent_samples[-1]
-        left_s = (COMPLETE_PERCENT - newest) / rate - (now_s - newest_s)
-        return -MAX_OVERDUE_S <= left_s <= span_s
-
 
 @dataclass(eq=False)
 class WorkerLink:
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -10,11 +10,8 @@
 from chiveledge.coordinator._context import TermContext
 from chiveledge.coordinator._orders import OrderDispatcher
 from chiveledge.coordinator._reconciliation import Reconciler
-from chiveledge.coordinator._worker_link import (
-    CLOCK_RATE,
-    TrackedRun,
-    WorkerLink,
-)
+from chiveledge.coordinator._tracked_run import TrackedRun
+from chiveledge.coordinator._worker_link import CLOCK_RATE, WorkerLink
 from chiveledge.leadership import Leadership
 from chiveledge.placement import WorkerSuspicion
 from chiveledge.services import Row, Unavailable
--- a/chiveledge/gateway/_dispatch.py
+++ b/chiveledge/gateway/_dispatch.py
@@ -52,7 +52,8 @@
 MIN_SEND_TIME_S = 0.005
 """Time before the deadline below which a request is no longer sent."""
 
-SERVICE_EWMA_WEIGHT = 0.05
+OVERALL_EWMA_WEIGHT = 0.05
+"""Weight of the latest service time in the moving average of all minions."""
 
 REASON_BY_LOSS = {
     "timeout": Reason.DEADLINE,
@@ -349,7 +350,7 @@
         return self._random.uniform(0, min(RETRY_BASE_S * 2**sends, RETRY_MAX_S))
 
     def _update_service_time(self, took_s: float) -> None:
-        weight = SERVICE_EWMA_WEIGHT if self._service_time_s else 1.0
+        weight = OVERALL_EWMA_WEIGHT if self._service_time_s else 1.0
         self._service_time_s += weight * (took_s - self._service_time_s)
 
     def _record_outcome(
--- a/chiveledge/gateway/_router.py
+++ b/chiveledge/gateway/_router.py
@@ -38,7 +38,9 @@
 SLOW_FACTOR = 4.0
 """Multiple of the median service time above which a minion counts as slow."""
 
-SERVICE_EWMA_WEIGHT = 0.1
+MINION_EWMA_WEIGHT = 0.1
+"""Weight of the latest service time in the moving average of a minion."""
+
 PEER_REPORT_TTL_S = 5.0
 
 
@@ -230,7 +232,7 @@
             return
         state.failures = 0
         state.ejections = 0
-        weight = SERVICE_EWMA_WEIGHT if state.service_time_s else 1.0
+        weight = MINION_EWMA_WEIGHT if state.service_time_s else 1.0
         state.service_time_s += weight * (service_time_s - state.service_time_s)
 
     def record_decline(self, name: MinionName) -> None:
--- a/chiveledge/log_report/_report.py
+++ b/chiveledge/log_report/_report.py
@@ -9,9 +9,7 @@
 
 from chiveledge.log_report._histories import DONE, JobHistory, Period, count_stops
 from chiveledge.log_report._time_split import TimeUse, classify_loss, split_time
-
-LATE_FACTOR = 3.0
-"""Multiple of its objective after which a job counts as too late."""
+from chiveledge.workload import ZERO_VALUE_FACTOR
 
 TENTHS = 10
 
@@ -34,7 +32,8 @@
     jobs : int
         Jobs that callers handed in and did not cancel.
     in_time, late, too_late : int
-        Completed jobs within their objective, within `LATE_FACTOR` times it, and after.
+        Completed jobs within their objective, within `ZERO_VALUE_FACTOR` times it, and
+        after.
     refused : int
         Jobs that were never stored.
     unfinished : int
@@ -160,7 +159,7 @@
     completed = [job for job in owed if job.completed_s is not None]
     times_s = [(_completion_s(job), job.objective_s) for job in completed]
     in_time = sum(took_s <= objective_s for took_s, objective_s in times_s)
-    too_late = sum(took_s > LATE_FACTOR * objective for took_s, objective in times_s)
+    too_late = sum(took_s > ZERO_VALUE_FACTOR * limit_s for took_s, limit_s in times_s)
     refused = sum(_was_refused(job) for job in owed)
     failed = sum(job.failed for job in owed)
     return GroupSummary(
--- a/chiveledge/placement/__init__.py
+++ b/chiveledge/placement/__init__.py
@@ -12,7 +12,6 @@
 from chiveledge.placement._learnt_speed import LearntSpeeds, MemberRate
 from chiveledge.placement._order import (
     URGENT_PRIORITY,
-    ZERO_VALUE_FACTOR,
     StepDemand,
     find_guaranteed_jobs,
     sort_demands,
@@ -37,7 +36,6 @@
     "COMPLETE_PERCENT",
     "MIN_STALL_S",
     "URGENT_PRIORITY",
-    "ZERO_VALUE_FACTOR",
     "DeferredStart",
     "FleetView",
     "LearntSpeeds",
--- a/chiveledge/placement/_order.py
+++ b/chiveledge/placement/_order.py
@@ -20,9 +20,6 @@
 URGENT_PRIORITY = 0
 """Priority of the jobs for which runs of other jobs may be stopped."""
 
-ZERO_VALUE_FACTOR = 3.0
-"""A job has no value after this multiple of its objective."""
-
 
 class Timeliness(IntEnum):
     """Whether a job is in time if it starts now; lower values are placed first."""
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -7,7 +7,6 @@
 import random
 import signal
 import sys
-from collections.abc import Iterable
 
 from absl import logging
 from aiohttp import web
@@ -31,16 +30,9 @@
 from chiveledge.metrics import Metrics
 from chiveledge.platform._advice import PlatformAdvice
 from chiveledge.platform._api import ApiHandler
-from chiveledge.platform._catalogue import (
-    CONFIGURATION_KEY,
-    CONFIGURATION_PREFIX,
-    decode_catalogue,
-)
-from chiveledge.platform._machines import (
-    WAVE_PREFIX,
-    PlatformMachines,
-    decode_wave,
-)
+from chiveledge.platform._catalogue import CONFIGURATION_PREFIX
+from chiveledge.platform._machines import PlatformMachines
+from chiveledge.platform._operator_rows import OperatorRows
 from chiveledge.platform._serving import listen, render_metrics
 from chiveledge.platform._settings import (
     SETTINGS_VARIABLE,
@@ -54,9 +46,7 @@
     PlatformWorker,
     WorkerDecoder,
 )
-from chiveledge.services import ConnectionPool, HttpCaller, Row
-from chiveledge.services.machines import Wave
-from chiveledge.workload import Catalogue
+from chiveledge.services import ConnectionPool, HttpCaller
 
 EXIT_BAD_SETTINGS = 2
 SHARD = "all"
@@ -124,8 +114,7 @@
         self._clock = SystemClock()
         self._log = JsonLog(settings.node, self._clock, domain=settings.domain)
         self._metrics = Metrics()
-        self._catalogue = Catalogue()
-        self._waves: dict[str, Wave] = {}
+        self._operator_rows = OperatorRows(self._log)
         self._pools: list[ConnectionPool] = []
         self._status_cache = JobStatusCache(self._log)
         self._draining = asyncio.Event()
@@ -142,7 +131,7 @@
         store = self._make_store()
         self._make_followers(store)
         handler = ApiHandler(
-            lambda: self._catalogue,
+            lambda: self._operator_rows.catalogue,
             lambda: self._configuration_follower.age_s,
             self._max_configuration_age_s,
             self._draining.is_set,
@@ -228,7 +217,7 @@
             CONFIGURATION_PREFIX,
             self._clock,
             self._log,
-            self._apply_operator_rows,
+            self._operator_rows.apply_changes,
             wait_s=self._settings.bounds.config_apply_s * CONFIGURATION_WATCH_SHARE,
         )
         self._status_follower = TableFollower(
@@ -295,7 +284,7 @@
             worker_prefix=WORKER_PREFIX,
             decode_worker=WorkerDecoder(self._log).decode,
             make_worker=lambda entry: PlatformWorker(entry, self._metrics),
-            catalogue=lambda: self._catalogue,
+            catalogue=lambda: self._operator_rows.catalogue,
             clock=self._clock,
             log=self._log,
             metrics=self._metrics,
@@ -303,7 +292,7 @@
             max_row_chars=self._max_row_chars,
             advice=self._make_advice(),
             machines=self._make_machines(),
-            waves=lambda: list(self._waves.values()),
+            waves=lambda: self._operator_rows.waves,
         )
         leadership = Leadership(
             SHARD,
@@ -328,57 +317,6 @@
         url = f"http://{self._settings.machines}"
         return PlatformMachines(self._make_caller(url, 2))
 
-    def _apply_operator_rows(
-        self, rows: Iterable[Row], deleted: Iterable[str], is_snapshot: bool
-    ) -> None:
-        rows = list(rows)
-        if is_snapshot:
-            self._waves.clear()
-        for key in deleted:
-            self._waves.pop(key, None)
-        for row in rows:
-            if row.key.startswith(WAVE_PREFIX):
-                self._apply_wave(row)
-        self._apply_configuration(rows)
-
-    def _apply_wave(self, row: Row) -> None:
-        match decode_wave(row.value):
-            case Ok(wave):
-                self._waves[row.key] = wave
-                self._log.write(
-                    "upkeep",
-                    "wave",
-                    wave=wave.number,
-                    machines=len(wave.machines),
-                    within_s=wave.within_s,
-                    most_down=wave.max_down,
-                )
-            case Err(reason):
-                self._log.write("upkeep", "unreadable", key=row.key, reason=reason)
-
-    def _apply_configuration(self, rows: list[Row]) -> None:
-        for row in rows:
-            if row.key != CONFIGURATION_KEY:
-                continue
-            match decode_catalogue(row.value):
-                case Ok(catalogue):
-                    self._apply_catalogue(catalogue)
-                case Err(reason):
-                    self._log.write("configuration", "unreadable", reason=reason)
-
-    def _apply_catalogue(self, catalogue: Catalogue) -> None:
-        if catalogue.revision <= self._catalogue.revision:
-            return
-        self._log.write(
-            "configuration",
-            "applied",
-            revision=catalogue.revision,
-            before=self._catalogue.revision,
-            queues=len(catalogue.queues),
-            workspaces=len(catalogue.workspaces),
-        )
-        self._catalogue = catalogue
-
     @property
     def _max_configuration_age_s(self) -> float:
         return self._settings.bounds.config_apply_s * TRUSTED_AGE_SHARE
@@ -386,7 +324,7 @@
     async def _handle_readiness(self, request: web.BaseRequest) -> web.Response:
         ready = (
             not self._draining.is_set()
-            and self._catalogue.revision > 0
+            and self._operator_rows.catalogue.revision > 0
             and self._configuration_follower.age_s
             < self._settings.bounds.config_apply_s * READY_AGE_SHARE
         )
--- a/chiveledge/workload/__init__.py
+++ b/chiveledge/workload/__init__.py
@@ -12,6 +12,7 @@
     Workspace,
 )
 from chiveledge.workload._model import (
+    ZERO_VALUE_FACTOR,
     JobRequest,
     JobState,
     Step,
@@ -36,6 +37,7 @@
 from chiveledge.workload._request_codec import decode_request, encode_request
 
 __all__ = [
+    "ZERO_VALUE_FACTOR",
     "AdvicePolicy",
     "Catalogue",
     "EncodedProgress",
--- a/chiveledge/workload/_model.py
+++ b/chiveledge/workload/_model.py
@@ -10,6 +10,9 @@
 ACCELERATOR_CORES = 8
 """Processor cores to which one accelerator is equivalent when work is compared."""
 
+ZERO_VALUE_FACTOR = 3.0
+"""Multiple of its objective after which a job's result has no value."""
+
 MAX_NAME_DIGITS = 16
 """Most digits of a number in the name of a task."""
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -106,6 +106,7 @@
         self._deployment = deployment
         self._links = links
         self._disrupted: set[str] = set()
+        self._crashed: set[int] = set()
 
     async def inject(self, fault: Fault) -> None:
         """Inject one fault and revert it when its time is over."""
@@ -124,14 +125,16 @@
                 await asyncio.sleep(duration_s)
                 faults.set({})
             case WorkerCrash(number):
-                self._crash_worker(number)
+                await self._crash_worker(number)
             case Pause(node) | Kill(node) | Stop(node):
                 await self._disrupt_process(node, fault)
 
-    def _crash_worker(self, number: int) -> None:
-        worker = self._deployment.workers[number]
-        worker.crash(worker.entry.incarnation_ms + 1)
-        self._deployment.publish(worker)
+    async def _crash_worker(self, number: int) -> None:
+        if number in self._crashed:
+            return
+        self._crashed.add(number)
+        await self._deployment.crash_worker(number)
+        self._crashed.discard(number)
 
     async def _disrupt_process(self, node: str, fault: Pause | Kill | Stop) -> None:
         if node in self._disrupted:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -25,6 +25,10 @@
 """Time within which a repeated call must satisfy its condition."""
 
 POLL_PERIOD_S = 0.05
+
+WORKER_RESTART_S = 0.3
+"""Time from the crash of a worker until it serves again."""
+
 WORKER_CAPACITY = Usage(8000, 8000, 4)
 CALLER = {"Host": "h.example", "Authorization": "Bearer k1"}
 
@@ -112,6 +116,7 @@
         self._map_address = map_address or _keep_address
         self._store_addresses: dict[str, str] = {}
         self._worker_addresses: dict[str, str] = {}
+        self._worker_runners: dict[str, web.AppRunner] = {}
         self._ports: dict[str, int] = {}
         self._runners: list[web.AppRunner] = []
         self._worker_tasks: list[asyncio.Task[None]] = []
@@ -141,10 +146,29 @@
         self.workers.append(worker)
         runner, address = await serve(make_worker_app(worker))
         self._runners.append(runner)
+        self._worker_runners[name] = runner
         self._worker_addresses[name] = await self._map_address(name, address)
         self.publish(worker)
         self._worker_tasks.append(asyncio.create_task(worker.run()))
 
+    async def crash_worker(self, number: int) -> None:
+        """Crash a worker, with its connections, and start its next incarnation.
+
+        No call that was sent to the crashed incarnation reaches the next one.
+        """
+        worker = self.workers[number]
+        runner = self._worker_runners[worker.entry.name]
+        (site,) = runner.sites
+        _, port = runner.addresses[0]
+        await site.stop()
+        for connection in runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+        worker.crash(worker.entry.incarnation_ms + 1)
+        await asyncio.sleep(WORKER_RESTART_S)
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+        self.publish(worker)
+
     def publish(self, worker: MemoryTaskWorker) -> None:
         """Write a worker's row in its present state to the store."""
         name = worker.entry.name
--- a/tests/coordinator/test_fleet_view.py
+++ b/tests/coordinator/test_fleet_view.py
@@ -7,7 +7,8 @@
 import pytest
 
 from chiveledge.coordinator._fleet_view import FleetViewBuilder, SlowWorkers
-from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
+from chiveledge.coordinator._tracked_run import TrackedRun
+from chiveledge.coordinator._worker_link import WorkerLink
 from chiveledge.placement import WorkerSuspicion, make_plan
 from chiveledge.services.task_worker import WorkerEntry
 from chiveledge.workload import (
--- a/tests/coordinator/test_worker_link.py
+++ b/tests/coordinator/test_worker_link.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from chiveledge.coordinator._worker_link import TrackedRun, WorkerLink
+from chiveledge.coordinator._tracked_run import TrackedRun
+from chiveledge.coordinator._worker_link import WorkerLink
 from chiveledge.services.task_worker import WorkerEntry
 from chiveledge.workload import OpenRun, Step, TaskName, TaskProgress, Usage
 
