Logs tell on what a run's closing and an acknowledgement rest

Change: `closed` has the state of the run and what is known of its worker (listed, draining, ages of the last answer and of the removal from the list, lease left, last error); `acknowledged` has number, incarnation and age of the answer it rests on; `reborn` has the acknowledgement that the earlier incarnation was sent; `orders/unanswered` for each start order with a copy in doubt; run numbers in `placed`; counters `runs_closed_unreported_*` and `starts_unanswered`. `chiveledge trace` shows closed runs. No decision changed.

--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -219,6 +219,8 @@
                 self._clock, lambda order=order: link.client.start(order)
             )
             unanswered |= answered.unanswered
+            if answered.unanswered:
+                self._log_unanswered(link, tracked)
             match answered.result:
                 case Ok(answer):
                     self._mark_started(link, tracked, answer.clock_ms)
@@ -233,11 +235,24 @@
                 case Err(_):
                     unanswered = True
                     run.state = RunState.UNKNOWN
+                    if not answered.unanswered:
+                        self._log_unanswered(link, tracked)
             if run.state is RunState.RUNNING:
                 return True
         self.stop(link, tracked, "the worker did not answer the start order")
         return False
 
+    def _log_unanswered(self, link: WorkerLink, tracked: TrackedRun) -> None:
+        self._metrics.count("starts_unanswered")
+        self._log.write(
+            "orders",
+            "unanswered",
+            id=tracked.name.job_id,
+            task=str(tracked.name),
+            run=tracked.run.number,
+            worker=link.name,
+        )
+
     def _mark_started(
         self, link: WorkerLink, tracked: TrackedRun, clock_ms: int
     ) -> None:
--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -240,6 +240,7 @@
             step=demand.step_name,
             tasks=[placement.index for placement in placements],
             workers=[placement.worker for placement in placements],
+            runs=[tracked.run.number for _, tracked in started],
             cores=charged_usage(demand.step).core_equivalents,
             checkpoints=demand.step.checkpoints,
             expected_s=round(self._estimator.expected_s(job.request, demand.step), 3),
--- a/chiveledge/coordinator/_reconciliation.py
+++ b/chiveledge/coordinator/_reconciliation.py
@@ -12,7 +12,7 @@
 from chiveledge.coordinator._progress_writer import ProgressWriter
 from chiveledge.coordinator._run_times import RunTimeEstimator
 from chiveledge.coordinator._tracked_run import TrackedRun
-from chiveledge.coordinator._worker_link import WorkerLink
+from chiveledge.coordinator._worker_link import WorkerLink, age_s
 from chiveledge.placement import (
     COMPLETE_PERCENT,
     MIN_STALL_S,
@@ -117,6 +117,8 @@
         self, link: WorkerLink, tracked: TrackedRun, how: RunEnd, reason: str
     ) -> None:
         """Close a run whose end the worker did not report."""
+        now_s = self._clock.monotonic()
+        self._metrics.count(f"runs_closed_unreported_{how}")
         self._log.write(
             "settlement",
             "closed",
@@ -126,6 +128,11 @@
             worker=link.name,
             how=how,
             why=reason,
+            state=tracked.run.state,
+            adopted=tracked.adopted,
+            reported=tracked.reported,
+            resolved_age_s=age_s(tracked.resolved_s, now_s),
+            **link.describe_contact(now_s),
         )
         self._finish_run(link, tracked, how, tracked.run.checkpoint)
         self._progress_writer.mark_dirty(self._jobs[tracked.name.job_id])
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -265,6 +265,7 @@
             id=job_id,
             state=job.state,
             known=bool(stored),
+            runs=sum(1 for _ in job.open_runs()),
             stretch=request.stretch,
             target_s=request.target_s,
             after=[step.after for step in request.steps],
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from math import isinf
+from typing import TypedDict
 
 from chiveledge.coordinator._tracked_run import TrackedRun
 from chiveledge.services.task_worker import TaskWorker, WorkerEntry
@@ -22,6 +24,39 @@
 its entry, in heartbeat intervals: the entry lapses after three without a heartbeat."""
 
 
+def age_s(since_s: float | None, now_s: float) -> float | None:
+    """Return the time since a monotonic time, rounded; None if that is not known."""
+    if since_s is None or isinf(since_s):
+        return None
+    return round(now_s - since_s, 3)
+
+
+class ContactRecord(TypedDict):
+    """What was known of a worker when a decision on its runs was taken, for the log.
+
+    Attributes
+    ----------
+    incarnation_ms : int
+        Incarnation that the leader takes it for.
+    listed, draining : bool
+        Whether the platform lists it, and whether its last entry announced draining.
+    unlisted_age_s, answer_age_s : float, optional
+        Time since the platform ceased to list it, and since its last answered poll.
+    lease_left_s : float, optional
+        Time until its lease is surely over; None if its clock is not known.
+    error : str
+        Error of the last poll; empty if it was answered.
+    """
+
+    incarnation_ms: int
+    listed: bool
+    draining: bool
+    unlisted_age_s: float | None
+    answer_age_s: float | None
+    lease_left_s: float | None
+    error: str
+
+
 @dataclass(eq=False)
 class WorkerLink:
     """State of one worker within one leader term, and its client.
@@ -38,6 +73,8 @@
         Monotonic time at which the platform ceased to list it.
     refused : bool
         Whether the connection was refused at the last poll.
+    error : str
+        Error of the last poll; empty if it was answered.
     draining_since_s : float, optional
         Monotonic time at which the present entry announced draining.
     fence_raised : bool
@@ -63,6 +100,8 @@
         that of a later incarnation does.
     acknowledged : int
         Number of the last end that is stored.
+    sent_acknowledgement : int
+        Highest number that a poll of the present incarnation carried.
     last_received_end : int
         Number of the last end that was received.
     storing_task : asyncio.Task, optional
@@ -86,6 +125,7 @@
     unlisted_s: float = float("inf")
     fence_raised: bool = False
     acknowledged: int = 0
+    sent_acknowledgement: int = 0
     last_received_end: int = 0
     storing_task: asyncio.Task | None = None
     lease_end_ms: int = 0
@@ -94,6 +134,7 @@
     last_answer_s: float | None = None
     unresponsive_since_s: float | None = None
     refused: bool = False
+    error: str = ""
     draining_since_s: float | None = None
     avoid_until_s: float = 0.0
     clock_ms: int = 0
@@ -140,6 +181,7 @@
         self.last_answer_s = now_s
         self.unresponsive_since_s = None
         self.refused = False
+        self.error = ""
         self.clock_went_back = False
         if clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
@@ -148,8 +190,9 @@
             self.lease_end_ms = clock_ms + int(self.unknown_lease_s * 1000)
             self.unknown_lease_s = 0.0
 
-    def record_no_answer(self, now_s: float, *, refused: bool) -> None:
+    def record_no_answer(self, now_s: float, error: str, *, refused: bool) -> None:
         """Record an unanswered poll; `refused` if the connection was refused."""
+        self.error = error
         self.refused = refused
         if self.unresponsive_since_s is None:
             self.unresponsive_since_s = now_s
@@ -226,6 +269,25 @@
         total_s = least_s if announced_s is None else announced_s
         return max(0.0, total_s - (now_s - self.draining_since_s))
 
+    def describe_contact(self, now_s: float) -> ContactRecord:
+        """Return what is known of the worker, for the log."""
+        return ContactRecord(
+            incarnation_ms=self.incarnation_ms,
+            listed=self.listed,
+            draining=self.entry.draining,
+            unlisted_age_s=None if self.listed else age_s(self.unlisted_s, now_s),
+            answer_age_s=age_s(self.last_answer_s, now_s),
+            lease_left_s=self._lease_left_s(now_s),
+            error=self.error,
+        )
+
+    def _lease_left_s(self, now_s: float) -> float | None:
+        if self.last_answer_s is None:
+            return None
+        passed_ms = (now_s - self.clock_read_s) * 1000 * CLOCK_RATE
+        left_ms = self.lease_end_ms - self.clock_ms - passed_ms
+        return round(left_ms / 1000 / CLOCK_RATE, 3)
+
     def begin_incarnation(
         self, incarnation_ms: int, now_s: float, longest_lease_s: float
     ) -> None:
@@ -239,6 +301,7 @@
         self.incarnation_ms = incarnation_ms
         self.fence_raised = False
         self.acknowledged = 0
+        self.sent_acknowledgement = 0
         self.last_received_end = 0
         self.lease_end_ms = 0
         self.last_answer_s = None
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -11,7 +11,7 @@
 from chiveledge.coordinator._orders import OrderDispatcher
 from chiveledge.coordinator._reconciliation import Reconciler
 from chiveledge.coordinator._tracked_run import TrackedRun
-from chiveledge.coordinator._worker_link import CLOCK_RATE, WorkerLink
+from chiveledge.coordinator._worker_link import CLOCK_RATE, WorkerLink, age_s
 from chiveledge.leadership import Leadership
 from chiveledge.placement import WorkerSuspicion
 from chiveledge.services import Row, Unavailable
@@ -123,7 +123,13 @@
             link = self.links.get(name)
             if link is not None and link.listed:
                 link.mark_unlisted(self._clock.monotonic())
-                self._log.write("workers", "unlisted", worker=name)
+                self._log.write(
+                    "workers",
+                    "unlisted",
+                    worker=name,
+                    draining=link.entry.draining,
+                    runs=len(link.runs),
+                )
         self._request_plan()
 
     def _update_entry(self, entry: WorkerEntry) -> None:
@@ -159,7 +165,15 @@
         link.listed = True
 
     def _handle_restart(self, link: WorkerLink, incarnation_ms: int) -> None:
-        self._log.write("workers", "reborn", worker=link.name, born_ms=incarnation_ms)
+        self._log.write(
+            "workers",
+            "reborn",
+            worker=link.name,
+            born_ms=incarnation_ms,
+            earlier_ms=link.incarnation_ms,
+            runs=len(link.runs),
+            acknowledged=link.sent_acknowledgement,
+        )
         link.begin_incarnation(
             incarnation_ms,
             self._clock.monotonic(),
@@ -225,6 +239,7 @@
         request = PollRequest(
             self._leadership.epoch, link.acknowledgement, lease_end_ms, wait_s
         )
+        self._log_acknowledgement(link, request.acknowledged, now_s)
         match await link.client.poll(request):
             case Ok(report):
                 if link.unresponsive_since_s is not None:
@@ -241,6 +256,21 @@
             case Err(error):
                 await self._handle_no_answer(link, error)
 
+    def _log_acknowledgement(
+        self, link: WorkerLink, acknowledged: int, now_s: float
+    ) -> None:
+        if acknowledged <= link.sent_acknowledgement:
+            return
+        self._log.write(
+            "settlement",
+            "acknowledged",
+            worker=link.name,
+            incarnation_ms=link.incarnation_ms,
+            ends=acknowledged,
+            answer_age_s=age_s(link.last_answer_s, now_s),
+        )
+        link.sent_acknowledgement = acknowledged
+
     async def _handle_no_answer(self, link: WorkerLink, error: object) -> None:
         if link.unresponsive_since_s is None:
             self._log.write(
@@ -251,7 +281,9 @@
                 runs=len(link.runs),
             )
         link.record_no_answer(
-            self._clock.monotonic(), refused=isinstance(error, Unavailable)
+            self._clock.monotonic(),
+            str(error),
+            refused=isinstance(error, Unavailable),
         )
         await self._clock.sleep(POLL_RETRY_S)
 
--- a/chiveledge/log_trace.py
+++ b/chiveledge/log_trace.py
@@ -167,6 +167,14 @@
             )
         case ("coordinator", "admitted" | "cancelled") | ("settlement", "job_failed"):
             return f"{where} {STATE_SENTENCES[line.event]}"
+        case ("settlement", "closed"):
+            return (
+                f"{where} closed run {fields.get('run')} of {fields.get('task')} on "
+                f"{fields.get('worker')} as {fields.get('how')} without a report of "
+                f"its end: {fields.get('why')}; the worker answered "
+                f"{fields.get('answer_age_s')} s before, error: "
+                f"{fields.get('error') or 'none'}"
+            )
         case ("settlement", "job_completed"):
             return f"{where} completed the job: all its tasks are done"
     return ""
--- a/tests/coordinator/cluster.py
+++ b/tests/coordinator/cluster.py
@@ -10,7 +10,6 @@
 
 from chiveledge.clock import ManualClock
 from chiveledge.coordinator import Coordinator, CoordinatorTiming, TermContext
-from chiveledge.decision_log import NullLog
 from chiveledge.events import Timeline
 from chiveledge.intake import JobStatusCache, JobStore, TableFollower
 from chiveledge.intake._status_cache import JOB_STATUS_PREFIX
@@ -54,6 +53,26 @@
 CUT_TIMEOUT_S = 0.6
 
 
+class RecordingLog:
+    """Keeps the lines of a decision log.
+
+    Attributes
+    ----------
+    lines : list of tuple
+        Part, event and fields of each line.
+    """
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, str, dict[str, object]]] = []
+
+    def write(self, part: str, event: str, **fields: object) -> None:
+        self.lines.append((part, event, fields))
+
+    def find(self, part: str, event: str) -> list[dict[str, object]]:
+        """Return the fields of all lines of an event."""
+        return [line[2] for line in self.lines if line[:2] == (part, event)]
+
+
 class FaultyConnection:
     """Forwards the calls of one node to one service, unless it is cut.
 
@@ -98,7 +117,7 @@
             worker: FaultyConnection(service, cluster.clock)
             for worker, service in cluster.workers.items()
         }
-        self.log = NullLog()
+        self.log = RecordingLog()
         self.status_cache = JobStatusCache(self.log)
         self.job_store = JobStore(
             self.store,
