--- a/tests/coordinator/test_progress_writer.py
+++ b/tests/coordinator/test_progress_writer.py
@@ -14,6 +14,7 @@
     ProgressWriter,
 )
 from chiveledge.decision_log import NullLog
+from chiveledge.intake import job_key
 from chiveledge.metrics import Metrics
 from chiveledge.services import Check, Put, Transaction
 from chiveledge.workload import JobProgress, JobRequest, OpenRun, Step
@@ -117,3 +118,14 @@
     assert saving.result()
     changed = [key for key in keys if writer.table.find(key).version != versions[key]]
     assert len(changed) == 2
+
+
+async def test_former_leader_does_not_remove_the_request_of_a_job(writer):
+    # Its own view that the job has ended and expired was enough to delete the request.
+    request = Put(job_key("j1"), "request")
+    writer.table.commit(Transaction("caller", puts=(request,)))
+    take_over(writer.table)
+    removing = asyncio.ensure_future(writer.remove("j1"))
+    await writer.clock.advance(3.0)
+    assert removing.done()
+    assert writer.table.find(job_key("j1")) is not None
