--- a/tests/coordinator/test_standby.py
+++ b/tests/coordinator/test_standby.py
@@ -137,3 +137,25 @@
         assert fleet.leader() == leader
     for task in fleet.tasks:
         task.cancel()
+
+
+async def test_process_that_stops_during_its_takeover_does_not_lead(monkeypatch):
+    # No term yet was taken to mean that there is nothing to end or to release.
+    monkeypatch.setattr(module, "LeaderTerm", LeaderTerm)
+    clock = ManualClock()
+    table = MemoryTable(clock)
+    context = Context(clock)
+    leadership = Leadership(
+        "all", "host", table, clock, Timeline("host", clock), context.timing
+    )
+    coordinator = Coordinator(context, leadership)
+    running = asyncio.create_task(coordinator.run())
+    table.faults.delay_s = 0.1
+    await clock.advance(0.25)  # both reads are answered, the takeover isn't
+    assert table.transactions == 0
+    stopping = asyncio.create_task(coordinator.stop())
+    await clock.advance(1.0)
+    assert stopping.done()
+    assert coordinator.term is None
+    assert not leadership.valid
+    running.cancel()
