--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -6,9 +6,15 @@
 from result import Err
 
 from chiveledge.coordinator import CoordinatorTiming
+from chiveledge.coordinator._progress_rows import progress_key
 from chiveledge.coordinator._term import CLEANUP_INTERVAL_S
-from chiveledge.intake import Accepted, cancel_key, initial_job_status_key, job_key
-from chiveledge.services import Transaction, Unavailable, Unsettled
+from chiveledge.intake import (
+    Accepted,
+    cancel_key,
+    initial_job_status_key,
+    job_key,
+)
+from chiveledge.services import Put, Transaction, Unavailable, Unsettled
 from chiveledge.workload import JobState, Step
 from tests.coordinator.cluster import SMALL
 
@@ -546,3 +552,32 @@
     monkeypatch.setattr(term._progress_writer, "remove", remove)
     await cluster.advance(CLEANUP_INTERVAL_S + 1)
     assert cluster.leader.coordinator.term is term
+
+
+def corrupt_progress(cluster, job_id: str) -> str:
+    """Make the progress row of a job unreadable; return its former text."""
+    key = progress_key(job_id)
+    before = cluster.table.find(key).value
+    cluster.table.commit(Transaction("odd", puts=(Put(key, "{"),)))
+    return before
+
+
+async def test_job_with_unreadable_progress_does_not_start_anew_when_read_again(
+    make_cluster,
+):
+    # The second time that its request was read, it was taken for a new job.
+    cluster = make_cluster(nodes=1)
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(count=2, usage=SMALL), work_s=0.5)
+    await cluster.advance(3)
+    assert cluster.state("j1") is JobState.COMPLETED
+    corrupt_progress(cluster, "j1")
+    await cluster.restart(0)
+    await cluster.advance(3)
+    assert "j1" not in cluster.leader.coordinator.term.jobs
+    # The watch of the inbox fails once, so that a snapshot follows.
+    cluster.table.faults.down = True
+    await cluster.advance(0.7)
+    cluster.table.faults.down = False
+    await cluster.advance(3)
+    assert len(cluster.starts("j1")) == 2
