--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -581,3 +581,37 @@
     cluster.table.faults.down = False
     await cluster.advance(3)
     assert len(cluster.starts("j1")) == 2
+
+
+async def test_end_of_a_job_with_unreadable_progress_is_not_acknowledged(make_cluster):
+    # A job that is missing from the leader's jobs was taken to have no open runs.
+    cluster = make_cluster(nodes=1)
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(usage=SMALL), work_s=3.0)
+    await cluster.advance(1)
+    node = cluster.nodes[0]
+    await node.kill()
+    readable = corrupt_progress(cluster, "j1")
+    await cluster.advance(3)
+    cluster.nodes[0] = type(node)(cluster, node.name, node.rank)
+    await cluster.advance(4)
+    ended = [end for worker in cluster.workers.values() for end in worker.ended]
+    # The next leader, of another version perhaps, reads the progress again.
+    put = Put(progress_key("j1"), readable)
+    cluster.table.commit(Transaction("mended", puts=(put,)))
+    await cluster.restart(0)
+    await cluster.advance(8)
+    assert [(end.task, str(end.how)) for end in ended] == [("j1.0.0.0", "done")]
+    assert not cluster.record.started_after_done
+
+
+async def test_run_of_a_job_with_unreadable_progress_is_not_stopped(make_cluster):
+    # Its run was stopped as one that no job has open, and its end acknowledged.
+    cluster = make_cluster(nodes=1)
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(usage=SMALL), work_s=5.0)
+    await cluster.advance(1)
+    corrupt_progress(cluster, "j1")
+    await cluster.restart(0)
+    await cluster.advance(2)
+    assert [run.stop_ordered_s for run in cluster.record.runs["j1.0.0.0"]] == [None]
