--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 import pytest
 from result import Err
 
@@ -615,3 +617,20 @@
     await cluster.restart(0)
     await cluster.advance(2)
     assert [run.stop_ordered_s for run in cluster.record.runs["j1.0.0.0"]] == [None]
+
+
+async def test_clock_step_does_not_remove_a_job_that_has_just_ended(make_cluster):
+    # A step of the host's wall clock was taken for the time since the job's end.
+    cluster = make_cluster(nodes=1)
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(usage=SMALL), work_s=0.5)
+    await cluster.advance(2)
+    assert cluster.state("j1") is JobState.COMPLETED
+    cluster.clock._start += timedelta(hours=1)
+    await cluster.advance(CLEANUP_INTERVAL_S + 1)
+    # The caller has lost the first response and submits once more.
+    repeated = await cluster.submit("j1", Step(usage=SMALL), work_s=0.5)
+    await cluster.restart(0)
+    await cluster.advance(3)
+    assert len(cluster.starts("j1")) == 1
+    assert repeated == Accepted(repeated=True)
