--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -11,6 +11,7 @@
 from chiveledge.coordinator._progress_rows import progress_key
 from chiveledge.coordinator._term import CLEANUP_INTERVAL_S
 from chiveledge.intake import (
+    INBOX_PREFIX,
     Accepted,
     cancel_key,
     initial_job_status_key,
@@ -634,3 +635,28 @@
     await cluster.advance(3)
     assert len(cluster.starts("j1")) == 1
     assert repeated == Accepted(repeated=True)
+
+
+async def test_read_that_takes_longer_than_expected_revives_no_job(make_cluster):
+    # A read of many pages has no time limit, but 60 s were taken for its longest time.
+    cluster = make_cluster(nodes=1, timing=CoordinatorTiming(keep_ended_s=0.5))
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(usage=SMALL), work_s=0.5)
+    await cluster.advance(1.5)
+    store = cluster.nodes[0].store
+    table = cluster.table
+
+    async def read_slowly(prefix):
+        found = await table.snapshot(prefix)
+        if prefix == INBOX_PREFIX and found.is_ok():
+            for _ in range(100):  # pages, each within the timeout of a call
+                await cluster.clock.sleep(0.75)
+        return found
+
+    store.snapshot = read_slowly
+    table.faults.down = True
+    await cluster.advance(0.7)
+    table.faults.down = False
+    await cluster.advance(80)
+    assert not table.find_all("inbox/")
+    assert len(cluster.starts("j1")) == 1
