--- a/tests/platform/test_api.py
+++ b/tests/platform/test_api.py
@@ -405,3 +405,32 @@
     async with serve(lose_reply) as url:
         api.add_peer("n2", url)
         assert (await api.call("POST", f"/q/{ID}", JOB))[0] == 504
+
+
+async def test_refusal_of_one_peer_does_not_hide_that_another_may_have_stored_a_job(
+    api,
+):
+    # The answer of the second peer was taken to hold for the first one, too.
+    peers = [Api(), Api()]
+    peers[1].catalogue = replace(peers[1].catalogue, queues={})
+
+    async def lose_reply_of_peer(request):
+        await peers[0].handler.handle(request)
+        request.transport.close()
+        return web.Response()
+
+    async with (
+        serve(lose_reply_of_peer) as first,
+        serve(peers[1].handler.handle) as second,
+    ):
+        api.age_s = STALE_AGE_S
+        api.add_peer("n2", first)
+        api.add_peer("n3", second)
+        # Peers of one region are tried in random order.
+        api.peers.list_peers = lambda avoided, rng: [
+            api.peers._hosts["n2"],
+            api.peers._hosts["n3"],
+        ]
+        status, _, _ = await api.call("POST", f"/q/{ID}", JOB)
+    assert peers[0].table.find(job_key(ID)) is not None
+    assert status == 504
