--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -229,3 +229,28 @@
     assert [type(reply.err()) for reply in replies] == [Unsettled] * 4
     await pool.close()
     await runner.cleanup()
+
+
+@pytest.mark.parametrize("status", [500, 502, 504])
+async def test_transaction_that_a_server_error_answers_is_unsettled(stand_in, status):
+    # Any status but 200, 412 and 503 was taken to prove that nothing was done.
+    app = stand_in.make_app()
+
+    @web.middleware
+    async def replace_status(request, handler):
+        await handler(request)
+        return web.json_response({}, status=status)
+
+    app.middlewares.append(replace_status)
+    runner, address = await serve(app)
+    pools = (ConnectionPool(), ConnectionPool())
+    callers = [
+        HttpCaller(pool, f"http://{address}", metrics=Metrics()) for pool in pools
+    ]
+    store = PlatformStore(*callers, SystemClock())
+    result = await store.transact(write("jobs/a", "text", 0))
+    for pool in pools:
+        await pool.close()
+    await runner.cleanup()
+    assert stand_in.table.find("jobs/a") is not None
+    assert isinstance(result.err(), Unsettled)
--- a/tests/services/test_odd_replies.py
+++ b/tests/services/test_odd_replies.py
@@ -74,3 +74,11 @@
     app.middlewares.append(add_odd_entries)
     async with open_http(app, lambda session, url: HttpCaller(session, url)) as caller:
         assert (await HttpHostList(caller).read()).unwrap() == ENTRIES
+
+
+@pytest.mark.parametrize("status", [500, 502, 504])
+async def test_transaction_that_a_server_error_answers_is_unsettled(status):
+    # Any status but 200, 409 and 503 was taken to prove that nothing was done.
+    async with open_caller(status, "{}") as caller:
+        result = await CALLS["transact"](caller)
+        assert isinstance(result.err(), Unsettled)
