--- a/tests/services/test_table.py
+++ b/tests/services/test_table.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import pytest
-from result import Err
+from result import Err, Ok
 
 from chiveledge.clock import ManualClock, SystemClock
 from chiveledge.metrics import Metrics
@@ -129,3 +129,31 @@
     assert commit.done()
     assert isinstance(commit.result().unwrap_err(), Unavailable)
     assert table.sends <= 1.0 / RETRY_DELAY_S + 2
+
+
+class LateTable:
+    """Table whose first transaction gets no reply, and conflicts follow."""
+
+    def __init__(self):
+        self.sends = 0
+
+    async def transact(self, transaction):
+        self.sends += 1
+        if self.sends == 1:
+            return Err(Unsettled("no reply"))
+        return Err(Conflict(("row-of-another-writer",)))
+
+    async def read(self, key):
+        return Ok(None)
+
+
+async def test_group_commit_does_not_call_a_lost_send_without_effect():
+    # A conflict on a row of another writer was taken to settle the lost send.
+    clock = ManualClock()
+    writes = GroupCommit(LateTable(), clock, Metrics(), timeout_s=1.0)
+    commit = asyncio.create_task(
+        writes.commit(checks=(Check("a", 0),), puts=(Put("a", "new"),))
+    )
+    for _ in range(20):
+        await clock.advance(RETRY_DELAY_S)
+    assert isinstance(commit.result().unwrap_err(), Unsettled)
