--- a/tests/scheduler/test_jobs.py
+++ b/tests/scheduler/test_jobs.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import pytest
+from result import Err
 
 from chiveledge.configuration import RequestClass
 from chiveledge.jobs import JobSpec, JobState, cancel_key
-from chiveledge.services import Put, TaskState, Transaction
+from chiveledge.services import Put, TaskState, Transaction, Unavailable
 from tests.support import (
     REGION,
     Region,
@@ -358,3 +359,34 @@
         assert job.results == () and job.result_object in region.objects.texts
 
     run_region(work)
+
+
+class OneFailingRead:
+    """Table whose first read of a row fails."""
+
+    def __init__(self, table):
+        self._table = table
+        self.failed = False
+
+    def __getattr__(self, name):
+        return getattr(self._table, name)
+
+    async def read(self, key):
+        if key.startswith("job/") and not self.failed:
+            self.failed = True
+            return Err(Unavailable("down"))
+        return await self._table.read(key)
+
+
+def test_job_whose_row_can_not_be_read_once_still_runs():
+    # A read that failed was taken for a missing row, and its notice was deleted.
+    async def work(region):
+        failing = OneFailingRead(region.table)
+        region.start_leader("a", lambda s: failing if s is region.table else s)
+        await region.run_for(3.0)
+        job_id = await region.submit(make_spec(), "k")
+        await region.run_for(10.0)
+        assert failing.failed
+        assert region.job(job_id).state is JobState.RUNNING
+
+    run_region(work)
