--- a/tests/scheduler/test_jobs.py
+++ b/tests/scheduler/test_jobs.py
@@ -390,3 +390,31 @@
         assert region.job(job_id).state is JobState.RUNNING
 
     run_region(work)
+
+
+class CancelBetweenScans:
+    """Table on which a job arrives and is cancelled between two scans of the leader."""
+
+    def __init__(self, region):
+        self._region = region
+        self.job_id = ""
+
+    def __getattr__(self, name):
+        return getattr(self._region.table, name)
+
+    async def scan(self, prefix):
+        if prefix.startswith("cancel/") and not self.job_id:
+            self.job_id = await self._region.submit(make_spec(), "k")
+            request_cancel(self._region, self.job_id)
+        return await self._region.table.scan(prefix)
+
+
+def test_cancellation_read_before_its_job_is_kept():
+    # A job that the leader had not read yet was taken for one that doesn't exist.
+    async def work(region):
+        table = CancelBetweenScans(region)
+        region.start_leader("a", lambda s: table if s is region.table else s)
+        await region.run_for(10.0)
+        assert region.job(table.job_id).state is JobState.CANCELLED
+
+    run_region(work)
