--- a/tests/scheduler/test_gang_failures.py
+++ b/tests/scheduler/test_gang_failures.py
@@ -260,3 +260,67 @@
     return JobRepository(
         writes, region.objects, leadership, FailureTracker(), region.clock
     )
+
+
+class LateSyncs:
+    """Worker whose syncs arrive late and whose answers are lost, once it is late."""
+
+    arrival_s, timeout_s = 3.5, 4.0
+
+    def __init__(self, region, worker):
+        self._region = region
+        self._worker = worker
+        self.late = False
+
+    def __getattr__(self, name):
+        method = getattr(self._worker, name)
+
+        async def call(argument):
+            if not self.late:
+                return await method(argument)
+            if name == "sync":
+                await self._region.clock.sleep(self.arrival_s)
+                await method(argument._replace(wait_s=0.0))
+                await self._region.clock.sleep(self.timeout_s - self.arrival_s)
+            else:
+                await self._region.clock.sleep(1.0)
+            return Err(Unsettled("no reply"))
+
+        return call
+
+
+def test_renewal_that_arrives_late_does_not_let_a_job_run_twice():
+    # The lease was taken to end as if the last renewal had arrived within its wait.
+    async def work(region):
+        links = {}
+
+        def wrap(service):
+            if service is region.table:
+                return service
+            return links.setdefault(service.name, LateSyncs(region, service))
+
+        region.start_leader("a", wrap)
+        job = JobSpec(
+            region=REGION,
+            members=1,
+            accelerators=8,
+            cores=4,
+            memory_mb=1024,
+            payload='{"run_s": 60.0}',
+        )
+        job_id = await region.submit(job, "k")
+        await region.run_until(
+            lambda: region.job(job_id).state is JobState.RUNNING, within_s=5.0
+        )
+        links[region.job(job_id).attempt.workers[0]].late = True
+        for _ in range(round(20.0 / STEP_S)):
+            await region.run_for(STEP_S)
+            running = [
+                (worker.name, attempt)
+                for worker in region.workers.values()
+                for (attempt, _), task in worker.tasks.items()
+                if task.state is TaskState.RUNNING
+            ]
+            assert len(running) <= 1
+
+    run_region(work)
