--- a/tests/coordinator/test_upkeep.py
+++ b/tests/coordinator/test_upkeep.py
@@ -165,3 +165,32 @@
                 if other is not upkeep and began_s < other.at_s <= upkeep.at_s
             ]
             assert len(others) < wave.max_down
+
+
+async def test_gang_that_starts_while_an_order_is_stored_is_not_killed(monkeypatch):
+    # A machine without runs before its order was stored was taken to have none after.
+    monkeypatch.setattr("standins.task_worker.STOP_DELAY_S", 0.8)
+    cluster = Cluster(workers=2)
+    await cluster.advance(0.5)
+    whole = Step(usage=SMALL._replace(accelerators=8))
+    await cluster.submit("j1", whole, queue="batch", work_s=60.0)
+    await cluster.advance(0.5)
+    busy = next(name for name, worker in cluster.workers.items() if worker.runs)
+    idle = next(name for name in cluster.workers if name != busy)
+    transact = cluster.table.transact
+
+    async def transact_slowly(transaction):
+        if any(f"m-{idle}" in put.value for put in transaction.puts):
+            await cluster.clock.sleep(1.0)
+        return await transact(transaction)
+
+    cluster.table.transact = transact_slowly
+    await cluster.advance(FIRST_ORDER_S)
+    gang = whole._replace(count=2, gang=True)
+    await cluster.submit("u1", gang, queue="urgent", work_s=5.0)
+    cluster.waves = [Wave(1, (f"m-{idle}",), within_s=60.0, max_down=1)]
+    await cluster.advance(8.0)
+    upkeeps = cluster.machines.upkeeps
+    await cluster.close()
+    assert cluster.starts("u1")
+    assert [upkeep.killed for upkeep in upkeeps] in ([], [0])
