--- a/tests/coordinator/test_upkeep.py
+++ b/tests/coordinator/test_upkeep.py
@@ -194,3 +194,26 @@
     await cluster.close()
     assert cluster.starts("u1")
     assert [upkeep.killed for upkeep in upkeeps] in ([], [0])
+
+
+async def test_machine_whose_worker_answers_is_not_taken_for_a_removed_one(cluster):
+    # A machine that two lists on end left out was taken to be gone, and the wave done.
+    for worker in cluster.workers.values():
+        cluster.list_worker(worker.entry._replace(machine=f"m-{worker.entry.name}"))
+    list_machines = cluster.machines.list_machines
+    left_out = 4
+
+    async def list_without_last():
+        nonlocal left_out
+        machines = (await list_machines()).unwrap()
+        done = {upkeep.order.machine for upkeep in cluster.machines.upkeeps}
+        up = [machine for machine in machines if machine.state is MachineState.UP]
+        if len(done) < 3 or len(up) < 4 or not left_out:
+            return Ok(machines)
+        left_out -= 1
+        return Ok(tuple(machine for machine in machines if machine.name in done))
+
+    cluster.machines.list_machines = list_without_last
+    await cluster.advance(WAVE.within_s + FIRST_ORDER_S)
+    assert read_state(cluster) == "completed"
+    check_upkeeps(cluster)
