--- a/tests/scheduler/test_jobs.py
+++ b/tests/scheduler/test_jobs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 import pytest
 from result import Err
 
@@ -418,3 +420,17 @@
         assert region.job(table.job_id).state is JobState.CANCELLED
 
     run_region(work)
+
+
+def test_clock_step_is_not_taken_for_work_that_a_checkpoint_saved():
+    # The time on the wall clock since its start was taken for the work of an attempt.
+    async def work(region):
+        region.start_leader("a")
+        borrowers = await run_borrowers(region, 4)
+        region.clock._start += timedelta(hours=1)
+        await region.submit(make_spec(2), "g", "cafes")
+        await region.run_for(10.0)
+        saved_s = max(region.job(borrower).saved_s for borrower in borrowers)
+        assert 0 < saved_s <= region.clock.monotonic()
+
+    run_region(work, document=make_document({"cafes": [(16, 1)], "depots": []}))
