--- a/tests/scheduler/test_gang_failures.py
+++ b/tests/scheduler/test_gang_failures.py
@@ -324,3 +324,68 @@
             assert len(running) <= 1
 
     run_region(work)
+
+
+class CutLink:
+    """Service that one leader can't reach while `is_cut` returns True."""
+
+    def __init__(self, region, service, is_cut):
+        self._region = region
+        self._service = service
+        self._is_cut = is_cut
+
+    def __getattr__(self, name):
+        method = getattr(self._service, name)
+
+        async def call(*arguments):
+            if not self._is_cut():
+                return await method(*arguments)
+            await self._region.clock.sleep(1.0)
+            return Err(Unsettled("no reply"))
+
+        return call
+
+
+def test_leader_that_is_cut_off_with_a_worker_does_not_extend_its_lease():
+    # The next leader took the leases to end with its own last renewal.
+    async def work(region):
+        cut_worker = ""
+
+        def is_cut_worker(service):
+            return getattr(service, "name", "") == cut_worker
+
+        def wrap_first(service):
+            return CutLink(
+                region, service, lambda: cut_worker and not is_cut_worker(service)
+            )
+
+        def wrap_next(service):
+            return CutLink(region, service, lambda: is_cut_worker(service))
+
+        region.start_leader("a", wrap_first)
+        job = JobSpec(
+            region=REGION,
+            members=1,
+            accelerators=8,
+            cores=4,
+            memory_mb=1024,
+            payload='{"run_s": 60.0}',
+        )
+        job_id = await region.submit(job, "k")
+        await region.run_until(
+            lambda: region.job(job_id).state is JobState.RUNNING, within_s=5.0
+        )
+        # The first leader and the worker are in one zone, which is cut off.
+        cut_worker = region.job(job_id).attempt.workers[0]
+        region.start_leader("b", wrap_next)
+        for _ in range(round(30.0 / STEP_S)):
+            await region.run_for(STEP_S)
+            running = [
+                (worker.name, attempt)
+                for worker in region.workers.values()
+                for (attempt, _), task in worker.tasks.items()
+                if task.state is TaskState.RUNNING
+            ]
+            assert len(running) <= 1
+
+    run_region(work)
