--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -100,7 +100,13 @@
     late_starts : int
         Number of start orders that get no reply and take effect late.
     late_start_delay_s : float
-        Delay of these start orders.
+        Delay of these start orders. The incarnation that is there then carries them
+        out.
+    late_polls : int
+        Number of polls that get no reply and take effect late, on the incarnation that
+        is there then.
+    late_poll_delay_s : float
+        Delay of these polls.
     hangs : bool
         No run makes progress.
     fails : bool
@@ -118,6 +124,8 @@
     lose_replies: int = 0
     late_starts: int = 0
     late_start_delay_s: float = 0.0
+    late_polls: int = 0
+    late_poll_delay_s: float = 0.0
     hangs: bool = False
     fails: bool = False
     fails_at_once: bool = False
@@ -255,12 +263,14 @@
         """Extend the lease, then wait for an ended run and return a report."""
         if self.faults.unresponsive or self.faults.refuses_connections:
             return await self._fail_unanswered()
-        if request.fence < self.fence:
-            return Err(Declined(DeclineReason.FENCE, self.clock_ms))
-        self.fence = request.fence
-        self.advance()
-        self._extend_lease(request.lease_end_ms)
-        self._drop_acknowledged(request.acknowledged)
+        if self.faults.late_polls > 0:
+            self.faults.late_polls -= 1
+            asyncio.ensure_future(
+                self._poll_delayed(request, self.faults.late_poll_delay_s)
+            )
+            return await self._fail_unanswered()
+        if not self._hold(request):
+            return self._decline(DeclineReason.FENCE)
         if not self.ended and request.wait_s:
             await run_with_timeout(self._clock, self._run_ended.wait(), request.wait_s)
         if self.faults.unresponsive or self.faults.refuses_connections:
@@ -270,6 +280,16 @@
     async def close(self) -> None:
         """Do nothing, as there are no connections to close."""
 
+    def _hold(self, request: PollRequest) -> bool:
+        """Carry a poll out; return False without any effect if its fence is lower."""
+        if request.fence < self.fence:
+            return False
+        self.fence = request.fence
+        self.advance()
+        self._extend_lease(request.lease_end_ms)
+        self._drop_acknowledged(request.acknowledged)
+        return True
+
     def _start(
         self, order: StartOrder, *, is_late: bool = False
     ) -> Result[OrderAccepted, Declined]:
@@ -296,10 +316,12 @@
         return Ok(OrderAccepted(self.clock_ms))
 
     async def _start_delayed(self, order: StartOrder, delay_s: float) -> None:
-        incarnation_ms = self.entry.incarnation_ms
         await self._clock.sleep(delay_s)
-        if self.entry.incarnation_ms == incarnation_ms:
-            self._start(order, is_late=True)
+        self._start(order, is_late=True)
+
+    async def _poll_delayed(self, request: PollRequest, delay_s: float) -> None:
+        await self._clock.sleep(delay_s)
+        self._hold(request)
 
     def _stop(self, order: StopOrder) -> Result[OrderAccepted, Declined]:
         self.advance()
