--- a/tests/coordinator/test_late_orders.py
+++ b/tests/coordinator/test_late_orders.py
@@ -13,7 +13,7 @@
 from result import Err
 
 from chiveledge.services import Unsettled
-from chiveledge.workload import Step
+from chiveledge.workload import JobState, Step
 from tests.coordinator.cluster import SMALL, Cluster
 
 FULL_WORKER = SMALL._replace(accelerators=8)
@@ -242,6 +242,79 @@
     assert not cluster.double_runs
 
 
+async def test_lease_of_a_poll_that_met_a_restarted_worker_before_its_first_answer(
+    make_cluster,
+):
+    """The leader counted on its own lease, and the worker had granted the longest."""
+    cluster = make_cluster(workers=2)
+    await cluster.advance(0.5)
+    other_entry = cluster.workers["w1"].entry
+    cluster.unlist_worker("w1")
+    await cluster.submit("j1", Step(count=1, usage=SMALL), work_s=90.0)
+    await cluster.advance(60.0)
+    worker = cluster.workers["w0"]
+    worker.faults.late_polls = 1
+    worker.faults.late_poll_delay_s = 0.3
+    while worker.faults.late_polls:
+        await cluster.advance(0.05)
+    worker.crash(incarnation_ms=2)
+    await cluster.advance(1.0)
+    assert worker.runs
+    worker.faults.unresponsive = True
+    cluster.list_worker(other_entry)
+    await cluster.advance(15.0)
+    assert len(cluster.starts("j1")) == 3
+    assert not cluster.double_runs
+
+
+@pytest.mark.parametrize("work_s", [17.0, 20.0])
+async def test_former_leader_holds_a_run_that_the_present_one_sent_in_an_earlier_term(
+    make_cluster, work_s
+):
+    """Both orders came from one process, which led again after the one between."""
+    cluster = make_cluster(workers=2, nodes=2)
+    await cluster.advance(0.5)
+    sender = cluster.leader
+    other = next(node for node in cluster.nodes if node is not sender)
+    await cluster.submit("j1", WHOLE, work_s=work_s)
+    await cluster.advance(1.0)
+    name, worker = find_worker(cluster)
+    sender.coordinator.term.end("for the test")
+    sender.store.cut = True
+    await cluster.advance(3.0)
+    assert other.leads
+    sender.store.cut = False
+    await cluster.advance(0.7)
+    sender.workers[name].cut = True
+    other.store.cut = True
+    for worker_name, connection in other.workers.items():
+        connection.cut = worker_name != name
+    while cluster.starts("j1")[-1][1] == 1:
+        await cluster.advance(0.05)
+        assert cluster.clock.monotonic() < 30.0
+    while worker.runs:
+        await cluster.advance(0.05)
+        assert cluster.clock.monotonic() < 40.0
+    sender.workers[name].cut = False
+    await cluster.advance(2.0)
+    assert sender.leads
+    assert not cluster.double_runs
+    assert not cluster.record.started_after_done
+
+
+async def test_worker_whose_wall_clock_went_back_is_polled_on(make_cluster):
+    """Its answers counted as those of an earlier incarnation for good."""
+    cluster = make_cluster(workers=1)
+    await cluster.advance(0.5)
+    await cluster.submit("j1", WHOLE, work_s=2.0)
+    await cluster.advance(1.0)
+    worker = cluster.workers["w0"]
+    worker.crash(incarnation_ms=0)
+    cluster.list_worker(worker.entry)
+    await cluster.advance(30.0)
+    assert cluster.state("j1") is JobState.COMPLETED
+
+
 async def test_no_order_carries_the_fence_of_no_leadership(make_cluster):
     """A task of the ending term read the epoch after the process had stepped down."""
     fences = []
