Tests of draining workers that lost their entry and count as gone

Both are red: the worker answered after its entry was removed (lapsed during a cut from the store, or overwritten by an unreadable row), then refused connections for a second or answered one poll with 503. Its tasks were started again while they ran or after their end.

--- a/tests/coordinator/test_known_failures.py
+++ b/tests/coordinator/test_known_failures.py
@@ -11,11 +11,11 @@
 from chiveledge.coordinator._progress_rows import progress_key
 from chiveledge.intake import Accepted, job_key
 from chiveledge.placement._suspicion import AVOID_S, TRUST_S
-from chiveledge.services import Put, Transaction, Unsettled
+from chiveledge.services import Put, Transaction, Unavailable, Unsettled
 from chiveledge.services.task_worker import EndedTask
 from chiveledge.workload import JobRequest, JobState, RunEnd, Step
 from standins.task_worker import StandInTask
-from tests.coordinator.cluster import SMALL
+from tests.coordinator.cluster import SMALL, WORKER_PREFIX
 
 POLL_WAIT_S = 2.0
 POLL_TIMEOUT_S = 0.8
@@ -196,6 +196,65 @@
     assert len(cluster.starts("j1")) == 2
 
 
+async def lose_draining_entry(cluster, *, work_s, unreadable=False):
+    """Start two tasks; return a worker of one, draining without its entry.
+
+    It has answered the leader for a second since its entry went.
+    """
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(count=2, usage=FULL_WORKER), work_s=work_s)
+    await cluster.advance(0.5)
+    worker = next(w for w in cluster.workers.values() if w.runs)
+    cluster.list_worker(worker.entry._replace(draining=True, leaves_s=30.0))
+    await cluster.advance(0.5)
+    if unreadable:
+        put = Put(WORKER_PREFIX + worker.entry.name, "unreadable")
+        cluster.table.commit(Transaction("another writer", puts=(put,)))
+    else:
+        cluster.unlist_worker(worker.entry.name)
+    await cluster.advance(1.0)
+    return worker
+
+
+@pytest.mark.parametrize("unreadable", [False, True])
+async def test_draining_worker_that_lost_its_entry_is_not_taken_for_gone(
+    make_cluster, unreadable
+):
+    """It answered without its entry, then refused connections for a second."""
+    cluster = make_cluster(workers=3)
+    worker = await lose_draining_entry(cluster, work_s=9.0, unreadable=unreadable)
+    worker.faults.refuses_connections = True
+    await cluster.advance(1.0)
+    worker.faults.refuses_connections = False
+    cluster.list_worker(worker.entry._replace(draining=True, leaves_s=25.0))
+    await cluster.advance(9.0)
+    assert cluster.state("j1") is JobState.COMPLETED
+    assert len(cluster.starts("j1")) == 2
+
+
+@pytest.mark.parametrize("ended", [False, True])
+async def test_draining_worker_that_answers_503_is_not_taken_for_gone(
+    make_cluster, ended
+):
+    """It lost its entry and answered one poll with 503, as an unhealthy one does."""
+    cluster = make_cluster(workers=3)
+    worker = await lose_draining_entry(cluster, work_s=3.0 if ended else 9.0)
+    connection = cluster.leader.workers[worker.entry.name]
+
+    async def answer_unhealthy(request):
+        del connection.poll
+        while ended and worker.runs:
+            await cluster.clock.sleep(0.05)
+        return Err(Unavailable("the worker returned status 503"))
+
+    connection.poll = answer_unhealthy
+    await cluster.advance(3.0)
+    cluster.list_worker(worker.entry._replace(draining=True, leaves_s=25.0))
+    await cluster.advance(8.0)
+    assert cluster.state("j1") is JobState.COMPLETED
+    assert len(cluster.starts("j1")) == 2
+
+
 async def test_schedule_that_began_long_ago_does_not_stop_other_jobs(make_cluster):
     """Each plan opened all due occurrences, for minutes, so that the lease lapsed."""
     cluster = make_cluster(workers=2)
