--- a/tests/coordinator/test_late_orders.py
+++ b/tests/coordinator/test_late_orders.py
@@ -308,10 +308,13 @@
     """Its answers counted as those of an earlier incarnation for good."""
     cluster = make_cluster(workers=1)
     await cluster.advance(0.5)
-    await cluster.submit("j1", WHOLE, work_s=2.0)
+    await cluster.submit("j1", WHOLE, work_s=5.0)
     await cluster.advance(1.0)
     worker = cluster.workers["w0"]
-    worker.crash(incarnation_ms=0)
+    worker.crash(incarnation_ms=5)
+    cluster.list_worker(worker.entry)
+    await cluster.advance(3.0)
+    worker.crash(incarnation_ms=3)
     cluster.list_worker(worker.entry)
     await cluster.advance(30.0)
     assert cluster.state("j1") is JobState.COMPLETED
