A refused poll and a missing entry no longer prove that a worker has left

Cause: a draining worker whose entry was missing and whose last poll ended as `Unavailable` counted as gone, and its runs started elsewhere at once. A worker that is cut off, or that only the platform can't reach, shows the same, as does any 503 or local error of a connection. bound the rule to entries that went soon after the last answer; a worker that answers after its entry went passes that too.

Change: the rule is gone, with the heartbeat interval that it needed. Runs of a worker without answers are closed when the lease is surely over.

--- a/chiveledge/coordinator/_timing.py
+++ b/chiveledge/coordinator/_timing.py
@@ -31,8 +31,6 @@
         Longest time that a stop takes.
     keep_ended_s : float
         How long the state of an ended job can be read.
-    heartbeat_s : float
-        Interval at which workers renew their entries in the platform's list.
     drain_s : float
         Shortest time that a worker stays after it announced draining.
     machine_lease_s : float
@@ -54,7 +52,6 @@
     order_timeout_s: float = 0.8
     stop_s: float = 0.9
     keep_ended_s: float = 180.0
-    heartbeat_s: float = 1.5
     drain_s: float = 2.5
     machine_lease_s: float = 3.0
     upkeep_s: float = 2.0
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -19,10 +19,6 @@
 """How much earlier than a poll an order may have been answered whose answer arrives
 after that of the poll; longer than the timeout of an order."""
 
-LAPSE_HEARTBEATS = 2
-"""Least time between the last answer of a worker that is cut off and the removal of
-its entry, in heartbeat intervals: the entry lapses after three without a heartbeat."""
-
 
 def age_s(since_s: float | None, now_s: float) -> float | None:
     """Return the time since a monotonic time, rounded; None if that is not known."""
@@ -71,8 +67,6 @@
         Whether the platform lists the worker now.
     unlisted_s : float
         Monotonic time at which the platform ceased to list it.
-    refused : bool
-        Whether the connection was refused at the last poll.
     error : str
         Error of the last poll; empty if it was answered.
     draining_since_s : float, optional
@@ -133,7 +127,6 @@
     runs: dict[tuple[str, int], TrackedRun] = field(default_factory=dict)
     last_answer_s: float | None = None
     unresponsive_since_s: float | None = None
-    refused: bool = False
     error: str = ""
     draining_since_s: float | None = None
     avoid_until_s: float = 0.0
@@ -180,7 +173,6 @@
         """Record an answered poll with the reading of the worker's clock."""
         self.last_answer_s = now_s
         self.unresponsive_since_s = None
-        self.refused = False
         self.error = ""
         self.clock_went_back = False
         if clock_ms >= self.clock_ms:
@@ -190,10 +182,9 @@
             self.lease_end_ms = clock_ms + int(self.unknown_lease_s * 1000)
             self.unknown_lease_s = 0.0
 
-    def record_no_answer(self, now_s: float, error: str, *, refused: bool) -> None:
-        """Record an unanswered poll; `refused` if the connection was refused."""
+    def record_no_answer(self, now_s: float, error: str) -> None:
+        """Record an unanswered poll."""
         self.error = error
-        self.refused = refused
         if self.unresponsive_since_s is None:
             self.unresponsive_since_s = now_s
 
@@ -237,24 +228,6 @@
         passed_ms = (now_s - self.clock_read_s) * 1000 * CLOCK_RATE
         return self.clock_ms + passed_ms > self.lease_end_ms
 
-    def has_left(self, heartbeat_s: float) -> bool:
-        """Return whether the worker announced its departure and is gone.
-
-        A worker that leaves removes its entry. A worker that is cut off may refuse
-        connections too, but its entry lapses only some time after its last answer.
-
-        Parameters
-        ----------
-        heartbeat_s : float
-            Interval at which workers renew their entries.
-        """
-        if not self.entry.draining or self.listed or not self.refused:
-            return False
-        if self.last_answer_s is None:
-            return False
-        silent_s = self.unlisted_s - self.last_answer_s
-        return silent_s < LAPSE_HEARTBEATS * heartbeat_s
-
     def leaves_in_s(self, now_s: float, least_s: float) -> float | None:
         """Return for how long a draining worker stays at least; None if not draining.
 
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -14,7 +14,7 @@
 from chiveledge.coordinator._worker_link import CLOCK_RATE, WorkerLink, age_s
 from chiveledge.leadership import Leadership
 from chiveledge.placement import WorkerSuspicion
-from chiveledge.services import Row, Unavailable
+from chiveledge.services import Row
 from chiveledge.services.task_worker import (
     Declined,
     DeclineReason,
@@ -280,11 +280,7 @@
                 error=str(error),
                 runs=len(link.runs),
             )
-        link.record_no_answer(
-            self._clock.monotonic(),
-            str(error),
-            refused=isinstance(error, Unavailable),
-        )
+        link.record_no_answer(self._clock.monotonic(), str(error))
         await self._clock.sleep(POLL_RETRY_S)
 
     def _reconcile(self, link: WorkerLink, report: PollReport, sent_s: float) -> None:
@@ -298,14 +294,15 @@
             link.storing_task = self._spawn(acknowledgement)
 
     def _close_expired(self, link: WorkerLink) -> None:
-        """Close the runs of an unresponsive worker once their lease is surely over."""
+        """Close the runs of an unresponsive worker once their lease is surely over.
+
+        Nothing else proves that they have ended: a worker that has left and one that is
+        cut off both refuse connections and lose their entry.
+        """
         now_s = self._clock.monotonic()
         if not link.runs or link.unresponsive_since_s is None and link.entry.address:
             return
-        has_left = link.has_left(self._context.timing.heartbeat_s)
-        if has_left:
-            is_over = True
-        elif link.last_answer_s is None:
+        if link.last_answer_s is None:
             longest_lease_s = self._context.timing.longest_lease_s / CLOCK_RATE
             since_s = max(self._began_s, link.incarnation_began_s)
             is_over = now_s - since_s > longest_lease_s + FORMER_LEADER_GRACE_S
@@ -313,7 +310,7 @@
             is_over = link.is_lease_over(now_s)
         if not is_over:
             return
-        reason = "the worker has left" if has_left else "the worker's lease has lapsed"
+        reason = "the worker's lease has lapsed"
         for tracked in list(link.runs.values()):
             self._reconciler.close_run(link, tracked, RunEnd.LAPSED, reason)
         self._request_plan()
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -273,7 +273,6 @@
             work_lease_s=min(WORK_LEASE_S, bounds.longest_lease_s),
             longest_lease_s=bounds.longest_lease_s,
             stop_s=bounds.stop_s,
-            heartbeat_s=bounds.heartbeat_s,
             drain_s=bounds.drain_s,
             keep_ended_s=bounds.keep_status_s * 1.5,
             machine_lease_s=bounds.machine_lease_s,
--- a/chiveledge/platform/_settings.py
+++ b/chiveledge/platform/_settings.py
@@ -49,8 +49,6 @@
         Longest lease that a worker grants.
     stop_s : float
         Longest time that stopping a run takes.
-    heartbeat_s : float
-        Interval at which workers renew their entries.
     drain_s : float
         Shortest time that a worker stays after it announced draining.
     keep_status_s : float
@@ -65,7 +63,6 @@
     config_apply_s: float = 2.5
     longest_lease_s: float = 6.0
     stop_s: float = 0.9
-    heartbeat_s: float = 1.5
     drain_s: float = 2.5
     keep_status_s: float = 120.0
     machine_lease_s: float = 3.0
@@ -208,10 +205,7 @@
             "address",
             "cloud.address",
         ),
-        bounds=_decode_bounds(
-            _check_object(fields.get("bounds", {}), "bounds"),
-            _get_number(fields, "heartbeat_ms", 1500, "(top level)") / 1000,
-        ),
+        bounds=_decode_bounds(_check_object(fields.get("bounds", {}), "bounds")),
         limits=_decode_limits(_check_object(fields.get("limits", {}), "limits")),
     )
 
@@ -226,14 +220,13 @@
     )
 
 
-def _decode_bounds(fields: Mapping[str, Any], heartbeat_s: float) -> PlatformBounds:
+def _decode_bounds(fields: Mapping[str, Any]) -> PlatformBounds:
     default = PlatformBounds()
     return PlatformBounds(
         grace_s=_get_number(fields, "grace_s", default.grace_s),
         config_apply_s=_get_number(fields, "config_apply_ms", 2500) / 1000,
         longest_lease_s=_get_number(fields, "hold_max_ms", 6000) / 1000,
         stop_s=_get_number(fields, "stop_ms", 900) / 1000,
-        heartbeat_s=heartbeat_s,
         drain_s=_get_number(fields, "drain_ms", 2500) / 1000,
         keep_status_s=_get_number(fields, "status_s", default.keep_status_s),
         machine_lease_s=_get_number(fields, "lease_ms", 3000) / 1000,
