An end is acknowledged once all ends up to it are stored, and only once

What callers saw: a task started again after its end was taken note of, by the next leader, or by the same one after a restart of the worker.

Cause: the number that a poll acknowledges covers all ends up to it. It was raised as soon as the jobs of one report were stored, whatever became of those of earlier reports (a rejected write, a job of several rows, a later batch). And it went to whichever incarnation was there: each poll carried it again for good, also after the leader had waited for the store, when the worker may have started again and numbers its ends anew.

Change: `EndSequence` keeps which batches of ends are stored; a number is acknowledged when all before it are, until one answered poll has carried it, and only within 0.25 s of an answer. The answer to an order that shows an earlier clock is a doubt that only a poll sent later can end.

Open: a poll that carries a fresh number, gets no answer and is carried out by the next incarnation after that one has ended a run.

--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -257,7 +257,7 @@
         self, link: WorkerLink, tracked: TrackedRun, clock_ms: int
     ) -> None:
         now_s = self._clock.monotonic()
-        link.record_order_clock(clock_ms)
+        link.record_order_clock(clock_ms, now_s)
         tracked.resolved_s = now_s
         if tracked.run.state is not RunState.RUNNING:
             tracked.run.state = RunState.RUNNING
--- a/chiveledge/coordinator/_reconciliation.py
+++ b/chiveledge/coordinator/_reconciliation.py
@@ -7,6 +7,7 @@
 
 from chiveledge.coordinator._context import TermContext
 from chiveledge.coordinator._demands import find_policy
+from chiveledge.coordinator._end_sequence import EndSequence
 from chiveledge.coordinator._fleet_view import find_protected_tasks
 from chiveledge.coordinator._orders import OrderDispatcher
 from chiveledge.coordinator._progress_writer import ProgressWriter
@@ -88,16 +89,16 @@
         Returns
         -------
         coroutine or None
-            Stores the reported ends, then lets the next poll acknowledge them. None if
-            no new end was reported.
+            Stores the reported ends, so that they may be acknowledged. None if no new
+            end was reported.
         """
         link.fence_raised = True
-        link.record_answer(report.clock_ms, self._clock.monotonic())
+        link.record_answer(report.clock_ms, self._clock.monotonic(), sent_s)
         reported = set()
         for row in report.running:
             reported.add((row.task, row.run))
             self._record_running(link, row)
-        new_ends = [end for end in report.ended if end.number > link.last_received_end]
+        new_ends = link.ends.receive(report.ended)
         reported |= {(end.task, end.run) for end in report.ended}
         for end in new_ends:
             self._record_end(link, end)
@@ -105,13 +106,8 @@
             self._close_absent(link, reported, sent_s)
         if not new_ends:
             return None
-        link.last_received_end = max(end.number for end in new_ends)
-        return self._acknowledge(
-            link,
-            link.incarnation_ms,
-            link.last_received_end,
-            self._jobs_of_ends(new_ends),
-        )
+        last_number = max(end.number for end in new_ends)
+        return self._store_ends(link.ends, last_number, self._jobs_of_ends(new_ends))
 
     def close_run(
         self, link: WorkerLink, tracked: TrackedRun, how: RunEnd, reason: str
@@ -370,16 +366,11 @@
         ids = {name.job_id for name in names if name is not None}
         return [self._jobs[job_id] for job_id in ids if job_id in self._jobs]
 
-    async def _acknowledge(
-        self,
-        link: WorkerLink,
-        incarnation_ms: int,
-        last_end: int,
-        jobs: list[JobProgress],
+    async def _store_ends(
+        self, ends: EndSequence, last_number: int, jobs: list[JobProgress]
     ) -> None:
         await asyncio.gather(*(self._save(job) for job in jobs))
-        if link.incarnation_ms == incarnation_ms:
-            link.acknowledged = max(link.acknowledged, last_end)
+        ends.record_stored(last_number)
 
     async def _save(self, job: JobProgress) -> None:
         """Store a job's progress; an end that isn't stored is never acknowledged."""
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass, field
 from math import isinf
 from typing import TypedDict
 
+from chiveledge.coordinator._end_sequence import EndSequence
 from chiveledge.coordinator._tracked_run import TrackedRun
 from chiveledge.services.task_worker import TaskWorker, WorkerEntry
 from chiveledge.types import WorkerName
@@ -27,6 +27,11 @@
     return round(now_s - since_s, 3)
 
 
+MAX_ANSWER_AGE_S = 0.25
+"""Age of the last answer up to which a poll acknowledges ends. A worker needs longer to
+start again, to take an order and to end its run."""
+
+
 class ContactRecord(TypedDict):
     """What was known of a worker when a decision on its runs was taken, for the log.
 
@@ -89,17 +94,14 @@
         Start time of the worker process, in milliseconds since 1970.
     incarnation_began_s : float
         Monotonic time at which this incarnation was first seen.
-    clock_went_back : bool
-        Whether the answer to an order showed an earlier time than the last poll, as
-        that of a later incarnation does.
-    acknowledged : int
-        Number of the last end that is stored.
+    clock_went_back_s : float, optional
+        Monotonic time at which the answer to an order showed an earlier time than the
+        last poll, as that of a later incarnation does; None once a poll that was sent
+        later is answered.
+    ends : EndSequence
+        Ends that the present incarnation has reported.
     sent_acknowledgement : int
         Highest number that a poll of the present incarnation carried.
-    last_received_end : int
-        Number of the last end that was received.
-    storing_task : asyncio.Task, optional
-        Stores the ends that were received.
     emptying : bool
         Whether the machine is being emptied for its upkeep, so that nothing starts
         there.
@@ -118,10 +120,8 @@
     listed: bool = True
     unlisted_s: float = float("inf")
     fence_raised: bool = False
-    acknowledged: int = 0
+    ends: EndSequence = field(default_factory=EndSequence)
     sent_acknowledgement: int = 0
-    last_received_end: int = 0
-    storing_task: asyncio.Task | None = None
     lease_end_ms: int = 0
     unknown_lease_s: float = 0.0
     runs: dict[tuple[str, int], TrackedRun] = field(default_factory=dict)
@@ -134,7 +134,7 @@
     clock_read_s: float = 0.0
     incarnation_ms: int = 0
     incarnation_began_s: float = float("-inf")
-    clock_went_back: bool = False
+    clock_went_back_s: float | None = None
     emptying: bool = False
     used: Usage = Usage()
     stopping: Usage = Usage()
@@ -169,12 +169,13 @@
         self.filler_runs -= tracked.is_filler
         return True
 
-    def record_answer(self, clock_ms: int, now_s: float) -> None:
-        """Record an answered poll with the reading of the worker's clock."""
+    def record_answer(self, clock_ms: int, now_s: float, sent_s: float) -> None:
+        """Record a poll that was answered, and the reading of the worker's clock."""
         self.last_answer_s = now_s
         self.unresponsive_since_s = None
         self.error = ""
-        self.clock_went_back = False
+        if self.clock_went_back_s is not None and sent_s >= self.clock_went_back_s:
+            self.clock_went_back_s = None
         if clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
             self.clock_read_s = now_s
@@ -188,21 +189,23 @@
         if self.unresponsive_since_s is None:
             self.unresponsive_since_s = now_s
 
-    def record_order_clock(self, clock_ms: int) -> None:
+    def record_order_clock(self, clock_ms: int, now_s: float) -> None:
         """Record the reading of the worker's clock in the answer to an order."""
         if clock_ms + MAX_OVERTAKING_MS < self.clock_ms:
-            self.clock_went_back = True
+            self.clock_went_back_s = now_s
 
-    @property
-    def acknowledgement(self) -> int:
-        """Number of the last end that the next poll acknowledges.
+    def choose_acknowledgement(self, now_s: float) -> int:
+        """Return the number of the last end that a poll acknowledges now.
 
         Another incarnation numbers its ends anew and would forget ends that were not
-        seen. Without an answer to the last poll, or if the clock went back, there may
-        be another one, so nothing is acknowledged until a poll is answered.
+        seen. Unless a poll was answered just before, there may be another one, so
+        nothing is acknowledged until a poll is answered.
         """
-        in_doubt = self.unresponsive_since_s is not None or self.clock_went_back
-        return 0 if in_doubt else self.acknowledged
+        if self.unresponsive_since_s is not None or self.clock_went_back_s is not None:
+            return 0
+        if self.last_answer_s is None or now_s - self.last_answer_s > MAX_ANSWER_AGE_S:
+            return 0
+        return self.ends.unconfirmed
 
     def mark_unlisted(self, now_s: float) -> None:
         """Record that the platform does not list the worker any more."""
@@ -273,11 +276,11 @@
         self.incarnation_began_s = now_s
         self.incarnation_ms = incarnation_ms
         self.fence_raised = False
-        self.acknowledged = 0
+        self.ends = EndSequence()
         self.sent_acknowledgement = 0
-        self.last_received_end = 0
         self.lease_end_ms = 0
         self.last_answer_s = None
+        self.clock_went_back_s = None
         self.clock_ms = 0
         self.draining_since_s = None
         self.emptying = False
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok
 
+from chiveledge.clock import run_with_timeout
 from chiveledge.coordinator._context import TermContext
 from chiveledge.coordinator._orders import OrderDispatcher
 from chiveledge.coordinator._reconciliation import Reconciler
@@ -26,7 +27,9 @@
 
 POLL_RETRY_S = 0.2
 UNLISTED_GRACE_S = 3.0
-ACK_TIMEOUT_S = 0.5
+
+STORE_TIMEOUT_S = 0.5
+"""How long a poll waits until the ends of the last report are stored."""
 
 FORMER_LEADER_GRACE_S = 3.0
 """How long a former leader may continue to extend leases of workers."""
@@ -223,22 +226,13 @@
         return self._clock.monotonic() - last_heard_s > UNLISTED_GRACE_S
 
     async def _poll(self, link: WorkerLink) -> None:
-        timing = self._context.timing
-        is_storing = link.storing_task is not None and not link.storing_task.done()
-        if is_storing:
-            await asyncio.wait({link.storing_task}, timeout=ACK_TIMEOUT_S)
-            is_storing = not link.storing_task.done()
+        ends = link.ends
+        if ends.is_storing:
+            await run_with_timeout(
+                self._clock, ends.wait_until_stored(), STORE_TIMEOUT_S
+            )
         now_s = self._clock.monotonic()
-        lease_end_ms = None
-        wait_s = 0.0
-        if link.unresponsive_since_s is None and link.last_answer_s is not None:
-            lease_end_ms = link.extend_lease(now_s, timing.work_lease_s)
-            wait_s = timing.poll_wait_s(len(self.links), busy=bool(link.runs))
-        if is_storing:
-            wait_s = 0.0
-        request = PollRequest(
-            self._leadership.epoch, link.acknowledgement, lease_end_ms, wait_s
-        )
+        request = self._make_request(link, now_s)
         self._log_acknowledgement(link, request.acknowledged, now_s)
         match await link.client.poll(request):
             case Ok(report):
@@ -250,12 +244,24 @@
                     # The answer is from the earlier incarnation; poll again.
                     await self._clock.sleep(POLL_RETRY_S)
                     return
+                ends.record_answered(request.acknowledged)
                 self._reconcile(link, report, now_s)
             case Err(Declined(DeclineReason.FENCE)):
                 self._end_term(f"{link.name} follows a leader with a higher epoch")
             case Err(error):
                 await self._handle_no_answer(link, error)
 
+    def _make_request(self, link: WorkerLink, now_s: float) -> PollRequest:
+        timing = self._context.timing
+        acknowledged = link.choose_acknowledgement(now_s)
+        lease_end_ms = None
+        wait_s = 0.0
+        if link.unresponsive_since_s is None and link.last_answer_s is not None:
+            lease_end_ms = link.extend_lease(now_s, timing.work_lease_s)
+            if acknowledged or not link.ends.has_unacknowledged:
+                wait_s = timing.poll_wait_s(len(self.links), busy=bool(link.runs))
+        return PollRequest(self._leadership.epoch, acknowledged, lease_end_ms, wait_s)
+
     def _log_acknowledgement(
         self, link: WorkerLink, acknowledged: int, now_s: float
     ) -> None:
@@ -286,12 +292,12 @@
     def _reconcile(self, link: WorkerLink, report: PollReport, sent_s: float) -> None:
         was_usable = link.fence_raised and link.unresponsive_since_s is None
         open_before = len(link.runs)
-        acknowledgement = self._reconciler.reconcile(link, report, sent_s)
+        storing = self._reconciler.reconcile(link, report, sent_s)
         if len(link.runs) < open_before or not was_usable:
             # Most other reports change nothing that a plan depends on.
             self._request_plan()
-        if acknowledgement is not None:
-            link.storing_task = self._spawn(acknowledgement)
+        if storing is not None:
+            self._spawn(storing)
 
     def _close_expired(self, link: WorkerLink) -> None:
         """Close the runs of an unresponsive worker once their lease is surely over.
