A leader without the store stops extending leases; unknown grants are assumed

What callers saw: a task ran on two workers at once, each under another leader, or under one process that led twice.

Cause: a new leader took a silent worker's runs for lapsed after the longest lease and a grace of 3 s, in which it supposed the former leader to have stopped. Nothing made it stop: cut off from the store together with a worker it extended that worker's lease for ever. And two grants were not counted: what the former leader extended until its last order, and the longest lease that a start order grants to an incarnation later than the one that it was sent to.

Change: polls carry no lease once the leadership has lapsed for the grace; that bounds what a former leader can grant, however long it stays alive. `WorkerLease` holds what is known of a lease and what must be assumed; what proves that a run is gone stands in one module, `_run_evidence`.

--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -205,7 +205,7 @@
                 task=str(tracked.name),
                 run=run.number,
                 payload=payload,
-                lease_end_ms=link.extend_lease(now_s, self._timing.work_lease_s) or 0,
+                lease_end_ms=link.lease.extend(now_s, self._timing.work_lease_s) or 0,
                 fence=self._leadership.epoch,
                 checkpoint=checkpoint,
                 ticket=self._tickets.find_ticket(
--- a/chiveledge/coordinator/_reconciliation.py
+++ b/chiveledge/coordinator/_reconciliation.py
@@ -11,6 +11,7 @@
 from chiveledge.coordinator._fleet_view import find_protected_tasks
 from chiveledge.coordinator._orders import OrderDispatcher
 from chiveledge.coordinator._progress_writer import ProgressWriter
+from chiveledge.coordinator._run_evidence import list_absent_runs
 from chiveledge.coordinator._run_times import RunTimeEstimator
 from chiveledge.coordinator._tracked_run import TrackedRun
 from chiveledge.coordinator._worker_link import WorkerLink, age_s
@@ -94,16 +95,15 @@
         """
         link.fence_raised = True
         link.record_answer(report.clock_ms, self._clock.monotonic(), sent_s)
-        reported = set()
         for row in report.running:
-            reported.add((row.task, row.run))
             self._record_running(link, row)
         new_ends = link.ends.receive(report.ended)
-        reported |= {(end.task, end.run) for end in report.ended}
         for end in new_ends:
             self._record_end(link, end)
-        if not report.has_more_ends:
-            self._close_absent(link, reported, sent_s)
+        for tracked in list_absent_runs(link, report, sent_s):
+            self.close_run(
+                link, tracked, RunEnd.NOT_STARTED, "the worker does not report it"
+            )
         if not new_ends:
             return None
         last_number = max(end.number for end in new_ends)
@@ -284,18 +284,6 @@
         )
         self._finish_run(link, tracked, end.how, end.checkpoint)
 
-    def _close_absent(
-        self, link: WorkerLink, reported: set[tuple[str, int]], sent_s: float
-    ) -> None:
-        """Close runs that a poll after the resolution of their start does not show."""
-        for key, tracked in list(link.runs.items()):
-            resolved_s = tracked.resolved_s
-            if key in reported or resolved_s is None or sent_s < resolved_s:
-                continue
-            self.close_run(
-                link, tracked, RunEnd.NOT_STARTED, "the worker does not report it"
-            )
-
     def _finish_run(
         self, link: WorkerLink, tracked: TrackedRun, how: RunEnd, checkpoint: str
     ) -> None:
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -289,6 +289,11 @@
             adopted=True,
         )
         link.add_run(tracked)
+        if run.incarnation_ms != link.incarnation_ms:
+            # Its start order may have reached the later incarnation and granted that
+            # one the longest lease there is.
+            longest_lease_s = self._context.timing.longest_lease_s
+            link.lease.assume_granted(longest_lease_s, self._clock.monotonic())
         if job.state.ended:
             self._orders.stop(link, tracked, "the job has ended")
 
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -8,13 +8,11 @@
 
 from chiveledge.coordinator._end_sequence import EndSequence
 from chiveledge.coordinator._tracked_run import TrackedRun
+from chiveledge.coordinator._worker_lease import WorkerLease
 from chiveledge.services.task_worker import TaskWorker, WorkerEntry
 from chiveledge.types import WorkerName
 from chiveledge.workload import Usage
 
-CLOCK_RATE = 0.98
-"""Lowest rate of a worker's clock relative to the leader's."""
-
 MAX_OVERTAKING_MS = 1000
 """How much earlier than a poll an order may have been answered whose answer arrives
 after that of the poll; longer than the timeout of an order."""
@@ -78,18 +76,13 @@
         Monotonic time at which the present entry announced draining.
     fence_raised : bool
         Whether the present incarnation has answered a poll with this term's fence.
-    lease_end_ms : int
-        Latest lease end that any order of this term carried, on the worker's clock.
-    unknown_lease_s : float
-        Lease that an order to an earlier incarnation may have granted to this one, in
-        seconds from the next answer; 0 if there was no such order.
+    lease : WorkerLease
+        Lease on the runs of the present incarnation.
     last_answer_s, unresponsive_since_s : float, optional
         Monotonic time of the last answered poll, and of the first unanswered one
         since then.
     avoid_until_s : float
         Monotonic time until which no new run is placed on the worker.
-    clock_ms, clock_read_s : int, float
-        Last reading of the worker's clock, and the monotonic time of the reading.
     incarnation_ms : int
         Start time of the worker process, in milliseconds since 1970.
     incarnation_began_s : float
@@ -122,16 +115,13 @@
     fence_raised: bool = False
     ends: EndSequence = field(default_factory=EndSequence)
     sent_acknowledgement: int = 0
-    lease_end_ms: int = 0
-    unknown_lease_s: float = 0.0
+    lease: WorkerLease = field(default_factory=WorkerLease)
     runs: dict[tuple[str, int], TrackedRun] = field(default_factory=dict)
     last_answer_s: float | None = None
     unresponsive_since_s: float | None = None
     error: str = ""
     draining_since_s: float | None = None
     avoid_until_s: float = 0.0
-    clock_ms: int = 0
-    clock_read_s: float = 0.0
     incarnation_ms: int = 0
     incarnation_began_s: float = float("-inf")
     clock_went_back_s: float | None = None
@@ -176,12 +166,7 @@
         self.error = ""
         if self.clock_went_back_s is not None and sent_s >= self.clock_went_back_s:
             self.clock_went_back_s = None
-        if clock_ms >= self.clock_ms:
-            self.clock_ms = clock_ms
-            self.clock_read_s = now_s
-        if self.unknown_lease_s:
-            self.lease_end_ms = clock_ms + int(self.unknown_lease_s * 1000)
-            self.unknown_lease_s = 0.0
+        self.lease.record_clock(clock_ms, now_s)
 
     def record_no_answer(self, now_s: float, error: str) -> None:
         """Record an unanswered poll."""
@@ -191,7 +176,7 @@
 
     def record_order_clock(self, clock_ms: int, now_s: float) -> None:
         """Record the reading of the worker's clock in the answer to an order."""
-        if clock_ms + MAX_OVERTAKING_MS < self.clock_ms:
+        if clock_ms + MAX_OVERTAKING_MS < self.lease.clock_ms:
             self.clock_went_back_s = now_s
 
     def choose_acknowledgement(self, now_s: float) -> int:
@@ -212,25 +197,6 @@
         self.listed = False
         self.unlisted_s = now_s
 
-    def extend_lease(self, now_s: float, lease_s: float) -> int | None:
-        """Extend the lease to at least `lease_s` from now; return its end.
-
-        The end is in milliseconds on the worker's clock, None if the clock has not been
-        read yet.
-        """
-        if self.last_answer_s is None:
-            return None
-        clock_ms = self.clock_ms + (now_s - self.clock_read_s) * 1000
-        self.lease_end_ms = max(self.lease_end_ms, int(clock_ms + lease_s * 1000))
-        return self.lease_end_ms
-
-    def is_lease_over(self, now_s: float) -> bool:
-        """Return whether all runs have lapsed, even if the worker's clock is slow."""
-        if self.last_answer_s is None:
-            return False
-        passed_ms = (now_s - self.clock_read_s) * 1000 * CLOCK_RATE
-        return self.clock_ms + passed_ms > self.lease_end_ms
-
     def leaves_in_s(self, now_s: float, least_s: float) -> float | None:
         """Return for how long a draining worker stays at least; None if not draining.
 
@@ -247,23 +213,17 @@
 
     def describe_contact(self, now_s: float) -> ContactRecord:
         """Return what is known of the worker, for the log."""
+        lease_left_s = self.lease.left_s(now_s)
         return ContactRecord(
             incarnation_ms=self.incarnation_ms,
             listed=self.listed,
             draining=self.entry.draining,
             unlisted_age_s=None if self.listed else age_s(self.unlisted_s, now_s),
             answer_age_s=age_s(self.last_answer_s, now_s),
-            lease_left_s=self._lease_left_s(now_s),
+            lease_left_s=None if lease_left_s is None else round(lease_left_s, 3),
             error=self.error,
         )
 
-    def _lease_left_s(self, now_s: float) -> float | None:
-        if self.last_answer_s is None:
-            return None
-        passed_ms = (now_s - self.clock_read_s) * 1000 * CLOCK_RATE
-        left_ms = self.lease_end_ms - self.clock_ms - passed_ms
-        return round(left_ms / 1000 / CLOCK_RATE, 3)
-
     def begin_incarnation(
         self, incarnation_ms: int, now_s: float, longest_lease_s: float
     ) -> None:
@@ -272,16 +232,14 @@
         Orders carry the end of a lease on the clock of the incarnation that they are
         meant for. The next one, whose clock began anew, cuts it to `longest_lease_s`.
         """
-        self.unknown_lease_s = longest_lease_s if self.runs else 0.0
+        self.lease = WorkerLease(longest_lease_s if self.runs else 0.0)
         self.incarnation_began_s = now_s
         self.incarnation_ms = incarnation_ms
         self.fence_raised = False
         self.ends = EndSequence()
         self.sent_acknowledgement = 0
-        self.lease_end_ms = 0
         self.last_answer_s = None
         self.clock_went_back_s = None
-        self.clock_ms = 0
         self.draining_since_s = None
         self.emptying = False
         for tracked in self.runs.values():
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -11,8 +11,13 @@
 from chiveledge.coordinator._context import TermContext
 from chiveledge.coordinator._orders import OrderDispatcher
 from chiveledge.coordinator._reconciliation import Reconciler
+from chiveledge.coordinator._run_evidence import (
+    FORMER_LEADER_GRACE_S,
+    has_lease_expired,
+)
 from chiveledge.coordinator._tracked_run import TrackedRun
-from chiveledge.coordinator._worker_link import CLOCK_RATE, WorkerLink, age_s
+from chiveledge.coordinator._worker_lease import CLOCK_RATE, WorkerLease
+from chiveledge.coordinator._worker_link import WorkerLink, age_s
 from chiveledge.leadership import Leadership
 from chiveledge.placement import WorkerSuspicion
 from chiveledge.services import Row
@@ -31,9 +36,6 @@
 STORE_TIMEOUT_S = 0.5
 """How long a poll waits until the ends of the last report are stored."""
 
-FORMER_LEADER_GRACE_S = 3.0
-"""How long a former leader may continue to extend leases of workers."""
-
 
 class WorkerMonitor:
     """Follows the platform's worker list and polls each worker.
@@ -100,7 +102,7 @@
         if name in self.links:
             return self.links[name]
         entry = WorkerEntry(name, "", "", "", "", frozenset(), Usage(), incarnation_ms)
-        link = WorkerLink(entry, self._context.make_worker(entry), listed=False)
+        link = self._make_link(entry, listed=False)
         link.incarnation_ms = incarnation_ms
         self.links[name] = link
         self._spawn(self._poll_worker(link))
@@ -138,7 +140,7 @@
     def _update_entry(self, entry: WorkerEntry) -> None:
         link = self.links.get(entry.name)
         if link is None:
-            link = WorkerLink(entry, self._context.make_worker(entry))
+            link = self._make_link(entry, listed=True)
             link.incarnation_ms = entry.incarnation_ms
             if entry.draining:
                 link.draining_since_s = self._clock.monotonic()
@@ -167,6 +169,12 @@
         link.entry = entry
         link.listed = True
 
+    def _make_link(self, entry: WorkerEntry, *, listed: bool) -> WorkerLink:
+        client = self._context.make_worker(entry)
+        # An earlier leader may have extended the lease until its last order.
+        lease = WorkerLease(self._context.timing.work_lease_s / CLOCK_RATE)
+        return WorkerLink(entry, client, listed=listed, lease=lease)
+
     def _handle_restart(self, link: WorkerLink, incarnation_ms: int) -> None:
         self._log.write(
             "workers",
@@ -257,7 +265,8 @@
         lease_end_ms = None
         wait_s = 0.0
         if link.unresponsive_since_s is None and link.last_answer_s is not None:
-            lease_end_ms = link.extend_lease(now_s, timing.work_lease_s)
+            if self._leadership.lapsed_s < FORMER_LEADER_GRACE_S:
+                lease_end_ms = link.lease.extend(now_s, timing.work_lease_s)
             if acknowledged or not link.ends.has_unacknowledged:
                 wait_s = timing.poll_wait_s(len(self.links), busy=bool(link.runs))
         return PollRequest(self._leadership.epoch, acknowledged, lease_end_ms, wait_s)
@@ -300,21 +309,12 @@
             self._spawn(storing)
 
     def _close_expired(self, link: WorkerLink) -> None:
-        """Close the runs of an unresponsive worker once their lease is surely over.
-
-        Nothing else proves that they have ended: a worker that has left and one that is
-        cut off both refuse connections and lose their entry.
-        """
+        """Close the runs of an unresponsive worker once their lease is surely over."""
         now_s = self._clock.monotonic()
         if not link.runs or link.unresponsive_since_s is None and link.entry.address:
             return
-        if link.last_answer_s is None:
-            longest_lease_s = self._context.timing.longest_lease_s / CLOCK_RATE
-            since_s = max(self._began_s, link.incarnation_began_s)
-            is_over = now_s - since_s > longest_lease_s + FORMER_LEADER_GRACE_S
-        else:
-            is_over = link.is_lease_over(now_s)
-        if not is_over:
+        longest_lease_s = self._context.timing.longest_lease_s
+        if not has_lease_expired(link, now_s, self._began_s, longest_lease_s):
             return
         reason = "the worker's lease has lapsed"
         for tracked in list(link.runs.values()):
--- a/tests/coordinator/test_worker_link.py
+++ b/tests/coordinator/test_worker_link.py
@@ -62,16 +62,16 @@
     task = TaskProgress(run=OpenRun(1, "w", 1))
     run = TrackedRun(TaskName("j", 0, 0, 0), task, task.run, Step())
     link.add_run(run)
-    link.extend_lease(10.0, 6.0)
+    link.lease.extend(10.0, 6.0)
     link.begin_incarnation(2, 20.0, longest_lease_s=10.0)
     link.record_answer(500, 21.0, sent_s=20.5)
-    link.extend_lease(21.0, 6.0)
-    assert not link.is_lease_over(30.0)
-    assert link.is_lease_over(32.0)
+    link.lease.extend(21.0, 6.0)
+    assert not link.lease.is_over(30.0)
+    assert link.lease.is_over(32.0)
 
 
 def test_lease_of_an_idle_worker_is_not_longer_after_a_restart(link):
     link.begin_incarnation(2, 20.0, longest_lease_s=10.0)
     link.record_answer(500, 21.0, sent_s=20.5)
-    link.extend_lease(21.0, 6.0)
-    assert link.is_lease_over(28.0)
+    link.lease.extend(21.0, 6.0)
+    assert link.lease.is_over(28.0)
