A run is barred on a restarted worker while a copy of its order is in doubt

What callers saw: a task ran twice for a short while after its worker had started again.

Cause: a start order that got no answer in time is sent again, and the earlier copy may be carried out seconds later. The incarnation that was sent the orders starts the run once; the next one knows nothing of it. The leader closed the run at once because of the restart, or as absent from the next report, and started the task elsewhere.

Change: the link remembers for 12 s which start orders have a copy without an answer. After a restart these runs are stopped on the new incarnation, which bars them, before they count as gone.

--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -220,7 +220,7 @@
             )
             unanswered |= answered.unanswered
             if answered.unanswered:
-                self._log_unanswered(link, tracked)
+                self._record_unanswered(link, tracked)
             match answered.result:
                 case Ok(answer):
                     self._mark_started(link, tracked, answer.clock_ms)
@@ -236,13 +236,14 @@
                     unanswered = True
                     run.state = RunState.UNKNOWN
                     if not answered.unanswered:
-                        self._log_unanswered(link, tracked)
+                        self._record_unanswered(link, tracked)
             if run.state is RunState.RUNNING:
                 return True
         self.stop(link, tracked, "the worker did not answer the start order")
         return False
 
-    def _log_unanswered(self, link: WorkerLink, tracked: TrackedRun) -> None:
+    def _record_unanswered(self, link: WorkerLink, tracked: TrackedRun) -> None:
+        link.record_unanswered_start(tracked, self._clock.monotonic())
         self._metrics.count("starts_unanswered")
         self._log.write(
             "orders",
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -13,6 +13,9 @@
 from chiveledge.types import WorkerName
 from chiveledge.workload import Usage
 
+LATE_ORDER_S = 12.0
+"""How long after it was sent an order without an answer may still be carried out."""
+
 MAX_OVERTAKING_MS = 1000
 """How much earlier than a poll an order may have been answered whose answer arrives
 after that of the poll; longer than the timeout of an order."""
@@ -95,6 +98,9 @@
         Ends that the present incarnation has reported.
     sent_acknowledgement : int
         Highest number that a poll of the present incarnation carried.
+    unanswered_starts : dict
+        Monotonic time of the last start order of each run of which a copy got no
+        answer, by task and number.
     emptying : bool
         Whether the machine is being emptied for its upkeep, so that nothing starts
         there.
@@ -125,6 +131,7 @@
     incarnation_ms: int = 0
     incarnation_began_s: float = float("-inf")
     clock_went_back_s: float | None = None
+    unanswered_starts: dict[tuple[str, int], float] = field(default_factory=dict)
     emptying: bool = False
     used: Usage = Usage()
     stopping: Usage = Usage()
@@ -179,6 +186,27 @@
         if clock_ms + MAX_OVERTAKING_MS < self.lease.clock_ms:
             self.clock_went_back_s = now_s
 
+    def record_unanswered_start(self, tracked: TrackedRun, now_s: float) -> None:
+        """Record that a copy of a run's start order got no answer."""
+        self._forget_old_starts(now_s)
+        self.unanswered_starts[tracked.key] = now_s
+
+    def list_late_starts(self, now_s: float) -> list[tuple[str, int]]:
+        """Return task and number of the runs whose start may still be carried out.
+
+        The incarnation that was sent the order starts a run once. A later one knows
+        nothing of that and would start it again.
+        """
+        self._forget_old_starts(now_s)
+        return list(self.unanswered_starts)
+
+    def _forget_old_starts(self, now_s: float) -> None:
+        self.unanswered_starts = {
+            key: sent_s
+            for key, sent_s in self.unanswered_starts.items()
+            if now_s - sent_s < LATE_ORDER_S
+        }
+
     def choose_acknowledgement(self, now_s: float) -> int:
         """Return the number of the last end that a poll acknowledges now.
 
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -191,24 +191,32 @@
             self._context.timing.longest_lease_s,
         )
         self._suspicion.forget_worker(link.name)
+        late = link.list_late_starts(self._clock.monotonic())
+        for task, run in late:
+            if (task, run) not in link.runs:
+                self._orders.stop_unknown(link, task, run)
         for tracked in list(link.runs.values()):
-            self._carry_over_run(link, tracked)
+            self._carry_over_run(link, tracked, is_late=tracked.key in late)
         self._request_plan()
 
-    def _carry_over_run(self, link: WorkerLink, tracked: TrackedRun) -> None:
-        """Close, stop or keep a run of a worker that restarted under its name.
+    def _carry_over_run(
+        self, link: WorkerLink, tracked: TrackedRun, *, is_late: bool
+    ) -> None:
+        """Close, bar or keep a run of a worker that restarted under its name.
 
         Orders name the worker and not its incarnation, so a start order that the
-        earlier incarnation never reported may have reached the present one.
+        earlier incarnation never reported may have reached the present one. If a copy
+        may still reach it, the run is barred there before it counts as gone.
         """
         if tracked.run.state is RunState.INTENDED:
             return
-        if tracked.reported:
+        if is_late or tracked.resolved_s is None:
+            tracked.resolved_s = None
+            self._orders.stop(link, tracked, "the worker restarted")
+        elif tracked.reported:
             self._reconciler.close_run(
                 link, tracked, RunEnd.LAPSED, "the worker restarted"
             )
-        elif tracked.resolved_s is None:
-            self._orders.stop(link, tracked, "the worker restarted")
         else:
             tracked.resolved_s = self._clock.monotonic()
 
