Orders carry the epoch of their term, not that of the moment

What could happen: a start order with fence 0 in the step of the event loop in which a process gives its leadership back (1 of 80 interleavings of the test). A worker that has seen no fence, such as one that has just started again, would carry it out after another leader has taken over.

Cause: orders and polls read the epoch of the leadership when they were sent, and it is 0, or that of a later term, once the term has ended.

Change: the dispatcher and the monitor of a term keep its epoch.

Result: test_no_order_carries_the_fence_of_no_leadership failed before; late orders, random faults and job path hold.

--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -45,7 +45,8 @@
     context : TermContext
         Clock, log, metrics and timing.
     leadership : Leadership
-        Provides the fence; nothing starts while it is not valid.
+        Its epoch at the beginning of the term is the fence of all orders; nothing
+        starts while it is not valid.
     progress_writer : ProgressWriter
         Stores each run before its start order is sent.
     tickets : TicketCache
@@ -75,6 +76,7 @@
         self._metrics = context.metrics
         self._timing = context.timing
         self._leadership = leadership
+        self._epoch = leadership.epoch
         self._progress_writer = progress_writer
         self._tickets = tickets
         self._jobs = jobs
@@ -137,7 +139,7 @@
     def stop_unknown(self, link: WorkerLink, task: str, run: int) -> None:
         """Stop a run that a worker reports but no job has open."""
         self._log.write("orders", "stop_unknown", task=task, run=run, worker=link.name)
-        order = StopOrder(task, run, self._leadership.epoch)
+        order = StopOrder(task, run, self._epoch)
         self._spawn(link.client.stop(order))
 
     def discard(self, link: WorkerLink, tracked: TrackedRun, reason: str) -> None:
@@ -206,7 +208,7 @@
                 run=run.number,
                 payload=payload,
                 lease_end_ms=link.lease.extend(now_s, self._timing.work_lease_s) or 0,
-                fence=self._leadership.epoch,
+                fence=self._epoch,
                 checkpoint=checkpoint,
                 ticket=self._tickets.find_ticket(
                     tracked.name.step_name, link.name, link.incarnation_ms
@@ -302,7 +304,7 @@
             )
 
     async def _send_stop(self, link: WorkerLink, tracked: TrackedRun) -> None:
-        order = StopOrder(str(tracked.name), tracked.run.number, self._leadership.epoch)
+        order = StopOrder(str(tracked.name), tracked.run.number, self._epoch)
         while tracked.key in link.runs:
             answered = await send_hedged(self._clock, lambda: link.client.stop(order))
             match answered.result:
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -45,7 +45,7 @@
     context : TermContext
         Clients, clock, log and timing.
     leadership : Leadership
-        Provides the fence that every poll carries.
+        Its epoch at the beginning of the term is the fence that every poll carries.
     links : dict
         Filled with the state of each worker, by name.
     reconciler : Reconciler
@@ -80,6 +80,7 @@
         self._clock = context.clock
         self._log = context.log
         self._leadership = leadership
+        self._epoch = leadership.epoch
         self._reconciler = reconciler
         self._orders = orders
         self._suspicion = suspicion
@@ -277,7 +278,7 @@
                 lease_end_ms = link.lease.extend(now_s, timing.work_lease_s)
             if acknowledged or not link.ends.has_unacknowledged:
                 wait_s = timing.poll_wait_s(len(self.links), busy=bool(link.runs))
-        return PollRequest(self._leadership.epoch, acknowledged, lease_end_ms, wait_s)
+        return PollRequest(self._epoch, acknowledged, lease_end_ms, wait_s)
 
     def _log_acknowledgement(
         self, link: WorkerLink, acknowledged: int, now_s: float
