An incarnation is new if it was not seen before, also with a lower start

What callers saw: a job hung for 30 s or more on a worker that had started again after its wall clock went back.

Cause: the start time of a worker process names its incarnation, and a lower one was taken for the answer of an earlier incarnation, for good.

Change: the link keeps the incarnations that it has seen; any other one is a restart, whatever its start time.

Result: test_worker_whose_wall_clock_went_back... failed before; 231 passed (tests/coordinator).

--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -88,6 +88,8 @@
         Monotonic time until which no new run is placed on the worker.
     incarnation_ms : int
         Start time of the worker process, in milliseconds since 1970.
+    past_incarnations : set of int
+        Start times of its earlier incarnations.
     incarnation_began_s : float
         Monotonic time at which this incarnation was first seen.
     clock_went_back_s : float, optional
@@ -129,6 +131,7 @@
     draining_since_s: float | None = None
     avoid_until_s: float = 0.0
     incarnation_ms: int = 0
+    past_incarnations: set[int] = field(default_factory=set)
     incarnation_began_s: float = float("-inf")
     clock_went_back_s: float | None = None
     unanswered_starts: dict[tuple[str, int], float] = field(default_factory=dict)
@@ -166,6 +169,15 @@
         self.filler_runs -= tracked.is_filler
         return True
 
+    def is_new_incarnation(self, incarnation_ms: int) -> bool:
+        """Return whether a start time is that of an incarnation not seen before.
+
+        It may be lower than the present one, as the worker's wall clock may go back.
+        """
+        if not incarnation_ms or incarnation_ms == self.incarnation_ms:
+            return False
+        return incarnation_ms not in self.past_incarnations
+
     def record_answer(self, clock_ms: int, now_s: float, sent_s: float) -> None:
         """Record a poll that was answered, and the reading of the worker's clock."""
         self.last_answer_s = now_s
@@ -262,6 +274,7 @@
         """
         self.lease = WorkerLease(longest_lease_s if self.runs else 0.0)
         self.incarnation_began_s = now_s
+        self.past_incarnations.add(self.incarnation_ms)
         self.incarnation_ms = incarnation_ms
         self.fence_raised = False
         self.ends = EndSequence()
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -156,7 +156,7 @@
             )
             self._spawn(self._poll_worker(link))
             return
-        if entry.incarnation_ms > link.incarnation_ms:
+        if link.is_new_incarnation(entry.incarnation_ms):
             self._handle_restart(link, entry.incarnation_ms)
         if entry.draining and (
             link.draining_since_s is None or entry.leaves_s != link.entry.leaves_s
@@ -255,9 +255,9 @@
             case Ok(report):
                 if link.unresponsive_since_s is not None:
                     self._log.write("workers", "regained", worker=link.name)
-                if report.incarnation_ms > link.incarnation_ms:
+                if link.is_new_incarnation(report.incarnation_ms):
                     self._handle_restart(link, report.incarnation_ms)
-                if report.incarnation_ms < link.incarnation_ms:
+                if report.incarnation_ms != link.incarnation_ms:
                     # The answer is from the earlier incarnation; poll again.
                     await self._clock.sleep(POLL_RETRY_S)
                     return
