Polls of a worker have a connection of their own

The poll that acknowledges 20 ends was composed, then not carried out for 0.7 to 0.9 s, while the worker started again and ended 20 new runs; the number erased their ends.

Change: one connection for polls, seven for orders.

--- a/chiveledge/platform/_workers.py
+++ b/chiveledge/platform/_workers.py
@@ -58,6 +58,9 @@
 POLL_MARGIN_S = 0.8
 """Time allowed for the answer to a poll, in addition to the duration of its wait."""
 
+MAX_ORDER_CONNECTIONS = 7
+"""Most connections to a worker that carry orders."""
+
 USABLE_STATES = ("ready", "draining")
 
 MAX_LISTED_ENDS = 500
@@ -140,6 +143,9 @@
 class PlatformWorker:
     """Client of one worker.
 
+    Polls have a connection of their own. What a poll acknowledges holds only for a
+    moment, so it must not wait behind orders.
+
     Parameters
     ----------
     entry : WorkerEntry
@@ -149,14 +155,14 @@
     """
 
     def __init__(self, entry: WorkerEntry, metrics: Metrics) -> None:
-        self._pool = ConnectionPool(limit=8)
+        self._order_pool = ConnectionPool(limit=MAX_ORDER_CONNECTIONS)
+        self._poll_pool = ConnectionPool(limit=1)
         self._headers = {"X-Expect-Instance": entry.name}
-        self._caller = HttpCaller(
-            self._pool,
-            f"http://{entry.address}",
-            metrics=metrics,
-            timeout_s=ORDER_TIMEOUT_S,
+        url = f"http://{entry.address}"
+        self._order_caller = HttpCaller(
+            self._order_pool, url, metrics=metrics, timeout_s=ORDER_TIMEOUT_S
         )
+        self._poll_caller = HttpCaller(self._poll_pool, url, metrics=metrics)
 
     async def start(
         self, order: StartOrder
@@ -199,7 +205,7 @@
             body["until_ms"] = request.lease_end_ms
         if request.wait_s:
             body["wait_ms"] = int(request.wait_s * 1000)
-        reply = await self._caller.call(
+        reply = await self._poll_caller.call(
             "POST",
             "/hold",
             body,
@@ -217,12 +223,14 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._pool.close()
+        await self._order_pool.close()
+        await self._poll_pool.close()
 
     async def _send_order(
         self, path: str, body: dict[str, object]
     ) -> Result[OrderAccepted, Declined | CallError]:
-        match await self._caller.call("POST", path, body, headers=self._headers):
+        reply = await self._order_caller.call("POST", path, body, headers=self._headers)
+        match reply:
             case Ok(HttpReply(status=status, body=answer)) if status == HTTP_OK:
                 return _decode(_decode_accepted, answer)
             case Ok(answer):
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
 import pytest
@@ -11,7 +12,11 @@
 from chiveledge.clock import SystemClock
 from chiveledge.decision_log import NullLog
 from chiveledge.metrics import Metrics
-from chiveledge.platform._workers import PlatformWorker, WorkerDecoder
+from chiveledge.platform._workers import (
+    MAX_ORDER_CONNECTIONS,
+    PlatformWorker,
+    WorkerDecoder,
+)
 from chiveledge.services import Row, Unsettled
 from chiveledge.services.task_worker import (
     Declined,
@@ -277,3 +282,33 @@
     assert isinstance(reply.unwrap_err(), Unsettled)
     await client.close()
     await runner.cleanup()
+
+
+async def test_poll_is_not_held_up_by_orders_that_wait_for_answers():
+    """Its acknowledgement reached the next incarnation, some seconds after its time."""
+    task = StandInTask(0.1, Usage(1000, 100, 1))
+    fake = MemoryTaskWorker(ENTRY, SystemClock(), lambda _: task)
+    app = make_worker_app(fake)
+    may_answer = asyncio.Event()
+
+    @web.middleware
+    async def hold_orders(request, handler):
+        if request.path == "/run-start":
+            await may_answer.wait()
+        return await handler(request)
+
+    app.middlewares.append(hold_orders)
+    runner, address = await serve(app)
+    client = PlatformWorker(ENTRY._replace(address=address), Metrics())
+    orders = [
+        asyncio.create_task(client.start(START._replace(task=f"a.0.0.{number}")))
+        for number in range(3 * MAX_ORDER_CONNECTIONS)
+    ]
+    await asyncio.sleep(0)
+    report = await client.poll(PollRequest(7, 0))
+    assert report.is_ok()
+    assert not any(order.done() for order in orders)
+    may_answer.set()
+    await asyncio.gather(*orders)
+    await client.close()
+    await runner.cleanup()
