The done end of a run that had been closed counts

What callers saw: work that was done was done again: the worker was silent until its lease had lapsed, and its run, which had ended done before, was closed; the end that it reported later was acknowledged without effect. With a run that was closed by mistake that is a start after a noted end.

Change: the task counts as done, and a later run of it is stopped.

Result: 2 new tests failed before; tests/coordinator and test_workers hold.

--- a/chiveledge/coordinator/_reconciliation.py
+++ b/chiveledge/coordinator/_reconciliation.py
@@ -270,6 +270,8 @@
     def _record_end(self, link: WorkerLink, end: EndedTask) -> None:
         tracked = link.runs.get((end.task, end.run))
         if tracked is None:
+            if end.how is RunEnd.DONE:
+                self._record_done_after_closing(link, end)
             return
         self._log.write(
             "settlement",
@@ -284,6 +286,37 @@
         )
         self._finish_run(link, tracked, end.how, end.checkpoint)
 
+    def _record_done_after_closing(self, link: WorkerLink, end: EndedTask) -> None:
+        """Count a task as done whose run had been closed before its end was reported.
+
+        Its work need not be done again, and an end that is acknowledged must not be
+        followed by another start.
+        """
+        name = TaskName.parse(end.task)
+        job = self._jobs.get(name.job_id) if name is not None else None
+        task = job.find_task(name) if job is not None else None
+        if task is None or task.done or end.run > task.last_run or job.state.ended:
+            return
+        step = job.request.steps[name.step]
+        if step.lasting:
+            return
+        self._log.write(
+            "settlement",
+            "ended_after_closing",
+            id=job.job_id,
+            task=end.task,
+            run=end.run,
+            worker=link.name,
+        )
+        progress = job.open_occurrence(name.occurrence)[name.step]
+        for done_task in progress.tasks if step.gang else [task]:
+            done_task.done = True
+        for holder, other in self._orders.find_runs(job):
+            if other.task.done and other.run.number > end.run:
+                self._orders.stop(holder, other, "an earlier run of the task is done")
+        self._complete_job(job)
+        self._progress_writer.mark_dirty(job)
+
     def _finish_run(
         self, link: WorkerLink, tracked: TrackedRun, how: RunEnd, checkpoint: str
     ) -> None:
--- a/tests/coordinator/test_acknowledgement.py
+++ b/tests/coordinator/test_acknowledgement.py
@@ -11,7 +11,7 @@
 from chiveledge.coordinator import CoordinatorTiming
 from chiveledge.coordinator._progress_rows import progress_key
 from chiveledge.services import Rejected
-from chiveledge.workload import JobState, Step, Usage
+from chiveledge.workload import JobState, RunEnd, Step, Usage
 from tests.coordinator.cluster import SMALL
 
 TINY = Usage(5, 1, 0)
@@ -282,3 +282,39 @@
     worker.faults.refuses_connections = False
     await cluster.advance(14.0)
     assert (cluster.record.double_runs, cluster.record.started_after_done) == ([], [])
+
+
+async def test_task_that_ended_done_before_its_lease_lapsed_does_not_run_again(
+    make_cluster,
+):
+    """Its run was closed as lapsed, and the end that came later was thrown away."""
+    cluster = make_cluster(workers=1)
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(count=1, usage=SMALL), work_s=3.0)
+    await cluster.advance(1.0)
+    worker = cluster.workers["w0"]
+    worker.faults.unresponsive = True
+    await cluster.advance(LONG_S)
+    assert not any(cluster.leader.coordinator.term.jobs["j1"].open_runs())
+    worker.faults.unresponsive = False
+    await cluster.advance(5.0)
+    assert cluster.state("j1") is JobState.COMPLETED
+    assert len(cluster.starts("j1")) == 1
+
+
+async def test_second_run_of_a_task_is_stopped_when_the_first_turns_out_done(
+    make_cluster,
+):
+    """The task had been placed elsewhere meanwhile."""
+    cluster = make_cluster(workers=2)
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(count=1, usage=SMALL), work_s=4.0)
+    await cluster.advance(1.0)
+    worker = next(w for w in cluster.workers.values() if w.runs)
+    worker.faults.unresponsive = True
+    await advance_until(cluster, lambda: len(cluster.starts("j1")) == 2)
+    worker.faults.unresponsive = False
+    await cluster.advance(2.0)
+    assert cluster.state("j1") is JobState.COMPLETED
+    second = cluster.record.runs["j1.0.0.0"][1]
+    assert second.how is RunEnd.STOPPED
