--- a/chiveledge/platform/_store.py
+++ b/chiveledge/platform/_store.py
@@ -28,12 +28,12 @@
     HttpCaller,
     HttpReply,
     Put,
-    Rejected,
     Row,
     Snapshot,
     Transaction,
     Unavailable,
     Unsettled,
+    classify_error_status,
     decode_reply,
     make_row_key,
     parse_part,
@@ -46,8 +46,6 @@
 HTTP_OK = 200
 HTTP_GONE = 410
 HTTP_CONFLICT = 412
-REJECTED_STATUSES = frozenset({400, 403, 413})
-"""Statuses of a transaction that the store would not take at any other time either."""
 
 WRITE_ID_CHARS = 33
 """Length of a write ID and the line break after it."""
@@ -243,8 +241,7 @@
                 found = _decode(partial(_find_mismatches, transaction.checks), answer)
                 return found.and_then(lambda keys: Err(Conflict(keys)))
             case Ok(HttpReply(status=status)):
-                failure = Rejected if status in REJECTED_STATUSES else Unavailable
-                return Err(failure(f"the transaction failed with status {status}"))
+                return Err(classify_error_status(status, "the transaction"))
             case Err(error):
                 return Err(error)
         raise AssertionError("unreachable")
--- a/chiveledge/platform/_workers.py
+++ b/chiveledge/platform/_workers.py
@@ -25,8 +25,8 @@
     HttpCaller,
     HttpReply,
     Row,
-    Unavailable,
     Unsettled,
+    classify_error_status,
     decode_reply,
 )
 from chiveledge.services.task_worker import (
@@ -255,10 +255,8 @@
             return Declined(DeclineReason.UNHEALTHY)
         case status if status == HTTP_BAD_REQUEST:
             return Declined(DeclineReason.BAD_ORDER)
-        case status if status < 500:
-            return Unavailable(f"the worker answered {status}")
         case status:
-            return Unsettled(f"the worker answered {status}")
+            return classify_error_status(status, "the worker")
 
 
 def _decode_conflict(body: object) -> Declined | Unsettled:
--- a/chiveledge/services/__init__.py
+++ b/chiveledge/services/__init__.py
@@ -10,6 +10,7 @@
     ConnectionPool,
     HttpCaller,
     HttpReply,
+    classify_error_status,
     decode_reply,
 )
 from chiveledge.services.errors import (
@@ -112,6 +113,7 @@
     "WatchedTable",
     "Worker",
     "WorkerReport",
+    "classify_error_status",
     "commit_with_retries",
     "decode_reply",
     "make_row_key",
--- a/chiveledge/services/_http.py
+++ b/chiveledge/services/_http.py
@@ -12,11 +12,16 @@
 
 from chiveledge.decoding import DECODE_ERRORS, describe_error, parse_json
 from chiveledge.metrics import Metrics
-from chiveledge.services.errors import Unavailable, Unsettled
+from chiveledge.services.errors import Rejected, Unavailable, Unsettled
 
 T = TypeVar("T")
 
 SERVICE_UNAVAILABLE = 503
+NO_EFFECT_STATUSES = frozenset({429, SERVICE_UNAVAILABLE})
+"""Error statuses that prove that a call had no effect, but may have one if repeated."""
+
+REJECTED_STATUSES = frozenset({400, 403, 413})
+"""Error statuses of a call that would be refused at any other time as well."""
 
 MAX_REPLY_BYTES = 16 << 20
 """Largest reply that is read; services send long lists in pages far below it."""
@@ -108,6 +113,29 @@
         return Err(Unsettled(f"can't decode the reply of {sender}: {reason}"))
 
 
+def classify_error_status(
+    status: int, operation: str
+) -> Unavailable | Rejected | Unsettled:
+    """Return the error that an error status of a write or order stands for.
+
+    A gateway or an overloaded server may answer with any other status after the call
+    was passed on, so such a status proves nothing.
+
+    Parameters
+    ----------
+    status : int
+        Status of the reply.
+    operation : str
+        What was called, for the reason in the error.
+    """
+    reason = f"{operation} returned status {status}"
+    if status in REJECTED_STATUSES:
+        return Rejected(reason)
+    if status in NO_EFFECT_STATUSES:
+        return Unavailable(reason)
+    return Unsettled(reason)
+
+
 async def _read_bounded(response: aiohttp.ClientResponse) -> bytes:
     """Return the body of a reply; raise ValueError if it is too long to be read."""
     blocks = []
--- a/chiveledge/services/objects.py
+++ b/chiveledge/services/objects.py
@@ -9,7 +9,7 @@
 
 from chiveledge.decoding import check_type
 from chiveledge.services import _wire
-from chiveledge.services._http import HttpCaller, decode_reply
+from chiveledge.services._http import HttpCaller, classify_error_status, decode_reply
 from chiveledge.services.errors import CallError, Unavailable
 
 HTTP_OK = 200
@@ -46,7 +46,7 @@
             case Ok(answer) if answer.status == HTTP_OK:
                 return Ok(None)
             case Ok(answer):
-                return Err(Unavailable(f"write of {name!r} returned {answer.status}"))
+                return Err(classify_error_status(answer.status, f"write of {name!r}"))
             case Err(error):
                 return Err(error)
         raise AssertionError("unreachable")
--- a/chiveledge/services/table.py
+++ b/chiveledge/services/table.py
@@ -10,7 +10,7 @@
 from chiveledge.clock import Clock
 from chiveledge.decoding import check_type, check_whole_number
 from chiveledge.services import _wire
-from chiveledge.services._http import HttpCaller, decode_reply
+from chiveledge.services._http import HttpCaller, classify_error_status, decode_reply
 from chiveledge.services.errors import (
     CallError,
     Conflict,
@@ -214,7 +214,7 @@
                 found = decode_reply(_decode_keys, answer.body, "the table service")
                 return found.and_then(lambda keys: Err(Conflict(keys)))
             case Ok(answer):
-                return Err(Unavailable(f"transaction returned {answer.status}"))
+                return Err(classify_error_status(answer.status, "the transaction"))
             case Err(error):
                 return Err(error)
         raise AssertionError("unreachable")
--- a/chiveledge/services/worker.py
+++ b/chiveledge/services/worker.py
@@ -8,8 +8,8 @@
 from result import Err, Ok, Result
 
 from chiveledge.services import _wire
-from chiveledge.services._http import HttpCaller, decode_reply
-from chiveledge.services.errors import CallError, Conflict, Unavailable
+from chiveledge.services._http import HttpCaller, classify_error_status, decode_reply
+from chiveledge.services.errors import CallError, Conflict
 from chiveledge.types import AttemptId, Epoch, JobId, RegionName
 
 HTTP_OK = 200
@@ -238,7 +238,7 @@
     if status == HTTP_CONFLICT:
         found = decode_reply(_decode_conflict, body, "the worker")
         return found.and_then(Err)
-    return Err(Unavailable(f"the worker returned status {status}"))
+    return Err(classify_error_status(status, "the worker"))
 
 
 def _decode_conflict(body: dict[str, object]) -> Conflict:
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -277,3 +277,15 @@
     assert isinstance(reply.unwrap_err(), Unsettled)
     await client.close()
     await runner.cleanup()
+
+
+@pytest.mark.parametrize("status", [404, 500, 502, 504])
+async def test_status_that_the_protocol_does_not_define_leaves_an_order_unsettled(
+    status,
+):
+    # A 404 was taken to prove that the worker had not carried out the order.
+    client, runner = await answer_with(status, b"{}")
+    reply = await client.start(START)
+    assert isinstance(reply.unwrap_err(), Unsettled)
+    await client.close()
+    await runner.cleanup()
--- a/tests/services/test_odd_replies.py
+++ b/tests/services/test_odd_replies.py
@@ -9,13 +9,16 @@
 from aiohttp import web
 
 from chiveledge.services import (
+    AttemptOrder,
     HttpCaller,
     HttpHostList,
     HttpObjectStore,
     HttpTable,
     HttpWorker,
+    Rejected,
     SyncRequest,
     Transaction,
+    Unavailable,
     Unsettled,
 )
 from standins.hosts import MemoryHosts, make_hosts_app
@@ -82,3 +85,31 @@
     async with open_caller(status, "{}") as caller:
         result = await CALLS["transact"](caller)
         assert isinstance(result.err(), Unsettled)
+
+
+WRITES = {
+    "transact": CALLS["transact"],
+    "object": lambda caller: HttpObjectStore(caller).write("a", "text"),
+    "start": lambda caller: HttpWorker(caller).start(AttemptOrder("r", 1, ("a",))),
+}
+
+
+@pytest.mark.parametrize("name", WRITES)
+@pytest.mark.parametrize(
+    ("status", "error"),
+    [
+        (400, Rejected),
+        (404, Unsettled),
+        (429, Unavailable),
+        (500, Unsettled),
+        (502, Unsettled),
+        (503, Unavailable),
+        (504, Unsettled),
+    ],
+)
+async def test_only_statuses_that_prove_it_mean_that_a_write_had_no_effect(
+    name, status, error
+):
+    # A server error was taken to prove that a write or an order had no effect.
+    async with open_caller(status, "{}") as caller:
+        assert type((await WRITES[name](caller)).err()) is error
