--- a/chiveledge/intake/_relay.py
+++ b/chiveledge/intake/_relay.py
@@ -41,6 +41,9 @@
 """How long a peer that failed to answer is tried last."""
 
 REFUSED_STATUS = 503
+MIN_ERROR_STATUS = 400
+GONE_STATUS = 410
+"""Says that the job does not exist, which settles a cancellation."""
 
 
 class Relayed(NamedTuple):
@@ -125,7 +128,8 @@
         -------
         Relayed, MaybeDone or NotTaken
             The first answer other than 503. Without one, `MaybeDone` if any peer
-            may have processed the request.
+            may have processed the request. After such a peer, the refusal by another
+            one is no answer either, unless the request has no effect.
         """
         sent_headers = {
             **headers,
@@ -135,6 +139,7 @@
         deadline_s = self._clock.monotonic() + timeout_s
         now_s = self._clock.monotonic()
         avoided = {name for name, s in self._avoid_until_s.items() if now_s < s}
+        has_effect = method != "GET"
         outcome: RelayOutcome = NotTaken()
         for peer in self._directory.list_peers(avoided, self._rng)[:MAX_ATTEMPTS]:
             remaining_s = deadline_s - self._clock.monotonic()
@@ -144,11 +149,12 @@
                 peer, method, path, sent_headers, body, remaining_s
             )
             self._log_outcome(peer, method, path, answer)
+            may_be_done = has_effect and isinstance(outcome, MaybeDone)
             match answer:
-                case Relayed(status=status) if status != REFUSED_STATUS:
-                    return answer
                 case MaybeDone():
                     outcome = answer
+                case Relayed(status=status) if _is_final(status, may_be_done):
+                    return answer
         return outcome
 
     async def _send(
@@ -203,3 +209,13 @@
             outcome=type(answer).__name__,
             status=answer.status if isinstance(answer, Relayed) else None,
         )
+
+
+def _is_final(status: int, may_be_done: bool) -> bool:
+    """Whether a peer's answer holds for the request, whatever other peers did.
+
+    A refusal tells nothing of another peer that may have processed the request.
+    """
+    if status == REFUSED_STATUS:
+        return False
+    return not may_be_done or status < MIN_ERROR_STATUS or status == GONE_STATUS
