--- a/chiveledge/services/group_commit.py
+++ b/chiveledge/services/group_commit.py
@@ -124,12 +124,14 @@
                             _resolve(group, Ok(version))
                             return
                     remaining = _fail_conflicting(group, set(keys))
-                    may_have_committed = False
                     if len(remaining) < len(group):
+                        # The lost sends check the conflicting row as well.
+                        may_have_committed = False
                         group = remaining
                         transaction = _make_transaction(group)
                         continue
-                    # The conflict names no row of the group, so another send may pass.
+                    # The conflict names no row of the group, so another send may pass,
+                    # and a lost one may have passed.
                 case Err(Unsettled()):
                     may_have_committed = True
                 case Err(Rejected()):
