--- a/chiveledge/scheduler/_region.py
+++ b/chiveledge/scheduler/_region.py
@@ -6,13 +6,13 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from chiveledge.cells import GuaranteeRisk, WorkerSize
 from chiveledge.clock import Clock, run_with_timeout
 from chiveledge.configuration import Document
 from chiveledge.events import Timeline
-from chiveledge.jobs import Attempt, Job, JobState
+from chiveledge.jobs import Attempt, Job, JobState, job_key
 from chiveledge.leadership import Leadership
 from chiveledge.logs import PartLogger
 from chiveledge.metrics import Metrics
@@ -28,7 +28,14 @@
     is_overcommitted,
 )
 from chiveledge.scheduler._worker_session import WorkerSession
-from chiveledge.services import GroupCommit, ObjectStore, TableService, Worker
+from chiveledge.services import (
+    CallError,
+    GroupCommit,
+    ObjectStore,
+    Row,
+    TableService,
+    Worker,
+)
 from chiveledge.settings import TimingSettings
 from chiveledge.types import AttemptId, JobId, RegionName, WorkerName
 
@@ -202,7 +209,7 @@
         self._update_guarantees_at_risk()
         log.info("Loaded the region.", region=self._context.region, jobs=len(jobs))
 
-    async def _scan_jobs(self) -> list:
+    async def _scan_jobs(self) -> list[Row]:
         prefix = f"job/{self._context.region}/"
         while True:
             match await self._context.table.scan(prefix):
@@ -277,24 +284,37 @@
         unknown = [
             key for key in keys if _parse_job_id(key) not in self._repository.jobs
         ]
-        new_jobs = self._repository.load(await self._read_jobs(unknown))
+        rows, unread = await self._read_jobs(unknown)
+        new_jobs = self._repository.load(rows)
         for job in new_jobs:
             await self._reject_infeasible(job)
-        if keys:
-            await self._writes.commit(
-                checks=(self._leadership.fence,), deletes=tuple(keys)
-            )
+        deletes = tuple(key for key in keys if key not in unread)
+        if deletes:
+            await self._writes.commit(checks=(self._leadership.fence,), deletes=deletes)
         if new_jobs:
             self._wake_placement.set()
 
-    async def _read_jobs(self, inbox_keys: list[str]) -> list:
+    async def _read_jobs(self, inbox_keys: list[str]) -> tuple[list[Row], set[str]]:
+        """Return the rows of new jobs, and the inbox keys whose job was not read.
+
+        A job's row is committed together with its inbox row, so a job without a row
+        has been deleted since.
+        """
         if len(inbox_keys) > FULL_SCAN_THRESHOLD:
-            return await self._scan_jobs()
-        keys = [
-            f"job/{self._context.region}/{_parse_job_id(key)}" for key in inbox_keys
-        ]
-        results = await asyncio.gather(*(self._context.table.read(k) for k in keys))
-        return [row for result in results if (row := result.unwrap_or(None))]
+            return await self._scan_jobs(), set()
+        results = await asyncio.gather(
+            *(self._read_job(_parse_job_id(key)) for key in inbox_keys)
+        )
+        rows = [row for result in results if (row := result.unwrap_or(None))]
+        unread = {
+            key
+            for key, result in zip(inbox_keys, results, strict=True)
+            if result.is_err()
+        }
+        return rows, unread
+
+    async def _read_job(self, job_id: JobId) -> Result[Row | None, CallError]:
+        return await self._context.table.read(job_key(job_id))
 
     async def _reject_infeasible(self, job: Job) -> None:
         reason = self._planner.explain_infeasible(job.spec)
