--- a/chiveledge/scheduler/_region.py
+++ b/chiveledge/scheduler/_region.py
@@ -335,6 +335,13 @@
             if runner.job.job_id == job_id:
                 runner.request_end(Cancelled())
                 return
+        if job_id not in self._repository.jobs:
+            # The job may have arrived after the inbox was read.
+            match await self._read_job(job_id):
+                case Ok(row):
+                    self._repository.load([row] if row else [])
+                case Err(_):
+                    return
         job = self._repository.jobs.get(job_id)
         if job is not None and not job.state.ended:
             await self._repository.commit_cancellation(job)
