--- a/chiveledge/scheduler/_attempt_runner.py
+++ b/chiveledge/scheduler/_attempt_runner.py
@@ -180,7 +180,7 @@
         reason = ""
         for _ in range(MAX_RESERVE_TRIES):
             await self._wait_for_valid_lease()
-            match await session.worker.reserve(reservation):
+            match await session.reserve(reservation):
                 case Ok(_):
                     return ""
                 case Err(error):
@@ -208,7 +208,7 @@
         session = self._session(worker)
         while self._clock.monotonic() < deadline_s:
             await self._wait_for_valid_lease()
-            match await session.worker.start(session.make_order(self.attempt_id)):
+            match await session.start(self.attempt_id):
                 case Ok(_):
                     return True
                 case Err(Conflict()):
--- a/chiveledge/scheduler/_worker_session.py
+++ b/chiveledge/scheduler/_worker_session.py
@@ -2,25 +2,31 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from chiveledge.cells import WorkerSize
 from chiveledge.clock import Clock
 from chiveledge.leadership import Leadership
 from chiveledge.services import (
     AttemptOrder,
+    CallError,
     Conflict,
+    Reservation,
     SyncRequest,
     TaskReport,
     TaskState,
+    Unavailable,
     Worker,
     WorkerReport,
 )
 from chiveledge.settings import TimingSettings
 from chiveledge.types import AttemptId, RegionName
 
+T = TypeVar("T")
+
 LOST_LEASE_SHARE = 0.5
 """Share of the task lease without a reply after which a worker counts as lost."""
 
@@ -71,6 +77,7 @@
         self._last_event = -1
         self._last_contact_s = clock.monotonic()
         self._last_renewal_s = clock.monotonic()
+        self._renewals_in_progress = 0
         self._report_requested_s = float("-inf")
         self._lost = False
 
@@ -100,8 +107,14 @@
 
     @property
     def leases_end_s(self) -> float:
-        """Monotonic time by which all leases on the worker have lapsed."""
-        return self._last_renewal_s + self._timing.task_lease_s
+        """Monotonic time by which all leases on the worker have lapsed.
+
+        A renewal may arrive at any time until its call ends.
+        """
+        renewed_s = self._last_renewal_s
+        if self._renewals_in_progress:
+            renewed_s = self._clock.monotonic()
+        return renewed_s + self._timing.task_lease_s
 
     @property
     def tasks(self) -> dict[tuple[AttemptId, int], TaskReport]:
@@ -131,15 +144,25 @@
             self._timing.task_lease_s,
         )
 
+    async def reserve(self, reservation: Reservation) -> Result[None, CallError]:
+        """Reserve resources for an attempt, under a lease."""
+        return await self._make_renewing_call(self._worker.reserve(reservation))
+
+    async def start(self, attempt: AttemptId) -> Result[None, CallError]:
+        """Start the reserved members of an attempt, which renews their lease."""
+        return await self._make_renewing_call(
+            self._worker.start(self.make_order(attempt))
+        )
+
     async def run(self) -> None:
         """Renew leases and receive reports until the leadership is lost."""
         while self._leadership.epoch:
             request = self._make_request()
             requested_s = self._clock.monotonic()
+            call = self._worker.sync(request)
             if request.renew:
-                self._last_renewal_s = self._clock.monotonic() + request.wait_s
-            result = await self._worker.sync(request)
-            match result:
+                call = self._make_renewing_call(call)
+            match await call:
                 case Ok(report):
                     self._record_report(report, requested_s)
                 case Err(Conflict(_, reason)):
@@ -152,6 +175,19 @@
         """Mark a worker that is not in the host list as lost."""
         self._lost = True
 
+    async def _make_renewing_call(
+        self, call: Awaitable[Result[T, CallError]]
+    ) -> Result[T, CallError]:
+        """Make a call that begins or renews leases, unless it has no effect."""
+        self._renewals_in_progress += 1
+        try:
+            result = await call
+        finally:
+            self._renewals_in_progress -= 1
+        if not isinstance(result.err(), Unavailable | Conflict):
+            self._last_renewal_s = self._clock.monotonic()
+        return result
+
     def _make_request(self) -> SyncRequest:
         return SyncRequest(
             region=self._region,
