--- a/chiveledge/leadership.py
+++ b/chiveledge/leadership.py
@@ -240,6 +240,11 @@
         """Whether this process leads and its lease still allows it to act."""
         return self._epoch > 0 and self._clock.monotonic() < self._valid_until_s
 
+    @property
+    def valid_until_s(self) -> float:
+        """Monotonic time until which the lease allows this process to act."""
+        return self._valid_until_s
+
     def next_poll_delay_s(self, period_s: float) -> float:
         """Return the time until the next call of `challenge`, in seconds.
 
--- a/chiveledge/scheduler/_attempt_runner.py
+++ b/chiveledge/scheduler/_attempt_runner.py
@@ -88,6 +88,7 @@
         self._timing = timing
         self._requested_outcome: AttemptOutcome | None = None
         self._started_s = clock.monotonic()
+        self._adopted_s: float | None = None
         self._changed = asyncio.Event()
         self._ended = asyncio.Event()
 
@@ -126,6 +127,7 @@
 
     async def run_adopted(self) -> None:
         """Run an attempt of an earlier leader until its outcome is committed."""
+        self._adopted_s = self._clock.monotonic()
         try:
             for worker in self.attempt.workers:
                 self._session(worker).start_renewal(self.attempt_id)
@@ -285,10 +287,11 @@
 
     async def _stop_on(self, worker: WorkerName) -> None:
         """Stop the members on a worker, until it confirms or its lease lapses."""
-        session = self._session(worker)
-        session.stop_renewal(self.attempt_id)
+        self._session(worker).stop_renewal(self.attempt_id)
         while True:
             await self._wait_for_valid_lease()
+            # The session is replaced when its worker returns to the host list.
+            session = self._session(worker)
             if not session.lost:
                 match await session.worker.stop(session.make_order(self.attempt_id)):
                     case Ok(_):
@@ -296,7 +299,7 @@
                     case Err(Conflict(_, reason)):
                         self._leadership.step_down(f"worker {worker}: {reason}")
                         return
-            if self._clock.monotonic() >= session.leases_end_s:
+            if self._clock.monotonic() >= self._leases_end_s(session):
                 return
             await self._clock.sleep(RETRY_S)
 
@@ -325,6 +328,11 @@
     def _session(self, worker: WorkerName) -> WorkerSession:
         return self._sessions[worker]
 
+    def _leases_end_s(self, session: WorkerSession) -> float:
+        if self._adopted_s is None:
+            return session.leases_end_s
+        return session.adopted_leases_end_s(self._adopted_s)
+
     def _is_absence_certain(self, worker: WorkerName) -> bool:
         """Whether a member that a worker does not report certainly does not run.
 
--- a/chiveledge/scheduler/_worker_session.py
+++ b/chiveledge/scheduler/_worker_session.py
@@ -22,6 +22,7 @@
     Worker,
     WorkerReport,
 )
+from chiveledge.services.worker import SYNC_TIMEOUT_MARGIN_S
 from chiveledge.settings import TimingSettings
 from chiveledge.types import AttemptId, RegionName
 
@@ -30,6 +31,13 @@
 LOST_LEASE_SHARE = 0.5
 """Share of the task lease without a reply after which a worker counts as lost."""
 
+MAX_RENEWAL_AFTER_LAPSE_S = 30.0
+"""Time for which a leader whose own lease has lapsed still renews those of workers.
+
+The tasks survive an outage of the store of this length. The next leader waits for this
+time where it gets no answer from a worker.
+"""
+
 RETRY_S = 0.2
 
 
@@ -116,6 +124,24 @@
             renewed_s = self._clock.monotonic()
         return renewed_s + self._timing.task_lease_s
 
+    def adopted_leases_end_s(self, adopted_s: float) -> float:
+        """Return the time by which leases that an earlier leader renewed have lapsed.
+
+        A worker accepts renewals of the earlier leader until a call of this one has
+        reached it.
+
+        Parameters
+        ----------
+        adopted_s : float
+            Monotonic time, after the earlier leader's own lease had lapsed.
+        """
+        if self.has_reported:
+            return self.leases_end_s
+        last_sent_s = adopted_s + MAX_RENEWAL_AFTER_LAPSE_S
+        timeout_s = self._timing.worker_sync_s + SYNC_TIMEOUT_MARGIN_S
+        end_s = last_sent_s + timeout_s + self._timing.task_lease_s
+        return max(end_s, self.leases_end_s)
+
     @property
     def tasks(self) -> dict[tuple[AttemptId, int], TaskReport]:
         """Last reported tasks of the region on the worker, by attempt and member."""
@@ -189,10 +215,12 @@
         return result
 
     def _make_request(self) -> SyncRequest:
+        renewal_end_s = self._leadership.valid_until_s + MAX_RENEWAL_AFTER_LAPSE_S
+        may_renew = self._clock.monotonic() < renewal_end_s
         return SyncRequest(
             region=self._region,
             epoch=self._leadership.epoch,
-            renew=tuple(sorted(self._renewed_attempts)),
+            renew=tuple(sorted(self._renewed_attempts)) if may_renew else (),
             lease_s=self._timing.task_lease_s,
             after=self._last_event,
             wait_s=0.0 if self._lost else self._timing.worker_sync_s,
@@ -203,6 +231,9 @@
         self._last_event = report.event
         if report.tasks is not None:
             self._tasks = {(task.attempt, task.member): task for task in report.tasks}
+        if not self.has_reported:
+            # An earlier leader may have renewed leases until this reply.
+            self._last_renewal_s = self._last_contact_s
         self._report_requested_s = requested_s
         self._lost = False
         self._on_change(self)
