--- a/chiveledge/scheduler/_attempt_runner.py
+++ b/chiveledge/scheduler/_attempt_runner.py
@@ -269,21 +269,23 @@
         )
 
     async def _checkpoint_all(self) -> None:
-        """Checkpoint all members; skipped if a worker is lost, and bounded in time."""
+        """Checkpoint all members, and take over the work saved of the whole gang.
+
+        Skipped if a worker is lost, and bounded in time.
+        """
         sessions = [self._session(w) for w in self.attempt.workers]
         if any(session.lost for session in sessions):
             return
         saving = asyncio.gather(
-            *(
-                session.worker.checkpoint(session.make_order(self.attempt_id))
-                for session in sessions
-            )
+            *(session.checkpoint(self.attempt_id) for session in sessions)
         )
         saved = await run_with_timeout(self._clock, saving, self._timing.checkpoint_s)
-        if all(result.is_ok() for result in saved.unwrap_or([saved])):
-            ran = self._clock.now() - self.attempt.started_at
-            saved_s = self.job.saved_s + max(ran.total_seconds(), 0.0)
-            self.job = self.job._replace(saved_s=saved_s)
+        saved_s: dict[int, float] = {}
+        for result in saved.unwrap_or(()):
+            saved_s |= result.unwrap_or({})
+        if len(saved_s) == self._member_count:
+            gang_saved_s = max(self.job.saved_s, min(saved_s.values()))
+            self.job = self.job._replace(saved_s=gang_saved_s)
 
     async def _stop_on(self, worker: WorkerName) -> None:
         """Stop the members on a worker, until it confirms or its lease lapses."""
--- a/chiveledge/scheduler/_worker_session.py
+++ b/chiveledge/scheduler/_worker_session.py
@@ -39,6 +39,8 @@
 """
 
 RETRY_S = 0.2
+NO_EVENT = -1
+"""Number before a worker's first event, so that a sync after it returns all tasks."""
 
 
 class WorkerSession:
@@ -82,7 +84,7 @@
         self._on_change = on_change
         self._renewed_attempts: set[AttemptId] = set()
         self._tasks: dict[tuple[AttemptId, int], TaskReport] = {}
-        self._last_event = -1
+        self._last_event = NO_EVENT
         self._last_contact_s = clock.monotonic()
         self._last_renewal_s = clock.monotonic()
         self._renewals_in_progress = 0
@@ -180,6 +182,26 @@
             self._worker.start(self.make_order(attempt))
         )
 
+    async def checkpoint(
+        self, attempt: AttemptId
+    ) -> Result[dict[int, float], CallError]:
+        """Checkpoint an attempt; return the work saved of each member, in seconds.
+
+        The worker measures it, by its own clock and over all leaders of the attempt.
+        """
+        saved = await self._worker.checkpoint(self.make_order(attempt))
+        if saved.is_err():
+            return saved
+        request = self._make_request()._replace(renew=(), after=NO_EVENT, wait_s=0.0)
+        result = await self._worker.sync(request)
+        return result.map(
+            lambda report: {
+                task.member: task.saved_s
+                for task in report.tasks or ()
+                if task.attempt == attempt
+            }
+        )
+
     async def run(self) -> None:
         """Renew leases and receive reports until the leadership is lost."""
         while self._leadership.epoch:
@@ -246,5 +268,5 @@
         ):
             self._lost = True
             self._tasks = {}
-            self._last_event = -1
+            self._last_event = NO_EVENT
             self._on_change(self)
--- a/chiveledge/services/worker.py
+++ b/chiveledge/services/worker.py
@@ -115,7 +115,7 @@
     result : str
         Result of a finished member.
     saved_s : float
-        Work saved by the last checkpoint, in seconds.
+        Work saved by the last checkpoint, in seconds, with that of earlier attempts.
     """
 
     job: JobId
--- a/tests/scheduler/test_jobs.py
+++ b/tests/scheduler/test_jobs.py
@@ -434,3 +434,21 @@
         assert 0 < saved_s <= region.clock.monotonic()
 
     run_region(work, document=make_document({"cafes": [(16, 1)], "depots": []}))
+
+
+def test_work_before_a_takeover_counts_as_saved_by_a_later_checkpoint():
+    # A leader that counts from its own takeover would drop the work before it.
+    async def work(region):
+        leader = region.start_leader("a")
+        borrowers = await run_borrowers(region, 4)
+        await region.run_for(8.0)
+        leader.cancel()
+        region.start_leader("b")
+        await region.run_for(4.0)
+        region.clock._start += timedelta(hours=1)
+        await region.submit(make_spec(2), "g", "cafes")
+        await region.run_for(10.0)
+        saved = [region.job(borrower).saved_s for borrower in borrowers]
+        assert 12.0 <= max(saved) <= region.clock.monotonic()
+
+    run_region(work, document=make_document({"cafes": [(16, 1)], "depots": []}))
