--- a/tests/scheduler/test_gang_failures.py
+++ b/tests/scheduler/test_gang_failures.py
@@ -22,6 +22,7 @@
     MemberPlacement,
     Reservation,
     TaskState,
+    Unavailable,
     Unsettled,
 )
 from tests.support import (
@@ -326,6 +327,76 @@
     run_region(work)
 
 
+class LateStarts:
+    """Workers of which the first with a reservation gets the start late, unanswered.
+
+    That worker refuses all other calls after the reservation.
+    """
+
+    arrival_s, timeout_s = 1.9, 2.0
+
+    def __init__(self, region):
+        self._region = region
+        self.late_worker = ""
+
+    def wrap(self, service):
+        return service if service is self._region.table else LateLink(self, service)
+
+    async def call(self, worker, name, argument):
+        method = getattr(worker, name)
+        if worker.name != self.late_worker:
+            if name == "reserve" and not self.late_worker:
+                self.late_worker = worker.name
+            return await method(argument)
+        if name != "start":
+            return Err(Unavailable("refused"))
+        await self._region.clock.sleep(self.arrival_s)
+        await method(argument)
+        await self._region.clock.sleep(self.timeout_s - self.arrival_s)
+        return Err(Unsettled("no reply"))
+
+
+class LateLink:
+    """One worker as a leader reaches it through `LateStarts`."""
+
+    def __init__(self, late, worker):
+        self._late = late
+        self._worker = worker
+
+    def __getattr__(self, name):
+        return lambda argument: self._late.call(self._worker, name, argument)
+
+
+def test_start_that_arrives_late_does_not_let_a_job_run_twice():
+    # A start order begins a lease at its arrival, as a renewal does.
+    async def work(region):
+        late = LateStarts(region)
+        region.start_leader("a", late.wrap)
+        job = JobSpec(
+            region=REGION,
+            members=1,
+            accelerators=8,
+            cores=4,
+            memory_mb=1024,
+            payload='{"run_s": 60.0}',
+        )
+        await region.submit(job, "k")
+        for _ in range(round(20.0 / STEP_S)):
+            await region.run_for(STEP_S)
+            running = [
+                (worker.name, attempt)
+                for worker in region.workers.values()
+                for (attempt, _), task in worker.tasks.items()
+                if task.state is TaskState.RUNNING
+            ]
+            assert len(running) <= 1
+        assert running and running[0][0] != late.late_worker
+        states = [change.state for change in region.workers[late.late_worker].history]
+        assert states == [TaskState.RESERVED, TaskState.RUNNING, TaskState.STOPPED]
+
+    run_region(work)
+
+
 class CutLink:
     """Service that one leader can't reach while `is_cut` returns True."""
 
