--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -274,7 +274,7 @@
         lease_end_ms = None
         wait_s = 0.0
         if link.unresponsive_since_s is None and link.last_answer_s is not None:
-            if self._leadership.lapsed_s < FORMER_LEADER_GRACE_S:
+            if now_s < self._leadership.valid_until_s + FORMER_LEADER_GRACE_S:
                 lease_end_ms = link.lease.extend(now_s, timing.work_lease_s)
             if acknowledged or not link.ends.has_unacknowledged:
                 wait_s = timing.poll_wait_s(len(self.links), busy=bool(link.runs))
--- a/chiveledge/scheduler/_attempt_runner.py
+++ b/chiveledge/scheduler/_attempt_runner.py
@@ -88,6 +88,7 @@
         self._timing = timing
         self._requested_outcome: AttemptOutcome | None = None
         self._started_s = clock.monotonic()
+        self._adopted_s: float | None = None
         self._changed = asyncio.Event()
         self._ended = asyncio.Event()
 
@@ -126,6 +127,7 @@
 
     async def run_adopted(self) -> None:
         """Run an attempt of an earlier leader until its outcome is committed."""
+        self._adopted_s = self._clock.monotonic()
         try:
             for worker in self.attempt.workers:
                 self._session(worker).start_renewal(self.attempt_id)
@@ -180,7 +182,7 @@
         reason = ""
         for _ in range(MAX_RESERVE_TRIES):
             await self._wait_for_valid_lease()
-            match await session.worker.reserve(reservation):
+            match await session.reserve(reservation):
                 case Ok(_):
                     return ""
                 case Err(error):
@@ -208,7 +210,7 @@
         session = self._session(worker)
         while self._clock.monotonic() < deadline_s:
             await self._wait_for_valid_lease()
-            match await session.worker.start(session.make_order(self.attempt_id)):
+            match await session.start(self.attempt_id):
                 case Ok(_):
                     return True
                 case Err(Conflict()):
@@ -267,28 +269,31 @@
         )
 
     async def _checkpoint_all(self) -> None:
-        """Checkpoint all members; skipped if a worker is lost, and bounded in time."""
+        """Checkpoint all members, and take over the work saved of the whole gang.
+
+        Skipped if a worker is lost, and bounded in time.
+        """
         sessions = [self._session(w) for w in self.attempt.workers]
         if any(session.lost for session in sessions):
             return
         saving = asyncio.gather(
-            *(
-                session.worker.checkpoint(session.make_order(self.attempt_id))
-                for session in sessions
-            )
+            *(session.checkpoint(self.attempt_id) for session in sessions)
         )
         saved = await run_with_timeout(self._clock, saving, self._timing.checkpoint_s)
-        if all(result.is_ok() for result in saved.unwrap_or([saved])):
-            ran = self._clock.now() - self.attempt.started_at
-            saved_s = self.job.saved_s + max(ran.total_seconds(), 0.0)
-            self.job = self.job._replace(saved_s=saved_s)
+        saved_s: dict[int, float] = {}
+        for result in saved.unwrap_or(()):
+            saved_s |= result.unwrap_or({})
+        if len(saved_s) == self._member_count:
+            gang_saved_s = max(self.job.saved_s, min(saved_s.values()))
+            self.job = self.job._replace(saved_s=gang_saved_s)
 
     async def _stop_on(self, worker: WorkerName) -> None:
         """Stop the members on a worker, until it confirms or its lease lapses."""
-        session = self._session(worker)
-        session.stop_renewal(self.attempt_id)
+        self._session(worker).stop_renewal(self.attempt_id)
         while True:
             await self._wait_for_valid_lease()
+            # The session is replaced when its worker returns to the host list.
+            session = self._session(worker)
             if not session.lost:
                 match await session.worker.stop(session.make_order(self.attempt_id)):
                     case Ok(_):
@@ -296,7 +301,7 @@
                     case Err(Conflict(_, reason)):
                         self._leadership.step_down(f"worker {worker}: {reason}")
                         return
-            if self._clock.monotonic() >= session.leases_end_s:
+            if self._clock.monotonic() >= self._leases_end_s(session):
                 return
             await self._clock.sleep(RETRY_S)
 
@@ -325,6 +330,11 @@
     def _session(self, worker: WorkerName) -> WorkerSession:
         return self._sessions[worker]
 
+    def _leases_end_s(self, session: WorkerSession) -> float:
+        if self._adopted_s is None:
+            return session.leases_end_s
+        return session.adopted_leases_end_s(self._adopted_s)
+
     def _is_absence_certain(self, worker: WorkerName) -> bool:
         """Whether a member that a worker does not report certainly does not run.
 
--- a/chiveledge/scheduler/_worker_session.py
+++ b/chiveledge/scheduler/_worker_session.py
@@ -2,29 +2,45 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from chiveledge.cells import WorkerSize
 from chiveledge.clock import Clock
 from chiveledge.leadership import Leadership
 from chiveledge.services import (
     AttemptOrder,
+    CallError,
     Conflict,
+    Reservation,
     SyncRequest,
     TaskReport,
     TaskState,
+    Unavailable,
     Worker,
     WorkerReport,
 )
+from chiveledge.services.worker import SYNC_TIMEOUT_MARGIN_S
 from chiveledge.settings import TimingSettings
 from chiveledge.types import AttemptId, RegionName
 
+T = TypeVar("T")
+
 LOST_LEASE_SHARE = 0.5
 """Share of the task lease without a reply after which a worker counts as lost."""
 
+MAX_RENEWAL_AFTER_LAPSE_S = 30.0
+"""Time for which a leader whose own lease has lapsed still renews those of workers.
+
+The tasks survive an outage of the store of this length. The next leader waits for this
+time where it gets no answer from a worker.
+"""
+
 RETRY_S = 0.2
+NO_EVENT = -1
+"""Number before a worker's first event, so that a sync after it returns all tasks."""
 
 
 class WorkerSession:
@@ -68,9 +84,10 @@
         self._on_change = on_change
         self._renewed_attempts: set[AttemptId] = set()
         self._tasks: dict[tuple[AttemptId, int], TaskReport] = {}
-        self._last_event = -1
+        self._last_event = NO_EVENT
         self._last_contact_s = clock.monotonic()
         self._last_renewal_s = clock.monotonic()
+        self._renewals_in_progress = 0
         self._report_requested_s = float("-inf")
         self._lost = False
 
@@ -100,8 +117,32 @@
 
     @property
     def leases_end_s(self) -> float:
-        """Monotonic time by which all leases on the worker have lapsed."""
-        return self._last_renewal_s + self._timing.task_lease_s
+        """Monotonic time by which all leases on the worker have lapsed.
+
+        A renewal may arrive at any time until its call ends.
+        """
+        renewed_s = self._last_renewal_s
+        if self._renewals_in_progress:
+            renewed_s = self._clock.monotonic()
+        return renewed_s + self._timing.task_lease_s
+
+    def adopted_leases_end_s(self, adopted_s: float) -> float:
+        """Return the time by which leases that an earlier leader renewed have lapsed.
+
+        A worker accepts renewals of the earlier leader until a call of this one has
+        reached it.
+
+        Parameters
+        ----------
+        adopted_s : float
+            Monotonic time, after the earlier leader's own lease had lapsed.
+        """
+        if self.has_reported:
+            return self.leases_end_s
+        last_sent_s = adopted_s + MAX_RENEWAL_AFTER_LAPSE_S
+        timeout_s = self._timing.worker_sync_s + SYNC_TIMEOUT_MARGIN_S
+        end_s = last_sent_s + timeout_s + self._timing.task_lease_s
+        return max(end_s, self.leases_end_s)
 
     @property
     def tasks(self) -> dict[tuple[AttemptId, int], TaskReport]:
@@ -131,15 +172,45 @@
             self._timing.task_lease_s,
         )
 
+    async def reserve(self, reservation: Reservation) -> Result[None, CallError]:
+        """Reserve resources for an attempt, under a lease."""
+        return await self._make_renewing_call(self._worker.reserve(reservation))
+
+    async def start(self, attempt: AttemptId) -> Result[None, CallError]:
+        """Start the reserved members of an attempt, which renews their lease."""
+        return await self._make_renewing_call(
+            self._worker.start(self.make_order(attempt))
+        )
+
+    async def checkpoint(
+        self, attempt: AttemptId
+    ) -> Result[dict[int, float], CallError]:
+        """Checkpoint an attempt; return the work saved of each member, in seconds.
+
+        The worker measures it, by its own clock and over all leaders of the attempt.
+        """
+        saved = await self._worker.checkpoint(self.make_order(attempt))
+        if saved.is_err():
+            return saved
+        request = self._make_request()._replace(renew=(), after=NO_EVENT, wait_s=0.0)
+        result = await self._worker.sync(request)
+        return result.map(
+            lambda report: {
+                task.member: task.saved_s
+                for task in report.tasks or ()
+                if task.attempt == attempt
+            }
+        )
+
     async def run(self) -> None:
         """Renew leases and receive reports until the leadership is lost."""
         while self._leadership.epoch:
             request = self._make_request()
             requested_s = self._clock.monotonic()
+            call = self._worker.sync(request)
             if request.renew:
-                self._last_renewal_s = self._clock.monotonic() + request.wait_s
-            result = await self._worker.sync(request)
-            match result:
+                call = self._make_renewing_call(call)
+            match await call:
                 case Ok(report):
                     self._record_report(report, requested_s)
                 case Err(Conflict(_, reason)):
@@ -152,11 +223,26 @@
         """Mark a worker that is not in the host list as lost."""
         self._lost = True
 
+    async def _make_renewing_call(
+        self, call: Awaitable[Result[T, CallError]]
+    ) -> Result[T, CallError]:
+        """Make a call that begins or renews leases, unless it has no effect."""
+        self._renewals_in_progress += 1
+        try:
+            result = await call
+        finally:
+            self._renewals_in_progress -= 1
+        if not isinstance(result.err(), Unavailable | Conflict):
+            self._last_renewal_s = self._clock.monotonic()
+        return result
+
     def _make_request(self) -> SyncRequest:
+        renewal_end_s = self._leadership.valid_until_s + MAX_RENEWAL_AFTER_LAPSE_S
+        may_renew = self._clock.monotonic() < renewal_end_s
         return SyncRequest(
             region=self._region,
             epoch=self._leadership.epoch,
-            renew=tuple(sorted(self._renewed_attempts)),
+            renew=tuple(sorted(self._renewed_attempts)) if may_renew else (),
             lease_s=self._timing.task_lease_s,
             after=self._last_event,
             wait_s=0.0 if self._lost else self._timing.worker_sync_s,
@@ -167,6 +253,9 @@
         self._last_event = report.event
         if report.tasks is not None:
             self._tasks = {(task.attempt, task.member): task for task in report.tasks}
+        if not self.has_reported:
+            # An earlier leader may have renewed leases until this reply.
+            self._last_renewal_s = self._last_contact_s
         self._report_requested_s = requested_s
         self._lost = False
         self._on_change(self)
@@ -179,5 +268,5 @@
         ):
             self._lost = True
             self._tasks = {}
-            self._last_event = -1
+            self._last_event = NO_EVENT
             self._on_change(self)
