Removal of a job: a fenced write precedes the deletion of its request

Callers saw: LOST, or a job that ran twice, after a change of the leader. A former leader deleted the request of a job by its own view that the job had ended.

Cause: the request is in another part of the store than the leadership row, so its deletion was sent without the fence, as the first step. Left-over progress was removed by a list without the request alone.

Now a job is removed only if this leader stored or loaded its end. The first step writes the job's status again, under the fence and the version of its progress. A former leader fails there. Later leaders read progress that shows the end, so it no longer matters who deletes the request. That deletion checks the version of the request that the leader read, so that a late one spares a later job of the same ID; for left-over progress it checks that there is no request.

--- a/chiveledge/coordinator/_progress_writer.py
+++ b/chiveledge/coordinator/_progress_writer.py
@@ -45,6 +45,7 @@
     Unsettled,
     transact_hedged,
 )
+from chiveledge.services.table import ABSENT
 from chiveledge.types import JobId
 from chiveledge.workload import JobProgress
 
@@ -82,11 +83,14 @@
         Text of the job's status row.
     writes_status : bool
         Whether that row changes.
+    writes_end : bool
+        Whether the stored progress shows the end of the job after this write.
     """
 
     write: JobWrite
     status: str
     writes_status: bool
+    writes_end: bool
     waiters: list[asyncio.Future[bool]]
 
     @property
@@ -138,6 +142,7 @@
         self._resting: dict[JobId, JobProgress] = {}
         self._stored: dict[JobId, StoredRows] = {}
         self._stored_statuses: dict[JobId, str] = {}
+        self._stored_ends: set[JobId] = set()
         self._waiters: dict[JobId, list[asyncio.Future[bool]]] = {}
         self._has_dirty = asyncio.Event()
         self._hedge_delay = HedgeDelay()
@@ -168,6 +173,10 @@
         """Record which rows of a job an earlier leader has stored."""
         self._stored[job_id] = StoredRows.from_store(stored)
 
+    def record_loaded_end(self, job_id: JobId) -> None:
+        """Record that the rows which an earlier leader stored show a job's end."""
+        self._stored_ends.add(job_id)
+
     async def run(self) -> None:
         """Write dirty jobs until cancelled."""
         while True:
@@ -179,38 +188,113 @@
             while self._dirty:
                 await self._store(self._take_batch())
 
-    async def remove(self, job_id: JobId) -> bool:
-        """Delete all rows of an expired job; return whether all are deleted.
+    async def remove_job(self, job: JobProgress, request_version: int) -> bool:
+        """Delete all rows of an ended job; return whether all are deleted.
 
         The request is deleted before the progress: progress without a request starts
-        nothing, but a request without progress would run again.
+        nothing, but a request without progress would run again. The request is in
+        another part than the fence, so a write under the fence precedes its deletion.
+        Later leaders then find the job ended, even if this process is replaced before
+        it deletes the request.
+
+        Parameters
+        ----------
+        job : JobProgress
+            Job to remove.
+        request_version : int
+            Version of the row of its request. A later request of the same ID is kept.
+        """
+        if job.job_id not in self._stored_ends:
+            return False
+        if not await self._confirm_end(job):
+            return False
+        if not await self._delete_request(job.job_id, request_version):
+            return False
+        return await self._delete_progress(job.job_id)
+
+    async def remove(self, job_id: JobId) -> bool:
+        """Delete left-over progress of a job without a request.
+
+        Returns
+        -------
+        bool
+            Whether all its rows are deleted. False if there is a request after all.
         """
-        request_keys = [
-            job_key(job_id),
-            cancel_key(job_id),
-            initial_job_status_key(job_id),
-        ]
-        if not await self._delete(job_id, request_keys, ()):
+        if not await self._delete_request(job_id, ABSENT):
             return False
+        return await self._delete_progress(job_id)
+
+    async def _confirm_end(self, job: JobProgress) -> bool:
+        """Write the status of an ended job again; return whether this process leads."""
+        key = progress_key(job.job_id)
+        fence = self._leadership.fence
+        transaction = Transaction(
+            uuid.uuid4().hex,
+            (fence, Check(key, job.version)),
+            (Put(job_status_key(job.job_id), _encode_job_status(job)),),
+        )
+        match await self._table.transact(transaction):
+            case Ok(_):
+                return True
+            case Err(Conflict(keys)) if fence.key not in keys:
+                # The answer to the last deletion of an earlier removal may be lost.
+                found = await self._table.read(key)
+                return found == Ok(None) or self._log_not_removed(job.job_id, found)
+            case Err(error):
+                return self._log_not_removed(job.job_id, error)
+        raise AssertionError("unreachable")
+
+    async def _delete_request(self, job_id: JobId, version: int) -> bool:
+        """Delete the rows of a job's submission, unless another one replaced them.
+
+        Returns
+        -------
+        bool
+            Whether the request of this version is gone.
+        """
+        key = job_key(job_id)
+        keys = (key, cancel_key(job_id), initial_job_status_key(job_id))
+        transaction = Transaction(
+            uuid.uuid4().hex,
+            (Check(key, version),),
+            deletes=keys if version != ABSENT else keys[1:],
+        )
+        match await self._table.transact(transaction):
+            case Ok(_):
+                return True
+            case Err(Conflict()) if version != ABSENT:
+                # The answer to an earlier deletion may be lost.
+                found = await self._table.read(key)
+                match found:
+                    case Ok(row) if row is None or row.version != version:
+                        return True
+                return self._log_not_removed(job_id, found)
+            case Err(error):
+                return self._log_not_removed(job_id, error)
+        raise AssertionError("unreachable")
+
+    async def _delete_progress(self, job_id: JobId) -> bool:
         parts = self._stored.get(job_id, StoredRows()).part_hashes
         keys = [progress_key(job_id, part) for part in parts]
         keys += [job_status_key(job_id), progress_key(job_id)]
         for first in range(0, len(keys), MAX_ENTRIES - 1):
-            chunk = keys[first : first + MAX_ENTRIES - 1]
-            if not await self._delete(job_id, chunk, (self._leadership.fence,)):
-                return False
+            transaction = Transaction(
+                uuid.uuid4().hex,
+                (self._leadership.fence,),
+                deletes=tuple(keys[first : first + MAX_ENTRIES - 1]),
+            )
+            result = await self._table.transact(transaction)
+            if result.is_err():
+                return self._log_not_removed(job_id, result.err())
         self._stored.pop(job_id, None)
         self._stored_statuses.pop(job_id, None)
+        self._stored_ends.discard(job_id)
         return True
 
-    async def _delete(
-        self, job_id: JobId, keys: list[str], checks: tuple[Check, ...]
-    ) -> bool:
-        transaction = Transaction(uuid.uuid4().hex, checks=checks, deletes=tuple(keys))
-        result = await self._table.transact(transaction)
-        if result.is_err():
-            self._log.write("ledger", "not_removed", id=job_id, error=str(result.err()))
-        return result.is_ok()
+    def _log_not_removed(self, job_id: JobId, error: object) -> bool:
+        """Log why rows of a job could not be deleted; return False."""
+        self._log.write("ledger", "not_removed", id=job_id, error=str(error))
+        return False
 
     def _wake_resting_jobs(self) -> None:
         now_s = self._clock.monotonic()
@@ -237,7 +321,13 @@
         status = _encode_job_status(job)
         is_new = self._stored_statuses.get(job.job_id) != status
         waiters = self._waiters.pop(job.job_id, []) if write.is_whole else []
-        return _BatchedWrite(write, status, write.is_whole and is_new, waiters)
+        return _BatchedWrite(
+            write,
+            status,
+            writes_status=write.is_whole and is_new,
+            writes_end=write.is_whole and job.state.ended,
+            waiters=waiters,
+        )
 
     async def _store(self, batch: list[_BatchedWrite]) -> None:
         """Store a batch; if the store rejects it, store each job for itself."""
@@ -256,6 +346,8 @@
         self._stored[job.job_id] = StoredRows(item.write.header, item.write.part_hashes)
         if item.writes_status:
             self._stored_statuses[job.job_id] = item.status
+        if item.writes_end:
+            self._stored_ends.add(job.job_id)
         if item.write.has_more:
             self.mark_dirty(job)
         _resolve(item.waiters, True)
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -76,6 +76,7 @@
         self._began_s = self._clock.monotonic()
         self._unmatched_progress: dict[str, StoredJob] = {}
         self._early_cancellations: set[str] = set()
+        self._request_versions: dict[str, int] = {}
         self._removed_at_s: dict[str, float] = {}
         suspicion = WorkerSuspicion()
         estimator = RunTimeEstimator()
@@ -258,7 +259,10 @@
         request = job.request
         if stored is None:
             self._planning.record_admission(job)
+        elif job.state.ended:
+            self._progress_writer.record_loaded_end(job_id)
         self.jobs[job_id] = job
+        self._request_versions[job_id] = row.version
         self._log.write(
             "coordinator",
             "admitted",
@@ -312,11 +316,12 @@
                 if now_s - removed_s < MAX_READ_S
             }
             for job in list(self.jobs.values()):
-                if self._is_expired(job) and await self._progress_writer.remove(
-                    job.job_id
+                if self._is_expired(job) and await self._progress_writer.remove_job(
+                    job, self._request_versions[job.job_id]
                 ):
                     self._removed_at_s[job.job_id] = self._clock.monotonic()
                     del self.jobs[job.job_id]
+                    del self._request_versions[job.job_id]
             for job_id in list(self._unmatched_progress):
                 # An earlier leader removed the request but not the progress.
                 if await self._progress_writer.remove(job_id):
--- a/tests/coordinator/test_progress_writer.py
+++ b/tests/coordinator/test_progress_writer.py
@@ -17,7 +17,7 @@
 from chiveledge.intake import job_key
 from chiveledge.metrics import Metrics
 from chiveledge.services import Check, Put, Transaction
-from chiveledge.workload import JobProgress, JobRequest, OpenRun, Step
+from chiveledge.workload import JobProgress, JobRequest, JobState, OpenRun, Step
 from standins.table import MemoryTable
 
 FENCE_KEY = "leadership/all/holder"
@@ -129,3 +129,74 @@
     await writer.clock.advance(3.0)
     assert removing.done()
     assert writer.table.find(job_key("j1")) is not None
+
+
+async def save_ended_job(writer) -> tuple[JobProgress, int]:
+    """Store the request and the ended progress of a job; return it and its request."""
+    request = Put(job_key("j1"), "request")
+    version = writer.table.commit(Transaction("caller", puts=(request,))).unwrap()
+    job = make_job()
+    job.state = JobState.COMPLETED
+    saving = asyncio.ensure_future(writer.save(job))
+    await writer.clock.advance(0.1)
+    assert saving.result()
+    return job, version
+
+
+async def test_former_leader_does_not_remove_an_ended_job(writer):
+    """The request is in another part than the fence, which no deletion can check."""
+    job, version = await save_ended_job(writer)
+    take_over(writer.table)
+    assert not await writer.remove_job(job, version)
+    assert writer.table.find(job_key("j1")) is not None
+    assert writer.table.find(progress_key("j1")) is not None
+
+
+async def test_job_is_kept_until_its_end_is_stored(writer):
+    """A leader that is replaced during the removal would leave a job that runs on."""
+    request = Put(job_key("j1"), "request")
+    version = writer.table.commit(Transaction("caller", puts=(request,))).unwrap()
+    job = make_job()
+    saving = asyncio.ensure_future(writer.save(job))
+    await writer.clock.advance(0.1)
+    assert saving.result()
+    job.state = JobState.COMPLETED
+    assert not await writer.remove_job(job, version)
+    assert writer.table.find(job_key("j1")) is not None
+
+
+async def test_removal_keeps_a_later_request_of_the_same_id(writer):
+    """The job is submitted again between two attempts to remove it."""
+    job, version = await save_ended_job(writer)
+    writer.table.commit(Transaction("removed", deletes=(job_key("j1"),)))
+    again = Put(job_key("j1"), "another request")
+    writer.table.commit(Transaction("caller", puts=(again,)))
+    assert await writer.remove_job(job, version)
+    assert writer.table.find(job_key("j1")).value == "another request"
+    assert writer.table.find(progress_key("j1")) is None
+
+
+@pytest.mark.parametrize("lost", [0, 1, 2])
+async def test_removal_goes_on_after_a_lost_answer(writer, monkeypatch, lost):
+    """A step that is repeated finds its rows gone already."""
+    job, version = await save_ended_job(writer)
+    transact = writer.table.transact
+    calls = 0
+
+    async def lose_one(transaction):
+        nonlocal calls
+        writer.table.faults.lose_replies = int(calls == lost)
+        calls += 1
+        return await transact(transaction)
+
+    monkeypatch.setattr(writer.table, "transact", lose_one)
+    assert not await writer.remove_job(job, version)
+    assert await writer.remove_job(job, version)
+    assert not writer.table.rows.keys() - {FENCE_KEY}
+
+
+async def test_progress_whose_request_is_stored_is_not_left_over(writer):
+    """A list without the request is no proof that there is none."""
+    await save_ended_job(writer)
+    assert not await writer.remove("j1")
+    assert writer.table.find(progress_key("j1")) is not None
