Age of an ended job by the monotonic clock

Callers saw: LOST and TWICE after a step of a host's wall clock: a job that had just ended was removed, and a repeated submission ran again.

Cause: the age was the present wall time minus the stored wall time of the end, which another host may have written.

Evidence: test_clock_step_does_not_remove_a_job_that_has_just_ended failed before, and so did the new test of a next leader whose clock is ahead.

The age now counts on the monotonic clock, from when this leader stored the end or loaded it; the end is never later than that. A new leader keeps ended jobs for the whole time once more.

--- a/chiveledge/coordinator/_progress_writer.py
+++ b/chiveledge/coordinator/_progress_writer.py
@@ -142,7 +142,7 @@
         self._resting: dict[JobId, JobProgress] = {}
         self._stored: dict[JobId, StoredRows] = {}
         self._stored_statuses: dict[JobId, str] = {}
-        self._stored_ends: set[JobId] = set()
+        self._stored_ends_s: dict[JobId, float] = {}
         self._waiters: dict[JobId, list[asyncio.Future[bool]]] = {}
         self._has_dirty = asyncio.Event()
         self._hedge_delay = HedgeDelay()
@@ -175,7 +175,15 @@
 
     def record_loaded_end(self, job_id: JobId) -> None:
         """Record that the rows which an earlier leader stored show a job's end."""
-        self._stored_ends.add(job_id)
+        self._stored_ends_s[job_id] = self._clock.monotonic()
+
+    def find_end_age_s(self, job_id: JobId) -> float | None:
+        """Return how long ago this leader stored or loaded a job's end.
+
+        None if the stored progress does not show the end.
+        """
+        stored_s = self._stored_ends_s.get(job_id)
+        return None if stored_s is None else self._clock.monotonic() - stored_s
 
     async def run(self) -> None:
         """Write dirty jobs until cancelled."""
@@ -204,7 +212,7 @@
         request_version : int
             Version of the row of its request. A later request of the same ID is kept.
         """
-        if job.job_id not in self._stored_ends:
+        if job.job_id not in self._stored_ends_s:
             return False
         if not await self._confirm_end(job):
             return False
@@ -288,7 +296,7 @@
                 return self._log_not_removed(job_id, result.err())
         self._stored.pop(job_id, None)
         self._stored_statuses.pop(job_id, None)
-        self._stored_ends.discard(job_id)
+        self._stored_ends_s.pop(job_id, None)
         return True
 
     def _log_not_removed(self, job_id: JobId, error: object) -> bool:
@@ -347,7 +355,7 @@
         if item.writes_status:
             self._stored_statuses[job.job_id] = item.status
         if item.writes_end:
-            self._stored_ends.add(job.job_id)
+            self._stored_ends_s.setdefault(job.job_id, self._clock.monotonic())
         if item.write.has_more:
             self.mark_dirty(job)
         _resolve(item.waiters, True)
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -329,10 +329,11 @@
                     self._unmatched_progress.pop(job_id, None)
 
     def _is_expired(self, job: JobProgress) -> bool:
-        now_ms = self._clock.now().timestamp() * 1000
-        keep_ms = self._context.timing.keep_ended_s * 1000
-        is_old = job.state.ended and now_ms - job.ended_ms > keep_ms
-        return is_old and not any(job.open_runs())
+        # Counted on the monotonic clock, since wall clocks are set and differ.
+        age_s = self._progress_writer.find_end_age_s(job.job_id)
+        if age_s is None or age_s <= self._context.timing.keep_ended_s:
+            return False
+        return not any(job.open_runs())
 
 
 def _decode_job(row: Row, stored: StoredJob | None) -> JobProgress:
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -637,6 +637,20 @@
     assert repeated == Accepted(repeated=True)
 
 
+async def test_next_leader_whose_clock_is_ahead_keeps_ended_jobs(make_cluster):
+    # The difference of two hosts' wall clocks was taken for the time since the end.
+    cluster = make_cluster(nodes=1)
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(usage=SMALL), work_s=0.5)
+    await cluster.advance(2)
+    cluster.clock._start += timedelta(hours=1)
+    await cluster.restart(0)
+    await cluster.advance(CLEANUP_INTERVAL_S + 3)
+    assert cluster.table.find(job_key("j1")) is not None
+    await cluster.advance(cluster.timing.keep_ended_s + CLEANUP_INTERVAL_S)
+    assert cluster.table.find(job_key("j1")) is None
+
+
 async def test_read_that_takes_longer_than_expected_revives_no_job(make_cluster):
     # A read of many pages has no time limit, but 60 s were taken for its longest time.
     cluster = make_cluster(nodes=1, timing=CoordinatorTiming(keep_ended_s=0.5))
