Removed jobs: known by the version of their request, not for a minute

Callers saw: a removed job ran again (TWICE) when the leader's read of the inbox had taken longer than a minute; and a job that was submitted again within that minute was accepted, but didn't run until the next leader.

Cause: 60 s was taken for the longest time of a read. A read of many pages has no limit in all, only for each page.

A request is that of a removed job if its version is no later than the removed one: versions come from one counter of the store. A removed job is forgotten once a read of the inbox that began after the removal has been answered; the reads follow each other.

--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Coroutine, Iterable
+from typing import NamedTuple
 
 from result import Err, Ok
 
@@ -46,9 +47,20 @@
 
 CLEANUP_INTERVAL_S = 10.0
 
-MAX_READ_S = 60.0
-"""Longest time that a table read takes. A read that began before rows were removed may
-still return them within this time after the removal."""
+
+class _RemovedJob(NamedTuple):
+    """A job whose rows are removed.
+
+    Attributes
+    ----------
+    request_version : int
+        Version of the row of its request.
+    removed_s : float
+        Monotonic time after the removal.
+    """
+
+    request_version: int
+    removed_s: float
 
 
 class LeaderTerm:
@@ -77,7 +89,15 @@
         self._unmatched_progress: dict[str, StoredJob] = {}
         self._early_cancellations: set[str] = set()
         self._request_versions: dict[str, int] = {}
-        self._removed_at_s: dict[str, float] = {}
+        self._removed: dict[str, _RemovedJob] = {}
+        self._submitted_again: dict[str, Row] = {}
+        self._inbox = TableFollower(
+            context.table,
+            INBOX_PREFIX,
+            self._clock,
+            self._log,
+            self._apply_inbox_changes,
+        )
         suspicion = WorkerSuspicion()
         estimator = RunTimeEstimator()
         self._progress_writer = ProgressWriter(
@@ -199,14 +219,7 @@
         )
         while not await workers.step():
             await self._clock.sleep(POLL_RETRY_S)
-        inbox = TableFollower(
-            self._context.table,
-            INBOX_PREFIX,
-            self._clock,
-            self._log,
-            self._apply_inbox_changes,
-        )
-        while not await inbox.step():
+        while not await self._inbox.step():
             await self._clock.sleep(POLL_RETRY_S)
         self._workers.start_polling()
         self._log.write(
@@ -217,7 +230,7 @@
             took_s=round(self._clock.monotonic() - self._began_s, 3),
         )
         self._spawn(workers.run())
-        self._spawn(inbox.run())
+        self._spawn(self._inbox.run())
         self._spawn(self._cleanup_loop())
         self._spawn(self._tickets.run())
         if self._context.machines is not None:
@@ -243,10 +256,22 @@
             job_id = parse_row_name(row.key)
             if is_cancel_key(row.key):
                 self._cancel_job(job_id.removesuffix(CANCEL_SUFFIX))
-            elif job_id not in self.jobs and job_id not in self._removed_at_s:
+            elif job_id in self.jobs:
+                if row.version > self._request_versions[job_id]:
+                    # The present job of this ID is being removed.
+                    self._submitted_again[job_id] = row
+            elif self._is_unseen(job_id, row):
                 self._admit(job_id, row)
         self._plan_due.set()
 
+    def _is_unseen(self, job_id: str, row: Row) -> bool:
+        """Return whether a request is not that of a removed job.
+
+        A read that began before the removal still returns the rows of the job.
+        """
+        removed = self._removed.get(job_id)
+        return removed is None or row.version > removed.request_version
+
     def _admit(self, job_id: str, row: Row) -> None:
         stored = self._unmatched_progress.pop(job_id, None)
         try:
@@ -309,25 +334,42 @@
     async def _cleanup_loop(self) -> None:
         while True:
             await self._clock.sleep(CLEANUP_INTERVAL_S)
-            now_s = self._clock.monotonic()
-            self._removed_at_s = {
-                job_id: removed_s
-                for job_id, removed_s in self._removed_at_s.items()
-                if now_s - removed_s < MAX_READ_S
-            }
+            self._forget_removed_jobs()
             for job in list(self.jobs.values()):
-                if self._is_expired(job) and await self._progress_writer.remove_job(
-                    job, self._request_versions[job.job_id]
-                ):
-                    self._removed_at_s[job.job_id] = self._clock.monotonic()
-                    del self.jobs[job.job_id]
-                    del self._request_versions[job.job_id]
+                if self._is_expired(job):
+                    await self._remove_job(job)
             for job_id in list(self._unmatched_progress):
                 # An earlier leader removed the request but not the progress.
                 if await self._progress_writer.remove(job_id):
-                    self._removed_at_s[job_id] = self._clock.monotonic()
                     self._unmatched_progress.pop(job_id, None)
 
+    def _forget_removed_jobs(self) -> None:
+        """Forget removed jobs that no read of the inbox can return any more.
+
+        The reads follow each other, so none from before the removal is open once a
+        later one has been answered.
+        """
+        age_s = self._inbox.age_s
+        now_s = self._clock.monotonic()
+        self._removed = {
+            job_id: removed
+            for job_id, removed in self._removed.items()
+            if now_s - removed.removed_s <= age_s
+        }
+
+    async def _remove_job(self, job: JobProgress) -> None:
+        job_id = job.job_id
+        version = self._request_versions[job_id]
+        if not await self._progress_writer.remove_job(job, version):
+            return
+        self._removed[job_id] = _RemovedJob(version, self._clock.monotonic())
+        del self.jobs[job_id]
+        del self._request_versions[job_id]
+        row = self._submitted_again.pop(job_id, None)
+        if row is not None:
+            self._admit(job_id, row)
+            self._plan_due.set()
+
     def _is_expired(self, job: JobProgress) -> bool:
         # Counted on the monotonic clock, since wall clocks are set and differ.
         age_s = self._progress_writer.find_end_age_s(job.job_id)
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -674,3 +674,39 @@
     await cluster.advance(80)
     assert not table.find_all("inbox/")
     assert len(cluster.starts("j1")) == 1
+
+
+async def test_job_submitted_again_after_its_removal_runs(make_cluster):
+    # For a minute, a new request was taken for a late read of the removed one.
+    cluster = make_cluster(timing=CoordinatorTiming(keep_ended_s=0.5))
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(usage=SMALL), work_s=0.3, fails=True)
+    await cluster.advance(CLEANUP_INTERVAL_S + 1)
+    assert not cluster.table.find_all("inbox/")
+    assert await cluster.submit("j1", Step(usage=SMALL), work_s=0.5) == Accepted()
+    await cluster.advance(3)
+    assert cluster.state("j1") is JobState.COMPLETED
+
+
+async def test_job_submitted_again_during_its_removal_runs(make_cluster, monkeypatch):
+    # The new request came while the leader still held the job, and was passed over.
+    cluster = make_cluster(timing=CoordinatorTiming(keep_ended_s=0.5))
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(usage=SMALL), work_s=0.3, fails=True)
+    await cluster.advance(1.5)
+    writer = cluster.leader.coordinator.term._progress_writer
+    delete_progress = writer._delete_progress
+
+    async def delete_late(job_id):
+        await cluster.clock.sleep(2.0)
+        return await delete_progress(job_id)
+
+    monkeypatch.setattr(writer, "_delete_progress", delete_late)
+    while cluster.table.find_all("inbox/"):
+        await cluster.advance(0.1)
+    starts = len(cluster.starts("j1"))
+    assert await cluster.submit("j1", Step(usage=SMALL), work_s=0.5) == Accepted()
+    await cluster.advance(1)
+    assert len(cluster.starts("j1")) == starts
+    await cluster.advance(4)
+    assert cluster.state("j1") is JobState.COMPLETED
