Stop during a takeover: no term begins, and the leadership is released

Callers saw: a process that was draining took over, and led on until it exited; its jobs then waited for a lease.

Cause: `stop` found no term and no leadership while the takeover was in flight, took that for nothing to end, and `run` began a term when the takeover succeeded.

`run` now looks after each challenge whether the process is stopping; it then resigns, which deletes the renewal row, and ends. `stop` doesn't wait for the challenge: while the store doesn't answer that takes seconds of the grace in which answers are finished.

--- a/chiveledge/coordinator/_coordinator.py
+++ b/chiveledge/coordinator/_coordinator.py
@@ -43,7 +43,12 @@
         """Compete and lead until cancelled or stopped."""
         context = self._context
         while not self._stopping:
-            if not await self._leadership.challenge():
+            leads = await self._leadership.challenge()
+            if self._stopping:
+                # The takeover was in flight when `stop` found nothing to release.
+                await self._leadership.resign()
+                return
+            if not leads:
                 period_s = choose_poll_period_s(
                     context.timing.lease_poll_s, self._count_hosts()
                 )
@@ -56,7 +61,10 @@
             context.log.write("leadership", "lost", why=reason)
 
     async def stop(self) -> None:
-        """End the term and release the leadership at once for another process."""
+        """End the term and release the leadership at once for another process.
+
+        A takeover in flight is not awaited; if it succeeds, `run` releases it.
+        """
         self._stopping = True
         if self._term is not None:
             self._term.end("this process is shutting down")
--- a/tests/coordinator/test_standby.py
+++ b/tests/coordinator/test_standby.py
@@ -14,6 +14,7 @@
     NEW_RENEWAL_FOLLOW_SHARE,
     STANDBY_POLLS_PER_S,
     Leadership,
+    renewal_key,
 )
 from standins.table import MemoryTable
 
@@ -159,3 +160,24 @@
     assert coordinator.term is None
     assert not leadership.valid
     running.cancel()
+
+
+async def test_takeover_that_succeeds_during_a_stop_is_released(monkeypatch):
+    """Its lease would keep the standbys waiting, although nobody leads."""
+    monkeypatch.setattr(module, "LeaderTerm", LeaderTerm)
+    clock = ManualClock()
+    table = MemoryTable(clock)
+    context = Context(clock)
+    leadership = Leadership(
+        "all", "host", table, clock, Timeline("host", clock), context.timing
+    )
+    coordinator = Coordinator(context, leadership)
+    running = asyncio.create_task(coordinator.run())
+    table.faults.delay_s = 0.1
+    await clock.advance(0.25)  # both reads are answered, the takeover isn't
+    stopping = asyncio.create_task(coordinator.stop())
+    await clock.advance(0.1)
+    assert table.find(renewal_key("all")) is not None
+    await clock.advance(0.1)
+    assert table.find(renewal_key("all")) is None
+    assert stopping.done() and running.done()
