Nothing starts on a machine whose upkeep is about to be ordered

Callers saw: an upkeep killed a gang that had just started.

Cause: a start that waited for stopped runs didn't look at `emptying`, and a machine that had no runs before its order was stored was taken to have none after it.

Evidence: test_gang_that_starts_while_an_order_is_stored_is_not_killed failed before.

A pending start on a machine that is being emptied is dropped and planned again. The runs are looked at once more after the order is stored, directly before it is sent.

--- a/chiveledge/coordinator/_pending_starts.py
+++ b/chiveledge/coordinator/_pending_starts.py
@@ -96,6 +96,8 @@
             link = self._links.get(placement.worker)
             if link is None or not link.listed or link.entry.draining:
                 return False
+            if link.emptying:
+                return False
             if link.unresponsive_since_s is not None:
                 return False
         return True
--- a/chiveledge/coordinator/_upkeep.py
+++ b/chiveledge/coordinator/_upkeep.py
@@ -230,6 +230,10 @@
                 # The write may have succeeded; the next attempt stores it again.
                 progress.sent.discard(machine.name)
                 return
+            link = self._links.get(machine.worker)
+            if link is not None and link.runs:
+                # A worker that restarted or was listed meanwhile may have got runs.
+                return
         await self._order_upkeep(wave, progress, machine)
 
     def _stop_remaining_runs(
