A machine whose worker is listed or answers is not gone

Callers saw: MIXED, a wave was completed without the upkeep of one of its machines.

Cause: two lists in a row that left a machine out were taken as proof of its removal.

Evidence: test_machine_whose_worker_answers_is_not_taken_for_a_removed_one failed before.

A missing machine that has not had its upkeep is gone only if, besides, no worker on it is listed or answered its last poll. Entries name their machine.

--- a/chiveledge/coordinator/_upkeep.py
+++ b/chiveledge/coordinator/_upkeep.py
@@ -143,7 +143,7 @@
             return
         machines = [known[name] for name in wave.machines if name in known]
         left = [machine for machine in machines if machine.name not in progress.begun]
-        if not left and self._are_gone(wave, known):
+        if not left and self._are_gone(wave, progress, known):
             progress.completed = True
             if not await self._save(wave, progress):
                 progress.completed = False
@@ -153,15 +153,25 @@
             if (wave.number, machine.name) in self._emptying_since_s:
                 await self._empty_machine(wave, progress, machine)
 
-    def _are_gone(self, wave: Wave, known: dict[MachineName, Machine]) -> bool:
-        """Return whether all machines that the list lacks were missing before, too.
+    def _are_gone(
+        self, wave: Wave, progress: WaveProgress, known: dict[MachineName, Machine]
+    ) -> bool:
+        """Return whether the machines that the list lacks are surely gone.
 
         The list comes in pages, and one that changes meanwhile may leave a machine out.
+        A machine is gone if it was missing before, too, and its worker is neither
+        listed nor answers.
         """
         missing = frozenset(name for name in wave.machines if name not in known)
         before = self._missing.get(wave.number, frozenset())
         self._missing[wave.number] = missing
-        return missing <= before
+        present = {
+            link.entry.machine
+            for link in self._links.values()
+            if link.listed
+            or (link.last_answer_s is not None and link.unresponsive_since_s is None)
+        }
+        return missing <= before and not (missing - progress.begun) & present
 
     def _choose_machines(
         self,
