--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -2,27 +2,24 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass, field
 from math import isinf
 from typing import TypedDict
 
+from chiveledge.coordinator._end_sequence import EndSequence
 from chiveledge.coordinator._tracked_run import TrackedRun
+from chiveledge.coordinator._worker_lease import WorkerLease
 from chiveledge.services.task_worker import TaskWorker, WorkerEntry
 from chiveledge.types import WorkerName
 from chiveledge.workload import Usage
 
-CLOCK_RATE = 0.98
-"""Lowest rate of a worker's clock relative to the leader's."""
+LATE_ORDER_S = 12.0
+"""How long after it was sent an order without an answer may still be carried out."""
 
 MAX_OVERTAKING_MS = 1000
 """How much earlier than a poll an order may have been answered whose answer arrives
 after that of the poll; longer than the timeout of an order."""
 
-LAPSE_HEARTBEATS = 2
-"""Least time between the last answer of a worker that is cut off and the removal of
-its entry, in heartbeat intervals: the entry lapses after three without a heartbeat."""
-
 
 def age_s(since_s: float | None, now_s: float) -> float | None:
     """Return the time since a monotonic time, rounded; None if that is not known."""
@@ -31,6 +28,11 @@
     return round(now_s - since_s, 3)
 
 
+MAX_ANSWER_AGE_S = 0.25
+"""Age of the last answer up to which a poll acknowledges ends. A worker needs longer to
+start again, to take an order and to end its run."""
+
+
 class ContactRecord(TypedDict):
     """What was known of a worker when a decision on its runs was taken, for the log.
 
@@ -71,41 +73,36 @@
         Whether the platform lists the worker now.
     unlisted_s : float
         Monotonic time at which the platform ceased to list it.
-    refused : bool
-        Whether the connection was refused at the last poll.
     error : str
         Error of the last poll; empty if it was answered.
     draining_since_s : float, optional
         Monotonic time at which the present entry announced draining.
     fence_raised : bool
         Whether the present incarnation has answered a poll with this term's fence.
-    lease_end_ms : int
-        Latest lease end that any order of this term carried, on the worker's clock.
-    unknown_lease_s : float
-        Lease that an order to an earlier incarnation may have granted to this one, in
-        seconds from the next answer; 0 if there was no such order.
+    lease : WorkerLease
+        Lease on the runs of the present incarnation.
     last_answer_s, unresponsive_since_s : float, optional
         Monotonic time of the last answered poll, and of the first unanswered one
         since then.
     avoid_until_s : float
         Monotonic time until which no new run is placed on the worker.
-    clock_ms, clock_read_s : int, float
-        Last reading of the worker's clock, and the monotonic time of the reading.
     incarnation_ms : int
         Start time of the worker process, in milliseconds since 1970.
+    past_incarnations : set of int
+        Start times of its earlier incarnations.
     incarnation_began_s : float
         Monotonic time at which this incarnation was first seen.
-    clock_went_back : bool
-        Whether the answer to an order showed an earlier time than the last poll, as
-        that of a later incarnation does.
-    acknowledged : int
-        Number of the last end that is stored.
+    clock_went_back_s : float, optional
+        Monotonic time at which the answer to an order showed an earlier time than the
+        last poll, as that of a later incarnation does; None once a poll that was sent
+        later is answered.
+    ends : EndSequence
+        Ends that the present incarnation has reported.
     sent_acknowledgement : int
         Highest number that a poll of the present incarnation carried.
-    last_received_end : int
-        Number of the last end that was received.
-    storing_task : asyncio.Task, optional
-        Stores the ends that were received.
+    unanswered_starts : dict
+        Monotonic time of the last start order of each run of which a copy got no
+        answer, by task and number.
     emptying : bool
         Whether the machine is being emptied for its upkeep, so that nothing starts
         there.
@@ -124,24 +121,20 @@
     listed: bool = True
     unlisted_s: float = float("inf")
     fence_raised: bool = False
-    acknowledged: int = 0
+    ends: EndSequence = field(default_factory=EndSequence)
     sent_acknowledgement: int = 0
-    last_received_end: int = 0
-    storing_task: asyncio.Task | None = None
-    lease_end_ms: int = 0
-    unknown_lease_s: float = 0.0
+    lease: WorkerLease = field(default_factory=WorkerLease)
     runs: dict[tuple[str, int], TrackedRun] = field(default_factory=dict)
     last_answer_s: float | None = None
     unresponsive_since_s: float | None = None
-    refused: bool = False
     error: str = ""
     draining_since_s: float | None = None
     avoid_until_s: float = 0.0
-    clock_ms: int = 0
-    clock_read_s: float = 0.0
     incarnation_ms: int = 0
+    past_incarnations: set[int] = field(default_factory=set)
     incarnation_began_s: float = float("-inf")
-    clock_went_back: bool = False
+    clock_went_back_s: float | None = None
+    unanswered_starts: dict[tuple[str, int], float] = field(default_factory=dict)
     emptying: bool = False
     used: Usage = Usage()
     stopping: Usage = Usage()
@@ -176,85 +169,74 @@
         self.filler_runs -= tracked.is_filler
         return True
 
-    def record_answer(self, clock_ms: int, now_s: float) -> None:
-        """Record an answered poll with the reading of the worker's clock."""
+    def is_new_incarnation(self, incarnation_ms: int) -> bool:
+        """Return whether a start time is that of an incarnation not seen before.
+
+        It may be lower than the present one, as the worker's wall clock may go back.
+        """
+        if not incarnation_ms or incarnation_ms == self.incarnation_ms:
+            return False
+        return incarnation_ms not in self.past_incarnations
+
+    def record_answer(self, clock_ms: int, now_s: float, sent_s: float) -> None:
+        """Record a poll that was answered, and the reading of the worker's clock."""
         self.last_answer_s = now_s
         self.unresponsive_since_s = None
-        self.refused = False
         self.error = ""
-        self.clock_went_back = False
-        if clock_ms >= self.clock_ms:
-            self.clock_ms = clock_ms
-            self.clock_read_s = now_s
-        if self.unknown_lease_s:
-            self.lease_end_ms = clock_ms + int(self.unknown_lease_s * 1000)
-            self.unknown_lease_s = 0.0
-
-    def record_no_answer(self, now_s: float, error: str, *, refused: bool) -> None:
-        """Record an unanswered poll; `refused` if the connection was refused."""
+        if self.clock_went_back_s is not None and sent_s >= self.clock_went_back_s:
+            self.clock_went_back_s = None
+        self.lease.record_clock(clock_ms, now_s)
+
+    def record_no_answer(self, now_s: float, error: str) -> None:
+        """Record an unanswered poll."""
         self.error = error
-        self.refused = refused
         if self.unresponsive_since_s is None:
             self.unresponsive_since_s = now_s
 
-    def record_order_clock(self, clock_ms: int) -> None:
+    def record_order_clock(self, clock_ms: int, now_s: float) -> None:
         """Record the reading of the worker's clock in the answer to an order."""
-        if clock_ms + MAX_OVERTAKING_MS < self.clock_ms:
-            self.clock_went_back = True
+        if clock_ms + MAX_OVERTAKING_MS < self.lease.clock_ms:
+            self.clock_went_back_s = now_s
 
-    @property
-    def acknowledgement(self) -> int:
-        """Number of the last end that the next poll acknowledges.
+    def record_unanswered_start(self, tracked: TrackedRun, now_s: float) -> None:
+        """Record that a copy of a run's start order got no answer."""
+        self._forget_old_starts(now_s)
+        self.unanswered_starts[tracked.key] = now_s
+
+    def list_late_starts(self, now_s: float) -> list[tuple[str, int]]:
+        """Return task and number of the runs whose start may still be carried out.
+
+        The incarnation that was sent the order starts a run once. A later one knows
+        nothing of that and would start it again.
+        """
+        self._forget_old_starts(now_s)
+        return list(self.unanswered_starts)
+
+    def _forget_old_starts(self, now_s: float) -> None:
+        self.unanswered_starts = {
+            key: sent_s
+            for key, sent_s in self.unanswered_starts.items()
+            if now_s - sent_s < LATE_ORDER_S
+        }
+
+    def choose_acknowledgement(self, now_s: float) -> int:
+        """Return the number of the last end that a poll acknowledges now.
 
         Another incarnation numbers its ends anew and would forget ends that were not
-        seen. Without an answer to the last poll, or if the clock went back, there may
-        be another one, so nothing is acknowledged until a poll is answered.
+        seen. Unless a poll was answered just before, there may be another one, so
+        nothing is acknowledged until a poll is answered.
         """
-        in_doubt = self.unresponsive_since_s is not None or self.clock_went_back
-        return 0 if in_doubt else self.acknowledged
+        if self.unresponsive_since_s is not None or self.clock_went_back_s is not None:
+            return 0
+        if self.last_answer_s is None or now_s - self.last_answer_s > MAX_ANSWER_AGE_S:
+            return 0
+        return self.ends.unconfirmed
 
     def mark_unlisted(self, now_s: float) -> None:
         """Record that the platform does not list the worker any more."""
         self.listed = False
         self.unlisted_s = now_s
 
-    def extend_lease(self, now_s: float, lease_s: float) -> int | None:
-        """Extend the lease to at least `lease_s` from now; return its end.
-
-        The end is in milliseconds on the worker's clock, None if the clock has not been
-        read yet.
-        """
-        if self.last_answer_s is None:
-            return None
-        clock_ms = self.clock_ms + (now_s - self.clock_read_s) * 1000
-        self.lease_end_ms = max(self.lease_end_ms, int(clock_ms + lease_s * 1000))
-        return self.lease_end_ms
-
-    def is_lease_over(self, now_s: float) -> bool:
-        """Return whether all runs have lapsed, even if the worker's clock is slow."""
-        if self.last_answer_s is None:
-            return False
-        passed_ms = (now_s - self.clock_read_s) * 1000 * CLOCK_RATE
-        return self.clock_ms + passed_ms > self.lease_end_ms
-
-    def has_left(self, heartbeat_s: float) -> bool:
-        """Return whether the worker announced its departure and is gone.
-
-        A worker that leaves removes its entry. A worker that is cut off may refuse
-        connections too, but its entry lapses only some time after its last answer.
-
-        Parameters
-        ----------
-        heartbeat_s : float
-            Interval at which workers renew their entries.
-        """
-        if not self.entry.draining or self.listed or not self.refused:
-            return False
-        if self.last_answer_s is None:
-            return False
-        silent_s = self.unlisted_s - self.last_answer_s
-        return silent_s < LAPSE_HEARTBEATS * heartbeat_s
-
     def leaves_in_s(self, now_s: float, least_s: float) -> float | None:
         """Return for how long a draining worker stays at least; None if not draining.
 
@@ -271,23 +253,17 @@
 
     def describe_contact(self, now_s: float) -> ContactRecord:
         """Return what is known of the worker, for the log."""
+        lease_left_s = self.lease.left_s(now_s)
         return ContactRecord(
             incarnation_ms=self.incarnation_ms,
             listed=self.listed,
             draining=self.entry.draining,
             unlisted_age_s=None if self.listed else age_s(self.unlisted_s, now_s),
             answer_age_s=age_s(self.last_answer_s, now_s),
-            lease_left_s=self._lease_left_s(now_s),
+            lease_left_s=None if lease_left_s is None else round(lease_left_s, 3),
             error=self.error,
         )
 
-    def _lease_left_s(self, now_s: float) -> float | None:
-        if self.last_answer_s is None:
-            return None
-        passed_ms = (now_s - self.clock_read_s) * 1000 * CLOCK_RATE
-        left_ms = self.lease_end_ms - self.clock_ms - passed_ms
-        return round(left_ms / 1000 / CLOCK_RATE, 3)
-
     def begin_incarnation(
         self, incarnation_ms: int, now_s: float, longest_lease_s: float
     ) -> None:
@@ -296,16 +272,15 @@
         Orders carry the end of a lease on the clock of the incarnation that they are
         meant for. The next one, whose clock began anew, cuts it to `longest_lease_s`.
         """
-        self.unknown_lease_s = longest_lease_s if self.runs else 0.0
+        self.lease = WorkerLease(longest_lease_s if self.runs else 0.0)
         self.incarnation_began_s = now_s
+        self.past_incarnations.add(self.incarnation_ms)
         self.incarnation_ms = incarnation_ms
         self.fence_raised = False
-        self.acknowledged = 0
+        self.ends = EndSequence()
         self.sent_acknowledgement = 0
-        self.last_received_end = 0
-        self.lease_end_ms = 0
         self.last_answer_s = None
-        self.clock_ms = 0
+        self.clock_went_back_s = None
         self.draining_since_s = None
         self.emptying = False
         for tracked in self.runs.values():
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -7,14 +7,20 @@
 
 from result import Err, Ok
 
+from chiveledge.clock import run_with_timeout
 from chiveledge.coordinator._context import TermContext
 from chiveledge.coordinator._orders import OrderDispatcher
 from chiveledge.coordinator._reconciliation import Reconciler
+from chiveledge.coordinator._run_evidence import (
+    FORMER_LEADER_GRACE_S,
+    has_lease_expired,
+)
 from chiveledge.coordinator._tracked_run import TrackedRun
-from chiveledge.coordinator._worker_link import CLOCK_RATE, WorkerLink, age_s
+from chiveledge.coordinator._worker_lease import CLOCK_RATE, WorkerLease
+from chiveledge.coordinator._worker_link import WorkerLink, age_s
 from chiveledge.leadership import Leadership
 from chiveledge.placement import WorkerSuspicion
-from chiveledge.services import Row, Unavailable
+from chiveledge.services import Row
 from chiveledge.services.task_worker import (
     Declined,
     DeclineReason,
@@ -26,10 +32,9 @@
 
 POLL_RETRY_S = 0.2
 UNLISTED_GRACE_S = 3.0
-ACK_TIMEOUT_S = 0.5
 
-FORMER_LEADER_GRACE_S = 3.0
-"""How long a former leader may continue to extend leases of workers."""
+STORE_TIMEOUT_S = 0.5
+"""How long a poll waits until the ends of the last report are stored."""
 
 
 class WorkerMonitor:
@@ -40,7 +45,7 @@
     context : TermContext
         Clients, clock, log and timing.
     leadership : Leadership
-        Provides the fence that every poll carries.
+        Its epoch at the beginning of the term is the fence that every poll carries.
     links : dict
         Filled with the state of each worker, by name.
     reconciler : Reconciler
@@ -75,6 +80,7 @@
         self._clock = context.clock
         self._log = context.log
         self._leadership = leadership
+        self._epoch = leadership.epoch
         self._reconciler = reconciler
         self._orders = orders
         self._suspicion = suspicion
@@ -97,7 +103,7 @@
         if name in self.links:
             return self.links[name]
         entry = WorkerEntry(name, "", "", "", "", frozenset(), Usage(), incarnation_ms)
-        link = WorkerLink(entry, self._context.make_worker(entry), listed=False)
+        link = self._make_link(entry, listed=False)
         link.incarnation_ms = incarnation_ms
         self.links[name] = link
         self._spawn(self._poll_worker(link))
@@ -135,7 +141,7 @@
     def _update_entry(self, entry: WorkerEntry) -> None:
         link = self.links.get(entry.name)
         if link is None:
-            link = WorkerLink(entry, self._context.make_worker(entry))
+            link = self._make_link(entry, listed=True)
             link.incarnation_ms = entry.incarnation_ms
             if entry.draining:
                 link.draining_since_s = self._clock.monotonic()
@@ -150,7 +156,7 @@
             )
             self._spawn(self._poll_worker(link))
             return
-        if entry.incarnation_ms > link.incarnation_ms:
+        if link.is_new_incarnation(entry.incarnation_ms):
             self._handle_restart(link, entry.incarnation_ms)
         if entry.draining and (
             link.draining_since_s is None or entry.leaves_s != link.entry.leaves_s
@@ -164,6 +170,12 @@
         link.entry = entry
         link.listed = True
 
+    def _make_link(self, entry: WorkerEntry, *, listed: bool) -> WorkerLink:
+        client = self._context.make_worker(entry)
+        # An earlier leader may have extended the lease until its last order.
+        lease = WorkerLease(self._context.timing.work_lease_s / CLOCK_RATE)
+        return WorkerLink(entry, client, listed=listed, lease=lease)
+
     def _handle_restart(self, link: WorkerLink, incarnation_ms: int) -> None:
         self._log.write(
             "workers",
@@ -180,24 +192,32 @@
             self._context.timing.longest_lease_s,
         )
         self._suspicion.forget_worker(link.name)
+        late = link.list_late_starts(self._clock.monotonic())
+        for task, run in late:
+            if (task, run) not in link.runs:
+                self._orders.stop_unknown(link, task, run)
         for tracked in list(link.runs.values()):
-            self._carry_over_run(link, tracked)
+            self._carry_over_run(link, tracked, is_late=tracked.key in late)
         self._request_plan()
 
-    def _carry_over_run(self, link: WorkerLink, tracked: TrackedRun) -> None:
-        """Close, stop or keep a run of a worker that restarted under its name.
+    def _carry_over_run(
+        self, link: WorkerLink, tracked: TrackedRun, *, is_late: bool
+    ) -> None:
+        """Close, bar or keep a run of a worker that restarted under its name.
 
         Orders name the worker and not its incarnation, so a start order that the
-        earlier incarnation never reported may have reached the present one.
+        earlier incarnation never reported may have reached the present one. If a copy
+        may still reach it, the run is barred there before it counts as gone.
         """
         if tracked.run.state is RunState.INTENDED:
             return
-        if tracked.reported:
+        if is_late or tracked.resolved_s is None:
+            tracked.resolved_s = None
+            self._orders.stop(link, tracked, "the worker restarted")
+        elif tracked.reported:
             self._reconciler.close_run(
                 link, tracked, RunEnd.LAPSED, "the worker restarted"
             )
-        elif tracked.resolved_s is None:
-            self._orders.stop(link, tracked, "the worker restarted")
         else:
             tracked.resolved_s = self._clock.monotonic()
 
@@ -223,39 +243,43 @@
         return self._clock.monotonic() - last_heard_s > UNLISTED_GRACE_S
 
     async def _poll(self, link: WorkerLink) -> None:
-        timing = self._context.timing
-        is_storing = link.storing_task is not None and not link.storing_task.done()
-        if is_storing:
-            await asyncio.wait({link.storing_task}, timeout=ACK_TIMEOUT_S)
-            is_storing = not link.storing_task.done()
+        ends = link.ends
+        if ends.is_storing:
+            await run_with_timeout(
+                self._clock, ends.wait_until_stored(), STORE_TIMEOUT_S
+            )
         now_s = self._clock.monotonic()
-        lease_end_ms = None
-        wait_s = 0.0
-        if link.unresponsive_since_s is None and link.last_answer_s is not None:
-            lease_end_ms = link.extend_lease(now_s, timing.work_lease_s)
-            wait_s = timing.poll_wait_s(len(self.links), busy=bool(link.runs))
-        if is_storing:
-            wait_s = 0.0
-        request = PollRequest(
-            self._leadership.epoch, link.acknowledgement, lease_end_ms, wait_s
-        )
+        request = self._make_request(link, now_s)
         self._log_acknowledgement(link, request.acknowledged, now_s)
         match await link.client.poll(request):
             case Ok(report):
                 if link.unresponsive_since_s is not None:
                     self._log.write("workers", "regained", worker=link.name)
-                if report.incarnation_ms > link.incarnation_ms:
+                if link.is_new_incarnation(report.incarnation_ms):
                     self._handle_restart(link, report.incarnation_ms)
-                if report.incarnation_ms < link.incarnation_ms:
+                if report.incarnation_ms != link.incarnation_ms:
                     # The answer is from the earlier incarnation; poll again.
                     await self._clock.sleep(POLL_RETRY_S)
                     return
+                ends.record_answered(request.acknowledged)
                 self._reconcile(link, report, now_s)
             case Err(Declined(DeclineReason.FENCE)):
                 self._end_term(f"{link.name} follows a leader with a higher epoch")
             case Err(error):
                 await self._handle_no_answer(link, error)
 
+    def _make_request(self, link: WorkerLink, now_s: float) -> PollRequest:
+        timing = self._context.timing
+        acknowledged = link.choose_acknowledgement(now_s)
+        lease_end_ms = None
+        wait_s = 0.0
+        if link.unresponsive_since_s is None and link.last_answer_s is not None:
+            if self._leadership.lapsed_s < FORMER_LEADER_GRACE_S:
+                lease_end_ms = link.lease.extend(now_s, timing.work_lease_s)
+            if acknowledged or not link.ends.has_unacknowledged:
+                wait_s = timing.poll_wait_s(len(self.links), busy=bool(link.runs))
+        return PollRequest(self._epoch, acknowledged, lease_end_ms, wait_s)
+
     def _log_acknowledgement(
         self, link: WorkerLink, acknowledged: int, now_s: float
     ) -> None:
@@ -280,40 +304,28 @@
                 error=str(error),
                 runs=len(link.runs),
             )
-        link.record_no_answer(
-            self._clock.monotonic(),
-            str(error),
-            refused=isinstance(error, Unavailable),
-        )
+        link.record_no_answer(self._clock.monotonic(), str(error))
         await self._clock.sleep(POLL_RETRY_S)
 
     def _reconcile(self, link: WorkerLink, report: PollReport, sent_s: float) -> None:
         was_usable = link.fence_raised and link.unresponsive_since_s is None
         open_before = len(link.runs)
-        acknowledgement = self._reconciler.reconcile(link, report, sent_s)
+        storing = self._reconciler.reconcile(link, report, sent_s)
         if len(link.runs) < open_before or not was_usable:
             # Most other reports change nothing that a plan depends on.
             self._request_plan()
-        if acknowledgement is not None:
-            link.storing_task = self._spawn(acknowledgement)
+        if storing is not None:
+            self._spawn(storing)
 
     def _close_expired(self, link: WorkerLink) -> None:
         """Close the runs of an unresponsive worker once their lease is surely over."""
         now_s = self._clock.monotonic()
         if not link.runs or link.unresponsive_since_s is None and link.entry.address:
             return
-        has_left = link.has_left(self._context.timing.heartbeat_s)
-        if has_left:
-            is_over = True
-        elif link.last_answer_s is None:
-            longest_lease_s = self._context.timing.longest_lease_s / CLOCK_RATE
-            since_s = max(self._began_s, link.incarnation_began_s)
-            is_over = now_s - since_s > longest_lease_s + FORMER_LEADER_GRACE_S
-        else:
-            is_over = link.is_lease_over(now_s)
-        if not is_over:
+        longest_lease_s = self._context.timing.longest_lease_s
+        if not has_lease_expired(link, now_s, self._began_s, longest_lease_s):
             return
-        reason = "the worker has left" if has_left else "the worker's lease has lapsed"
+        reason = "the worker's lease has lapsed"
         for tracked in list(link.runs.values()):
             self._reconciler.close_run(link, tracked, RunEnd.LAPSED, reason)
         self._request_plan()
