A job whose progress can't be decoded is left alone

Callers saw: TWICE and lost work. Such a job was admitted as a new one when its request was read a second time; its runs were stopped as runs that no job has open; its ends were acknowledged, so that no leader could ever learn them.

Cause: a job that is missing from the leader's jobs was taken to have no open runs, and progress that had been looked up once to be absent the second time.

The term keeps the IDs of these jobs: their requests aren't admitted in this term, their runs get no stop, and nothing of them is removed. An end of one is withheld: neither it nor any later end of that worker is acknowledged. The later ends are stored all the same. A worker that lists ends answers at once, so the leader spaces these polls itself.

Not covered: their runs don't count in the worker's used capacity, and an upkeep of the machine doesn't wait for them.

--- a/chiveledge/coordinator/_end_sequence.py
+++ b/chiveledge/coordinator/_end_sequence.py
@@ -25,6 +25,7 @@
         self._received = 0
         self._stored = 0
         self._confirmed = 0
+        self._withheld: int | None = None
         self._batches: dict[int, bool] = {}
         self._all_stored = asyncio.Event()
         self._all_stored.set()
@@ -32,12 +33,17 @@
     @property
     def stored(self) -> int:
         """Number of the last end up to which all ends are stored."""
-        return self._stored
+        return self._limit(self._stored)
+
+    @property
+    def is_withheld(self) -> bool:
+        """Whether there is an end that this leader can't store."""
+        return self._withheld is not None
 
     @property
     def unconfirmed(self) -> int:
         """Number to acknowledge; 0 if an answered poll has carried it already."""
-        return self._stored if self._stored > self._confirmed else 0
+        return self.stored if self.stored > self._confirmed else 0
 
     @property
     def is_storing(self) -> bool:
@@ -46,8 +52,8 @@
 
     @property
     def has_unacknowledged(self) -> bool:
-        """Whether a reported end is not acknowledged yet."""
-        return self._confirmed < self._received
+        """Whether a reported end is to be acknowledged and is not yet."""
+        return self._confirmed < self._limit(self._received)
 
     async def wait_until_stored(self) -> None:
         """Wait until all reported ends are stored."""
@@ -65,6 +71,11 @@
             self._all_stored.clear()
         return new_ends
 
+    def withhold(self, number: int) -> None:
+        """Leave an end unacknowledged, and so all after it."""
+        if self._withheld is None or number < self._withheld:
+            self._withheld = number
+
     def record_stored(self, last_number: int) -> None:
         """Record that all ends of a batch are stored."""
         self._batches[last_number] = True
@@ -78,3 +89,7 @@
     def record_answered(self, acknowledged: int) -> None:
         """Record that a poll which carried this number was answered."""
         self._confirmed = max(self._confirmed, acknowledged)
+
+    def _limit(self, number: int) -> int:
+        """Return the highest number up to `number` that may be acknowledged."""
+        return number if self._withheld is None else min(number, self._withheld - 1)
--- a/chiveledge/coordinator/_reconciliation.py
+++ b/chiveledge/coordinator/_reconciliation.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Container, Coroutine
 
 from chiveledge.coordinator._context import TermContext
 from chiveledge.coordinator._demands import find_policy
@@ -46,7 +46,9 @@
     orders : OrderDispatcher
         Stops runs.
     jobs : dict
-        All jobs by ID.
+        All jobs by ID, except unreadable ones.
+    unreadable_jobs : container of str
+        IDs of jobs whose rows can't be decoded. Which runs they have open is not known.
     suspicion : WorkerSuspicion
         Updated with how runs begin and end on each worker.
     estimator : RunTimeEstimator
@@ -59,6 +61,7 @@
         progress_writer: ProgressWriter,
         orders: OrderDispatcher,
         jobs: dict[str, JobProgress],
+        unreadable_jobs: Container[str],
         suspicion: WorkerSuspicion,
         estimator: RunTimeEstimator,
     ) -> None:
@@ -70,6 +73,8 @@
         self._progress_writer = progress_writer
         self._orders = orders
         self._jobs = jobs
+        self._unreadable_jobs = unreadable_jobs
+        self._withheld_jobs: set[str] = set()
         self._suspicion = suspicion
         self._estimator = estimator
 
@@ -100,6 +105,8 @@
         new_ends = link.ends.receive(report.ended)
         for end in new_ends:
             self._record_end(link, end)
+            if self._is_unreadable(end.task):
+                self._withhold(link, end)
         for tracked in list_absent_runs(link, report, sent_s):
             self.close_run(
                 link, tracked, RunEnd.NOT_STARTED, "the worker does not report it"
@@ -231,7 +238,8 @@
     def _record_running(self, link: WorkerLink, row: RunningTask) -> None:
         tracked = link.runs.get((row.task, row.run))
         if tracked is None:
-            self._orders.stop_unknown(link, row.task, row.run)
+            if not self._is_unreadable(row.task):
+                self._orders.stop_unknown(link, row.task, row.run)
             return
         run = tracked.run
         run.incarnation_ms = link.incarnation_ms
@@ -284,6 +292,28 @@
         )
         self._finish_run(link, tracked, end.how, end.checkpoint)
 
+    def _is_unreadable(self, task: str) -> bool:
+        name = TaskName.parse(task)
+        return name is not None and name.job_id in self._unreadable_jobs
+
+    def _withhold(self, link: WorkerLink, end: EndedTask) -> None:
+        """Leave an end listed for a leader that can read its job."""
+        link.ends.withhold(end.number)
+        job_id = TaskName.parse(end.task).job_id
+        if job_id in self._withheld_jobs:
+            return
+        self._withheld_jobs.add(job_id)
+        self._log.write(
+            "settlement",
+            "withheld",
+            id=job_id,
+            task=end.task,
+            run=end.run,
+            worker=link.name,
+            number=end.number,
+            how=end.how,
+        )
+
     def _finish_run(
         self, link: WorkerLink, tracked: TrackedRun, how: RunEnd, checkpoint: str
     ) -> None:
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -87,6 +87,7 @@
         self._plan_due = asyncio.Event()
         self._began_s = self._clock.monotonic()
         self._unmatched_progress: dict[str, StoredJob] = {}
+        self._unreadable_jobs: set[str] = set()
         self._early_cancellations: set[str] = set()
         self._request_versions: dict[str, int] = {}
         self._removed: dict[str, _RemovedJob] = {}
@@ -128,6 +129,7 @@
             self._progress_writer,
             self._orders,
             self.jobs,
+            self._unreadable_jobs,
             suspicion,
             estimator,
         )
@@ -265,10 +267,12 @@
         self._plan_due.set()
 
     def _is_unseen(self, job_id: str, row: Row) -> bool:
-        """Return whether a request is not that of a removed job.
+        """Return whether a request is not that of an unreadable or a removed job.
 
         A read that began before the removal still returns the rows of the job.
         """
+        if job_id in self._unreadable_jobs:
+            return False
         removed = self._removed.get(job_id)
         return removed is None or row.version > removed.request_version
 
@@ -277,7 +281,9 @@
         try:
             job = _decode_job(row, stored)
         except DECODE_ERRORS as error:
-            # Without its progress, the job might run a second time.
+            if stored is not None:
+                # Without its progress, the job might run a second time.
+                self._unreadable_jobs.add(job_id)
             reason = describe_error(error)
             self._log.write("coordinator", "bad_job", id=job_id, reason=reason)
             return
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -263,6 +263,9 @@
                     return
                 ends.record_answered(request.acknowledged)
                 self._reconcile(link, report, now_s)
+                if ends.is_withheld:
+                    # While it lists an end, the worker answers a poll at once.
+                    await self._clock.sleep(self._choose_wait_s(link))
             case Err(Declined(DeclineReason.FENCE)):
                 self._end_term(f"{link.name} follows a leader with a higher epoch")
             case Err(error):
@@ -277,9 +280,13 @@
             if self._leadership.lapsed_s < FORMER_LEADER_GRACE_S:
                 lease_end_ms = link.lease.extend(now_s, timing.work_lease_s)
             if acknowledged or not link.ends.has_unacknowledged:
-                wait_s = timing.poll_wait_s(len(self.links), busy=bool(link.runs))
+                wait_s = self._choose_wait_s(link)
         return PollRequest(self._epoch, acknowledged, lease_end_ms, wait_s)
 
+    def _choose_wait_s(self, link: WorkerLink) -> float:
+        timing = self._context.timing
+        return timing.poll_wait_s(len(self.links), busy=bool(link.runs))
+
     def _log_acknowledgement(
         self, link: WorkerLink, acknowledged: int, now_s: float
     ) -> None:
--- a/tests/coordinator/test_end_sequence.py
+++ b/tests/coordinator/test_end_sequence.py
@@ -53,3 +53,19 @@
     assert sequence.unconfirmed == 0
     sequence.record_stored(3)
     assert sequence.unconfirmed == 3
+
+
+def test_ends_from_one_that_can_not_be_stored_on_are_not_acknowledged(sequence):
+    """The job of end 4 can't be read; a number would cover it with all lower ones."""
+    sequence.withhold(5)
+    sequence.withhold(4)
+    for numbers in BATCHES:
+        sequence.record_stored(numbers[-1])
+    assert sequence.unconfirmed == sequence.stored == 3
+    assert sequence.is_withheld and not sequence.is_storing
+    sequence.record_answered(3)
+    assert sequence.unconfirmed == 0
+    assert not sequence.has_unacknowledged
+    sequence.receive(make_ends([6]))
+    sequence.record_stored(6)
+    assert sequence.unconfirmed == 0
--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -623,6 +623,38 @@
     assert [run.stop_ordered_s for run in cluster.record.runs["j1.0.0.0"]] == [None]
 
 
+async def test_other_jobs_go_on_beside_a_job_with_unreadable_progress(make_cluster):
+    """A worker that lists an end answers each poll at once, so polls are spaced."""
+    cluster = make_cluster(nodes=1, workers=1)
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(count=3, usage=SMALL), work_s=2.0)
+    await cluster.advance(1)
+    corrupt_progress(cluster, "j1")
+    await cluster.restart(0)
+    await cluster.advance(4)
+    node = cluster.leader
+    connection = node.workers["w0"]
+    poll = connection.poll
+    polls = 0
+
+    async def count_polls(request):
+        nonlocal polls
+        polls += 1
+        return await poll(request)
+
+    connection.poll = count_polls
+    await cluster.submit("j2", Step(count=3, usage=SMALL), work_s=1.0)
+    await cluster.advance(4)
+    assert cluster.state("j2") is JobState.COMPLETED
+    assert polls <= 4 / cluster.timing.poll_wait_busy_s + 1
+    withheld = node.log.find("settlement", "withheld")
+    assert [line["id"] for line in withheld] == ["j1"]
+    assert node.coordinator.term is not None
+    await cluster.advance(CLEANUP_INTERVAL_S)
+    assert cluster.table.find(job_key("j1")) is not None
+    assert cluster.table.find(progress_key("j1")) is not None
+
+
 async def test_clock_step_does_not_remove_a_job_that_has_just_ended(make_cluster):
     # A step of the host's wall clock was taken for the time since the job's end.
     cluster = make_cluster(nodes=1)
