--- a/tests/coordinator/test_job_path.py
+++ b/tests/coordinator/test_job_path.py
@@ -623,6 +623,38 @@
     assert [run.stop_ordered_s for run in cluster.record.runs["j1.0.0.0"]] == [None]
 
 
+async def test_other_jobs_go_on_beside_a_job_with_unreadable_progress(make_cluster):
+    """A worker that lists an end answers each poll at once, so polls are spaced."""
+    cluster = make_cluster(nodes=1, workers=1)
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(count=3, usage=SMALL), work_s=2.0)
+    await cluster.advance(1)
+    corrupt_progress(cluster, "j1")
+    await cluster.restart(0)
+    await cluster.advance(4)
+    node = cluster.leader
+    connection = node.workers["w0"]
+    poll = connection.poll
+    polls = 0
+
+    async def count_polls(request):
+        nonlocal polls
+        polls += 1
+        return await poll(request)
+
+    connection.poll = count_polls
+    await cluster.submit("j2", Step(count=3, usage=SMALL), work_s=1.0)
+    await cluster.advance(4)
+    assert cluster.state("j2") is JobState.COMPLETED
+    assert polls <= 4 / cluster.timing.poll_wait_busy_s + 1
+    withheld = node.log.find("settlement", "withheld")
+    assert [line["id"] for line in withheld] == ["j1"]
+    assert node.coordinator.term is not None
+    await cluster.advance(CLEANUP_INTERVAL_S)
+    assert cluster.table.find(job_key("j1")) is not None
+    assert cluster.table.find(progress_key("j1")) is not None
+
+
 async def test_clock_step_does_not_remove_a_job_that_has_just_ended(make_cluster):
     # A step of the host's wall clock was taken for the time since the job's end.
     cluster = make_cluster(nodes=1)
@@ -640,6 +672,20 @@
     assert repeated == Accepted(repeated=True)
 
 
+async def test_next_leader_whose_clock_is_ahead_keeps_ended_jobs(make_cluster):
+    # The difference of two hosts' wall clocks was taken for the time since the end.
+    cluster = make_cluster(nodes=1)
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(usage=SMALL), work_s=0.5)
+    await cluster.advance(2)
+    cluster.clock._start += timedelta(hours=1)
+    await cluster.restart(0)
+    await cluster.advance(CLEANUP_INTERVAL_S + 3)
+    assert cluster.table.find(job_key("j1")) is not None
+    await cluster.advance(cluster.timing.keep_ended_s + CLEANUP_INTERVAL_S)
+    assert cluster.table.find(job_key("j1")) is None
+
+
 async def test_read_that_takes_longer_than_expected_revives_no_job(make_cluster):
     # A read of many pages has no time limit, but 60 s were taken for its longest time.
     cluster = make_cluster(nodes=1, timing=CoordinatorTiming(keep_ended_s=0.5))
@@ -663,3 +709,39 @@
     await cluster.advance(80)
     assert not table.find_all("inbox/")
     assert len(cluster.starts("j1")) == 1
+
+
+async def test_job_submitted_again_after_its_removal_runs(make_cluster):
+    # For a minute, a new request was taken for a late read of the removed one.
+    cluster = make_cluster(timing=CoordinatorTiming(keep_ended_s=0.5))
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(usage=SMALL), work_s=0.3, fails=True)
+    await cluster.advance(CLEANUP_INTERVAL_S + 1)
+    assert not cluster.table.find_all("inbox/")
+    assert await cluster.submit("j1", Step(usage=SMALL), work_s=0.5) == Accepted()
+    await cluster.advance(3)
+    assert cluster.state("j1") is JobState.COMPLETED
+
+
+async def test_job_submitted_again_during_its_removal_runs(make_cluster, monkeypatch):
+    # The new request came while the leader still held the job, and was passed over.
+    cluster = make_cluster(timing=CoordinatorTiming(keep_ended_s=0.5))
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(usage=SMALL), work_s=0.3, fails=True)
+    await cluster.advance(1.5)
+    writer = cluster.leader.coordinator.term._progress_writer
+    delete_progress = writer._delete_progress
+
+    async def delete_late(job_id):
+        await cluster.clock.sleep(2.0)
+        return await delete_progress(job_id)
+
+    monkeypatch.setattr(writer, "_delete_progress", delete_late)
+    while cluster.table.find_all("inbox/"):
+        await cluster.advance(0.1)
+    starts = len(cluster.starts("j1"))
+    assert await cluster.submit("j1", Step(usage=SMALL), work_s=0.5) == Accepted()
+    await cluster.advance(1)
+    assert len(cluster.starts("j1")) == starts
+    await cluster.advance(4)
+    assert cluster.state("j1") is JobState.COMPLETED
