--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,7 @@
 from soak.callers import Caller
 from soak.checks import InvariantChecker
 from soak.disturbances import Disturber
+from soak.drains import DrainInjector
 from soak.faults import FaultInjector, draw_fault
 from soak.proxy import LinkProxy
 from standins.deployment import Deployment
@@ -38,8 +39,9 @@
             for name in names:
                 await deployment.launch(name)
             disturber = Disturber(deployment, names, random.Random(f"odd {seed}"))
+            drains = DrainInjector(deployment, links, random.Random(f"drain {seed}"))
             violations = await _run_faults(
-                deployment, links, names, rng, seconds, callers, disturber
+                deployment, links, names, rng, seconds, callers, disturber, drains
             )
             _print_job_logs(deployment, names, violations)
             return violations
@@ -68,6 +70,7 @@
     seconds: float,
     callers: int,
     disturber: Disturber,
+    drains: DrainInjector,
 ) -> list[str]:
     """Inject faults for `seconds` while callers submit jobs; return the violations."""
     for name in names:
@@ -77,7 +80,7 @@
         Caller(deployment, names, random.Random(rng.random()), number)
         for number in range(callers)
     ]
-    active = (disturber, *active_callers)
+    active = (disturber, drains, *active_callers)
     tasks = [asyncio.create_task(x.run()) for x in active]
     injector = FaultInjector(deployment, links)
     faults = []
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -37,6 +37,7 @@
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self._server: asyncio.Server | None = None
+        self._port = 0
         self._forwarders: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
         self.mode = LinkMode.PASS
@@ -44,9 +45,19 @@
 
     async def start(self) -> str:
         """Start listening; return the address to connect to."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return f"{host}:{port}"
+        self._server = await asyncio.start_server(
+            self._accept, "127.0.0.1", self._port, reuse_address=True
+        )
+        host, self._port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{self._port}"
+
+    async def refuse(self, seconds: float) -> None:
+        """Abort all connections, and refuse new ones for a while."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        await asyncio.sleep(seconds)
+        await self.start()
 
     def set_mode(self, mode: LinkMode) -> None:
         """Set the mode; `RESET` also aborts all open connections."""
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -170,10 +170,18 @@
         await web.TCPSite(runner, "127.0.0.1", port).start()
         self.publish(worker)
 
-    def publish(self, worker: MemoryTaskWorker) -> None:
-        """Write a worker's row in its present state to the store."""
+    def publish(self, worker: MemoryTaskWorker, leaves_ms: int | None = None) -> None:
+        """Write a worker's row in its present state to the store.
+
+        Parameters
+        ----------
+        leaves_ms : int, optional
+            Time after which a draining worker leaves, as it announces.
+        """
         name = worker.entry.name
         row = describe_worker(worker, self._worker_addresses[name])
+        if leaves_ms is not None:
+            row["remaining_ms"] = leaves_ms
         self.store.write(f"servers/{name}", row)
 
     def url(self, name: str) -> str:
