A stale entry of a worker is no restart, and doesn't mark the next life

Change: the list shows a restart only by a later start time, an answer to a poll by any that is new; entries of past incarnations are ignored.

--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -172,7 +172,8 @@
     def is_new_incarnation(self, incarnation_ms: int) -> bool:
         """Return whether a start time is that of an incarnation not seen before.
 
-        It may be lower than the present one, as the worker's wall clock may go back.
+        In an answer to a poll, it may be lower than the present one, as the worker's
+        wall clock may go back.
         """
         if not incarnation_ms or incarnation_ms == self.incarnation_ms:
             return False
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -156,7 +156,10 @@
             )
             self._spawn(self._poll_worker(link))
             return
-        if link.is_new_incarnation(entry.incarnation_ms):
+        if entry.incarnation_ms in link.past_incarnations:
+            # The row has not been replaced since the worker started again.
+            return
+        if entry.incarnation_ms > link.incarnation_ms:
             self._handle_restart(link, entry.incarnation_ms)
         if entry.draining and (
             link.draining_since_s is None or entry.leaves_s != link.entry.leaves_s
