A late start order is barred until it can't come, and its lease counted

Change: the bar is sent until it is answered or no copy can come any more; a worker isn't forgotten while a copy may come; leases of a restarted worker count as over only after the latest arrival of such a copy and the longest lease.

--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -17,7 +17,7 @@
 from chiveledge.coordinator._hedged_orders import send_hedged
 from chiveledge.coordinator._progress_writer import ProgressWriter
 from chiveledge.coordinator._tracked_run import TrackedRun
-from chiveledge.coordinator._worker_link import WorkerLink
+from chiveledge.coordinator._worker_link import LATE_ORDER_S, WorkerLink
 from chiveledge.leadership import Leadership
 from chiveledge.services import Unavailable
 from chiveledge.services.task_worker import (
@@ -142,6 +142,26 @@
         order = StopOrder(task, run, self._epoch)
         self._spawn(link.client.stop(order))
 
+    def bar(self, link: WorkerLink, task: str, run: int) -> None:
+        """Keep a closed run from starting if a copy of its order is carried out late.
+
+        The order is sent until it is answered or no copy can come any more.
+        """
+        self._log.write("orders", "bar", task=task, run=run, worker=link.name)
+        self._spawn(self._send_bar(link, StopOrder(task, run, self._epoch)))
+
+    async def _send_bar(self, link: WorkerLink, order: StopOrder) -> None:
+        until_s = self._clock.monotonic() + LATE_ORDER_S
+        while self._clock.monotonic() < until_s:
+            answered = await send_hedged(self._clock, lambda: link.client.stop(order))
+            match answered.result:
+                case Err(Declined(DeclineReason.FENCE)):
+                    self._end_term(f"{link.name} follows a leader with a higher epoch")
+                    return
+                case Ok(_) | Err(Declined()):
+                    return
+            await self._clock.sleep(STOP_RETRY_S)
+
     def discard(self, link: WorkerLink, tracked: TrackedRun, reason: str) -> None:
         """Remove a run that never started and can no longer start."""
         if not link.remove_run(tracked):
--- a/chiveledge/coordinator/_run_evidence.py
+++ b/chiveledge/coordinator/_run_evidence.py
@@ -36,6 +36,8 @@
     """
     if link.lease.is_known:
         return link.lease.is_over(now_s)
+    if link.lease.may_have_late_grant(now_s):
+        return False
     # Only earlier leaders, or orders to an earlier incarnation, may have granted one.
     since_s = max(term_began_s, link.incarnation_began_s)
     return now_s - since_s > longest_lease_s / CLOCK_RATE + FORMER_LEADER_GRACE_S
--- a/chiveledge/coordinator/_worker_lease.py
+++ b/chiveledge/coordinator/_worker_lease.py
@@ -17,10 +17,19 @@
     granted_unknown_s : float, optional
         Lease that an order to an earlier incarnation may have granted to this one, in
         seconds from the first reading of its clock; 0 if there was no such order.
+    not_over_before_s : float, optional
+        Monotonic time until which late orders to an earlier incarnation may have
+        granted a lease.
     """
 
-    def __init__(self, granted_unknown_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        granted_unknown_s: float = 0.0,
+        *,
+        not_over_before_s: float = float("-inf"),
+    ) -> None:
         self._granted_unknown_s = granted_unknown_s
+        self._not_over_before_s = not_over_before_s
         self._is_known = False
         self._clock_ms = 0
         self._read_s = 0.0
@@ -71,7 +80,12 @@
         if not self._is_known:
             return None
         passed_ms = (now_s - self._read_s) * 1000 * CLOCK_RATE
-        return (self._end_ms - self._clock_ms - passed_ms) / 1000 / CLOCK_RATE
+        left_s = (self._end_ms - self._clock_ms - passed_ms) / 1000 / CLOCK_RATE
+        return max(left_s, self._not_over_before_s - now_s)
+
+    def may_have_late_grant(self, now_s: float) -> bool:
+        """Return whether a late order may have granted a lease that is not over."""
+        return now_s <= self._not_over_before_s
 
     def is_over(self, now_s: float) -> bool:
         """Return whether all runs have lapsed, even if the worker's clock is slow."""
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -8,7 +8,7 @@
 
 from chiveledge.coordinator._end_sequence import EndSequence
 from chiveledge.coordinator._tracked_run import TrackedRun
-from chiveledge.coordinator._worker_lease import WorkerLease
+from chiveledge.coordinator._worker_lease import CLOCK_RATE, WorkerLease
 from chiveledge.services.task_worker import TaskWorker, WorkerEntry
 from chiveledge.types import WorkerName
 from chiveledge.workload import Usage
@@ -271,9 +271,14 @@
         """Reset the state that a restart of the worker process has lost.
 
         Orders carry the end of a lease on the clock of the incarnation that they are
-        meant for. The next one, whose clock began anew, cuts it to `longest_lease_s`.
+        meant for. The next one, whose clock began anew, cuts it to `longest_lease_s`,
+        counted from when the order arrives, be it to start a run or to be declined.
         """
-        self.lease = WorkerLease(longest_lease_s if self.runs else 0.0)
+        late_sent_s = max(self.unanswered_starts.values(), default=float("-inf"))
+        self.lease = WorkerLease(
+            longest_lease_s if self.runs else 0.0,
+            not_over_before_s=late_sent_s + LATE_ORDER_S + longest_lease_s / CLOCK_RATE,
+        )
         self.incarnation_began_s = now_s
         self.past_incarnations.add(self.incarnation_ms)
         self.incarnation_ms = incarnation_ms
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -198,7 +198,7 @@
         late = link.list_late_starts(self._clock.monotonic())
         for task, run in late:
             if (task, run) not in link.runs:
-                self._orders.stop_unknown(link, task, run)
+                self._orders.bar(link, task, run)
         for tracked in list(link.runs.values()):
             self._carry_over_run(link, tracked, is_late=tracked.key in late)
         self._request_plan()
@@ -236,14 +236,18 @@
             else:
                 await self._clock.sleep(POLL_RETRY_S)
             self._close_expired(link)
-            if not link.listed and not link.runs and self._is_long_unresponsive(link):
+            if self._is_forgettable(link):
                 self.links.pop(link.name, None)
                 await link.client.close()
                 return
 
-    def _is_long_unresponsive(self, link: WorkerLink) -> bool:
+    def _is_forgettable(self, link: WorkerLink) -> bool:
+        """Return whether a worker has left and no order of ours may reach it."""
+        now_s = self._clock.monotonic()
+        if link.listed or link.runs or link.list_late_starts(now_s):
+            return False
         last_heard_s = link.last_answer_s or self._began_s
-        return self._clock.monotonic() - last_heard_s > UNLISTED_GRACE_S
+        return now_s - last_heard_s > UNLISTED_GRACE_S
 
     async def _poll(self, link: WorkerLink) -> None:
         ends = link.ends
--- a/tests/coordinator/test_review_38.py
+++ b/tests/coordinator/test_review_38.py
@@ -6,7 +6,10 @@
 from tests.coordinator.cluster import SMALL, Cluster
 from tests.coordinator.test_late_orders import (
     WHOLE,
+    avoid,
+    end_late_starts,
     find_worker,
+    make_next_start_late,
 )
 
 TINY = Usage(5, 1, 0)
@@ -17,6 +20,37 @@
     return cluster.leader.coordinator.term.links[name]
 
 
+async def run_on_worker_with_late_copy(cluster: Cluster, delay_s: float):
+    """Start j1 so that a copy of its order is late; return its worker, up for 60 s."""
+    await cluster.advance(60.0)
+    make_next_start_late(cluster, delay_s)
+    await cluster.submit("j1", WHOLE, work_s=40.0)
+    while not any(worker.runs for worker in cluster.workers.values()):
+        await cluster.advance(0.05)
+    end_late_starts(cluster)
+    await cluster.advance(1.0)
+    name, worker = find_worker(cluster)
+    return name, worker
+
+
+async def close_run_with_late_copies(cluster: Cluster, delay_s: float) -> str:
+    """Let a stop bar a run of which all copies are late; return its worker."""
+    make_next_start_late(cluster, delay_s, starts=6)
+    await cluster.submit("j1", WHOLE, work_s=20.0)
+    name = tracked = None
+    while tracked is None or tracked.resolved_s is None:
+        await cluster.advance(0.05)
+        for link in cluster.leader.coordinator.term.links.values():
+            for run in link.runs.values():
+                name, tracked = link.name, run
+        if tracked is not None and tracked.stopping:
+            avoid(cluster, name)
+    end_late_starts(cluster)
+    while find_link(cluster, name).runs:
+        await cluster.advance(0.05)
+    return name
+
+
 async def test_stale_entry_with_a_lower_start_does_not_close_runs(make_cluster):
     # The store carried out a write of an earlier incarnation late.
     cluster = make_cluster(workers=2)
@@ -50,6 +84,70 @@
     assert cluster.state("j1") is JobState.COMPLETED
 
 
+async def test_lost_stop_of_a_late_start_after_a_restart_is_sent_again(make_cluster):
+    # The order that bars the run on the new incarnation was sent once.
+    cluster = make_cluster(workers=2)
+    await cluster.advance(0.5)
+    name = await close_run_with_late_copies(cluster, 5.0)
+    connection = cluster.leader.workers[name]
+    connection.cut = True
+    cluster.workers[name].crash(incarnation_ms=2)
+    avoid(cluster, name)
+    await cluster.advance(0.8)
+    connection.cut = False
+    await cluster.advance(6.0)
+    assert not cluster.double_runs
+
+
+async def test_late_start_is_remembered_while_its_worker_is_away(make_cluster):
+    # The state of an unlisted silent worker was dropped, and with it the late order.
+    cluster = make_cluster(workers=2)
+    await cluster.advance(0.5)
+    name = await close_run_with_late_copies(cluster, LATE_S)
+    worker = cluster.workers[name]
+    worker.faults.unresponsive = True
+    cluster.unlist_worker(name)
+    await cluster.advance(8.0 - cluster.clock.monotonic())
+    worker.crash(incarnation_ms=2)
+    worker.faults.unresponsive = False
+    avoid(cluster, name)
+    await cluster.advance(8.0)
+    assert not cluster.double_runs
+
+
+async def test_run_on_a_silent_restarted_worker_outlives_its_late_start(make_cluster):
+    # The lease that a late copy grants was counted from the restart.
+    cluster = make_cluster(workers=2)
+    name, worker = await run_on_worker_with_late_copy(cluster, LATE_S)
+    cluster.leader.workers[name].cut = True
+    worker.crash(incarnation_ms=2)
+    avoid(cluster, name)
+    await cluster.advance(25.0)
+    assert len(cluster.starts("j1")) == 3
+    assert not cluster.double_runs
+
+
+async def test_lease_of_a_late_start_to_a_restarted_worker(make_cluster):
+    # A barred copy still granted all runs there the longest lease.
+    cluster = make_cluster(workers=2)
+    name, worker = await run_on_worker_with_late_copy(cluster, LATE_S)
+    other = next(w for w in cluster.workers.values() if w is not worker)
+    cluster.unlist_worker(other.entry.name)
+    worker.crash(incarnation_ms=2)
+    cluster.list_worker(worker.entry)
+    await cluster.advance(LATE_S - 1.0)
+    assert worker.runs
+    worker.advance()
+    while worker.clock_ms + 9_000 > worker._lease_end_ms:
+        await cluster.advance(0.05)
+        assert cluster.clock.monotonic() < 75.0
+    worker.faults.unresponsive = True
+    cluster.list_worker(other.entry)
+    await cluster.advance(15.0)
+    assert len(cluster.starts("j1")) == 3
+    assert not cluster.double_runs
+
+
 async def test_stale_draining_entry_does_not_mark_the_next_incarnation(make_cluster):
     # The list still had the earlier one's entry; every run there was then evacuated.
     cluster = make_cluster(workers=1)
