Ends are acknowledged right after an answer while others are being stored

After each write the last answer was too old to acknowledge, and the answer to the next poll brought new ends to wait for.

Change: a poll waits for the store only if there is nothing stored to acknowledge.

Result: 1 test failed before; tests/coordinator holds.

--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -251,7 +251,7 @@
 
     async def _poll(self, link: WorkerLink) -> None:
         ends = link.ends
-        if ends.is_storing:
+        if ends.is_storing and not ends.unconfirmed:
             await run_with_timeout(
                 self._clock, ends.wait_until_stored(), STORE_TIMEOUT_S
             )
--- a/tests/coordinator/test_review_38.py
+++ b/tests/coordinator/test_review_38.py
@@ -4,6 +4,7 @@
 
 from chiveledge.workload import JobState, Step, Usage
 from tests.coordinator.cluster import SMALL, Cluster
+from tests.coordinator.test_acknowledgement import slow_down_progress
 from tests.coordinator.test_late_orders import (
     WHOLE,
     avoid,
@@ -148,6 +149,27 @@
     assert not cluster.double_runs
 
 
+async def test_ends_are_acknowledged_while_others_are_stored_slowly(make_cluster):
+    # Each poll after a slow write was too late to acknowledge and brought new ends.
+    cluster = make_cluster(workers=1)
+    worker = cluster.workers["w0"]
+    await cluster.advance(0.5)
+    slow_down_progress(cluster, 0.3)
+    for number in range(60):
+        step = Step(count=1, usage=TINY)
+        await cluster.submit(f"a{number}", step, work_s=0.5 + 0.1 * number)
+    await cluster.advance(2.0)
+    now_s = cluster.clock.monotonic()
+    ages = [
+        now_s - run.ended_s
+        for runs in cluster.record.runs.values()
+        for run in runs
+        if run.ended_s is not None and run.noted_s is None
+    ]
+    assert worker.runs
+    assert max(ages, default=0.0) < 2.0
+
+
 async def test_stale_draining_entry_does_not_mark_the_next_incarnation(make_cluster):
     # The list still had the earlier one's entry; every run there was then evacuated.
     cluster = make_cluster(workers=1)
