--- a/chiveledge/coordinator/_pending_starts.py
+++ b/chiveledge/coordinator/_pending_starts.py
@@ -78,7 +78,8 @@
         for item in self._pending:
             if self._is_obsolete(item, now_s):
                 continue
-            remaining = self._start_fitting_tasks(item.deferred, reservations.usage)
+            waiting = self._drop_done_tasks(item.deferred)
+            remaining = self._start_fitting_tasks(waiting, reservations.usage)
             if remaining is not None:
                 pending.append(PendingStart(remaining, item.since_s))
                 _reserve(remaining, reservations)
@@ -102,6 +103,15 @@
                 return False
         return True
 
+    def _drop_done_tasks(self, deferred: DeferredStart) -> DeferredStart:
+        """Drop tasks that turned out done; an end may come after its run was closed."""
+        demand = deferred.demand
+        job = self._jobs[demand.job_id]
+        tasks = job.open_occurrence(demand.occurrence)[demand.step_number].tasks
+        return deferred._replace(
+            placements=[p for p in deferred.placements if not tasks[p.index].done]
+        )
+
     def _start_fitting_tasks(
         self, deferred: DeferredStart, reserved: dict[str, Usage]
     ) -> DeferredStart | None:
--- a/tests/coordinator/test_review_38.py
+++ b/tests/coordinator/test_review_38.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from chiveledge.workload import JobState, Step, Usage
+from standins import task_worker
 from tests.coordinator.cluster import SMALL, Cluster
 from tests.coordinator.test_acknowledgement import slow_down_progress
 from tests.coordinator.test_late_orders import (
@@ -170,6 +173,38 @@
     assert max(ages, default=0.0) < 2.0
 
 
+async def test_pending_start_of_a_task_that_turned_out_done_is_not_sent(
+    make_cluster, monkeypatch
+):
+    # Its end came while the runs that were preempted for it were being stopped.
+    monkeypatch.setattr(task_worker, "STOP_DELAY_S", 0.8)
+    cluster = make_cluster(workers=2)
+    half = SMALL._replace(accelerators=4)
+    for worker in cluster.workers.values():
+        find_task = worker._find_task
+        worker._find_task = lambda task, find_task=find_task: replace(
+            find_task(task), work_s=3.0 if task == "j1.0.0.0" else 60.0
+        )
+    cluster.unlist_worker("w1")
+    await cluster.advance(0.5)
+    await cluster.submit("j1", Step(count=2, usage=half), queue="urgent")
+    await cluster.advance(1.0)
+    worker = cluster.workers["w0"]
+    assert len(worker.runs) == 2
+    cluster.list_worker(cluster.workers["w1"].entry)
+    await cluster.advance(0.3)
+    await cluster.submit("b", WHOLE, queue="batch", work_s=60.0)
+    await cluster.advance(0.7)
+    worker.faults.refuses_connections = True
+    (batch,) = cluster.record.runs["b.0.0.0"]
+    while batch.stop_ordered_s is None:
+        await cluster.advance(0.05)
+        assert cluster.clock.monotonic() < 20.0
+    worker.faults.refuses_connections = False
+    await cluster.advance(4.0)
+    assert [run for task, run in cluster.starts("j1") if task == "j1.0.0.0"] == [1]
+
+
 async def test_stale_draining_entry_does_not_mark_the_next_incarnation(make_cluster):
     # The list still had the earlier one's entry; every run there was then evacuated.
     cluster = make_cluster(workers=1)
