--- a/chiveledge/coordinator/_progress_rows.py
+++ b/chiveledge/coordinator/_progress_rows.py
@@ -16,6 +16,9 @@
 from chiveledge.types import JobId
 from chiveledge.workload import JobProgress, encode_progress
 
+MAX_ENTRIES = 100
+"""Most checks, puts and deletes in one transaction of the store."""
+
 PROGRESS_PREFIX = "progress/"
 PART_SEPARATOR = "~"
 """Separates the ID of a job from the name of a part in a key."""
--- a/chiveledge/coordinator/_progress_writer.py
+++ b/chiveledge/coordinator/_progress_writer.py
@@ -16,25 +16,23 @@
 
 from chiveledge.clock import Clock, run_with_timeout
 from chiveledge.coordinator._progress_rows import (
+    MAX_ENTRIES,
     JobWrite,
     StoredJob,
     StoredRows,
     WriteBudget,
     progress_key,
 )
+from chiveledge.coordinator._row_removal import RowRemoval
 from chiveledge.decision_log import DecisionLog
 from chiveledge.intake import (
     JobStatus,
-    cancel_key,
     encode_status,
-    initial_job_status_key,
-    job_key,
     job_status_key,
 )
 from chiveledge.leadership import Leadership
 from chiveledge.metrics import Metrics
 from chiveledge.services import (
-    Check,
     Conflict,
     HedgeDelay,
     Put,
@@ -54,9 +52,6 @@
 HEDGED_ROUND_S = 2.0
 """Duration of one round of hedged sends; rounds repeat until the outcome is known."""
 
-MAX_ENTRIES = 100
-"""Most checks, puts and deletes in one transaction of the store."""
-
 MIN_JOB_ENTRIES = 4
 """Entries of a job's check, header, status and one part."""
 
@@ -146,6 +141,7 @@
         self._waiters: dict[JobId, list[asyncio.Future[bool]]] = {}
         self._has_dirty = asyncio.Event()
         self._hedge_delay = HedgeDelay()
+        self._removal = RowRemoval(table, leadership, log)
 
     async def save(self, job: JobProgress) -> bool:
         """Store the job's progress and wait until it is stored.
@@ -214,9 +210,9 @@
         """
         if job.job_id not in self._stored_ends_s:
             return False
-        if not await self._confirm_end(job):
+        if not await self._removal.confirm_end(job, encode_job_status(job)):
             return False
-        if not await self._delete_request(job.job_id, request_version):
+        if not await self._removal.delete_request(job.job_id, request_version):
             return False
         return await self._delete_progress(job.job_id)
 
@@ -228,82 +224,19 @@
         bool
             Whether all its rows are deleted. False if there is a request after all.
         """
-        if not await self._delete_request(job_id, ABSENT):
+        if not await self._removal.delete_request(job_id, ABSENT):
             return False
         return await self._delete_progress(job_id)
 
-    async def _confirm_end(self, job: JobProgress) -> bool:
-        """Write the status of an ended job again; return whether this process leads."""
-        key = progress_key(job.job_id)
-        fence = self._leadership.fence
-        transaction = Transaction(
-            uuid.uuid4().hex,
-            (fence, Check(key, job.version)),
-            (Put(job_status_key(job.job_id), _encode_job_status(job)),),
-        )
-        match await self._table.transact(transaction):
-            case Ok(_):
-                return True
-            case Err(Conflict(keys)) if fence.key not in keys:
-                # The answer to the last deletion of an earlier removal may be lost.
-                found = await self._table.read(key)
-                return found == Ok(None) or self._log_not_removed(job.job_id, found)
-            case Err(error):
-                return self._log_not_removed(job.job_id, error)
-        raise AssertionError("unreachable")
-
-    async def _delete_request(self, job_id: JobId, version: int) -> bool:
-        """Delete the rows of a job's submission, unless another one replaced them.
-
-        Returns
-        -------
-        bool
-            Whether the request of this version is gone.
-        """
-        key = job_key(job_id)
-        keys = (key, cancel_key(job_id), initial_job_status_key(job_id))
-        transaction = Transaction(
-            uuid.uuid4().hex,
-            (Check(key, version),),
-            deletes=keys if version != ABSENT else keys[1:],
-        )
-        match await self._table.transact(transaction):
-            case Ok(_):
-                return True
-            case Err(Conflict()) if version != ABSENT:
-                # The answer to an earlier deletion may be lost.
-                found = await self._table.read(key)
-                match found:
-                    case Ok(row) if row is None or row.version != version:
-                        return True
-                return self._log_not_removed(job_id, found)
-            case Err(error):
-                return self._log_not_removed(job_id, error)
-        raise AssertionError("unreachable")
-
     async def _delete_progress(self, job_id: JobId) -> bool:
         parts = self._stored.get(job_id, StoredRows()).part_hashes
-        keys = [progress_key(job_id, part) for part in parts]
-        keys += [job_status_key(job_id), progress_key(job_id)]
-        for first in range(0, len(keys), MAX_ENTRIES - 1):
-            transaction = Transaction(
-                uuid.uuid4().hex,
-                (self._leadership.fence,),
-                deletes=tuple(keys[first : first + MAX_ENTRIES - 1]),
-            )
-            result = await self._table.transact(transaction)
-            if result.is_err():
-                return self._log_not_removed(job_id, result.err())
+        if not await self._removal.delete_progress(job_id, parts):
+            return False
         self._stored.pop(job_id, None)
         self._stored_statuses.pop(job_id, None)
         self._stored_ends_s.pop(job_id, None)
         return True
 
-    def _log_not_removed(self, job_id: JobId, error: object) -> bool:
-        """Log why rows of a job could not be deleted; return False."""
-        self._log.write("ledger", "not_removed", id=job_id, error=str(error))
-        return False
-
     def _wake_resting_jobs(self) -> None:
         now_s = self._clock.monotonic()
         for job_id, job in list(self._resting.items()):
@@ -326,7 +259,7 @@
     def _make_item(self, job: JobProgress, budget: WriteBudget) -> _BatchedWrite:
         stored = self._stored.setdefault(job.job_id, StoredRows())
         write = stored.make_write(job, self._max_row_chars, budget)
-        status = _encode_job_status(job)
+        status = encode_job_status(job)
         is_new = self._stored_statuses.get(job.job_id) != status
         waiters = self._waiters.pop(job.job_id, []) if write.is_whole else []
         return _BatchedWrite(
@@ -443,7 +376,7 @@
             waiter.set_result(is_stored)
 
 
-def _encode_job_status(job: JobProgress) -> str:
+def encode_job_status(job: JobProgress) -> str:
     request = job.request
     return encode_status(
         JobStatus(request.queue, request.workspace, job.state, request.occurrences > 0)
