An answer of an earlier incarnation settles no order; retries mind the lease

The answer of the earlier incarnation to a start, or to the stop that bars it, came after the restart was noticed and counted for the present one, while a copy of the order was still on its way. By reading: a leader that was frozen sent start orders with a new lease again, after the time for which the next leader waits. A late failed end of a task that is done counted as a failure.

Change: answers count only if the worker hasn't started again since the order was sent; no start is sent once the leadership has lapsed for the grace; a task that a poll showed at work isn't marked unknown again.

--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -16,6 +16,7 @@
 from chiveledge.coordinator._context import TermContext
 from chiveledge.coordinator._hedged_orders import send_hedged
 from chiveledge.coordinator._progress_writer import ProgressWriter
+from chiveledge.coordinator._run_evidence import may_extend_leases
 from chiveledge.coordinator._tracked_run import TrackedRun
 from chiveledge.coordinator._worker_link import LATE_ORDER_S, WorkerLink
 from chiveledge.leadership import Leadership
@@ -223,6 +224,9 @@
         unanswered = False
         for _ in range(START_ATTEMPTS):
             now_s = self._clock.monotonic()
+            if not may_extend_leases(self._leadership, now_s):
+                break
+            incarnation_ms = link.incarnation_ms
             order = StartOrder(
                 task=str(tracked.name),
                 run=run.number,
@@ -244,7 +248,7 @@
             if answered.unanswered:
                 self._record_unanswered(link, tracked)
             match answered.result:
-                case Ok(answer):
+                case Ok(answer) if link.incarnation_ms == incarnation_ms:
                     self._mark_started(link, tracked, answer.clock_ms)
                     return True
                 case Err(Declined() as declined):
@@ -254,9 +258,11 @@
                     link.avoid_until_s = now_s + AVOID_AFTER_DECLINE_S
                     self.discard(link, tracked, reason)
                     return False
-                case Err(_):
+                case Ok(_) | Err(_):
+                    # An answer that an earlier incarnation gave settles nothing.
                     unanswered = True
-                    run.state = RunState.UNKNOWN
+                    if run.state is not RunState.RUNNING:
+                        run.state = RunState.UNKNOWN
                     if not answered.unanswered:
                         self._record_unanswered(link, tracked)
             if run.state is RunState.RUNNING:
@@ -326,10 +332,13 @@
     async def _send_stop(self, link: WorkerLink, tracked: TrackedRun) -> None:
         order = StopOrder(str(tracked.name), tracked.run.number, self._epoch)
         while tracked.key in link.runs:
+            incarnation_ms = link.incarnation_ms
             answered = await send_hedged(self._clock, lambda: link.client.stop(order))
             match answered.result:
                 case Ok(_):
-                    if tracked.resolved_s is None:
+                    # An earlier incarnation may have given the answer.
+                    is_present = link.incarnation_ms == incarnation_ms
+                    if tracked.resolved_s is None and is_present:
                         tracked.resolved_s = self._clock.monotonic()
                     await self._clock.sleep(2 * self._timing.stop_s)
                 case Err(Declined(DeclineReason.FENCE)):
--- a/chiveledge/coordinator/_reconciliation.py
+++ b/chiveledge/coordinator/_reconciliation.py
@@ -384,7 +384,8 @@
             case RunEnd.FAILED:
                 self._suspicion.record_failure(link.name, tracked.name, now_s)
                 task.record_failed_on(link.name)
-                self._record_failure(job, tracked)
+                if not task.done:
+                    self._record_failure(job, tracked)
         if step.gang and how is not RunEnd.DONE and not task.done:
             self._stop_gang(tracked, how)
         self._complete_job(job)
--- a/chiveledge/coordinator/_run_evidence.py
+++ b/chiveledge/coordinator/_run_evidence.py
@@ -14,12 +14,18 @@
 from chiveledge.coordinator._tracked_run import TrackedRun
 from chiveledge.coordinator._worker_lease import CLOCK_RATE
 from chiveledge.coordinator._worker_link import WorkerLink
+from chiveledge.leadership import Leadership
 from chiveledge.services.task_worker import PollReport
 
 FORMER_LEADER_GRACE_S = 3.0
 """How long after the lapse of its leadership a leader may extend leases of workers."""
 
 
+def may_extend_leases(leadership: Leadership, now_s: float) -> bool:
+    """Return whether an order may extend a lease, so that the next leader counts it."""
+    return now_s < leadership.valid_until_s + FORMER_LEADER_GRACE_S
+
+
 def has_lease_expired(
     link: WorkerLink, now_s: float, term_began_s: float, longest_lease_s: float
 ) -> bool:
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -11,10 +11,7 @@
 from chiveledge.coordinator._context import TermContext
 from chiveledge.coordinator._orders import OrderDispatcher
 from chiveledge.coordinator._reconciliation import Reconciler
-from chiveledge.coordinator._run_evidence import (
-    FORMER_LEADER_GRACE_S,
-    has_lease_expired,
-)
+from chiveledge.coordinator._run_evidence import has_lease_expired, may_extend_leases
 from chiveledge.coordinator._tracked_run import TrackedRun
 from chiveledge.coordinator._worker_lease import CLOCK_RATE, WorkerLease
 from chiveledge.coordinator._worker_link import WorkerLink, age_s
@@ -284,7 +281,7 @@
         lease_end_ms = None
         wait_s = 0.0
         if link.unresponsive_since_s is None and link.last_answer_s is not None:
-            if now_s < self._leadership.valid_until_s + FORMER_LEADER_GRACE_S:
+            if may_extend_leases(self._leadership, now_s):
                 lease_end_ms = link.lease.extend(now_s, timing.work_lease_s)
             if acknowledged or not link.ends.has_unacknowledged:
                 wait_s = self._choose_wait_s(link)
--- a/tests/coordinator/test_review_38.py
+++ b/tests/coordinator/test_review_38.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 
+from result import Err
+
+from chiveledge.services import Unsettled
 from chiveledge.workload import JobState, Step, Usage
 from standins import task_worker
 from tests.coordinator.cluster import SMALL, Cluster
@@ -225,3 +229,44 @@
     await cluster.advance(20.0)
     assert len(cluster.starts("j1")) == 1
     assert cluster.state("j1") is JobState.COMPLETED
+
+
+async def test_answer_of_an_earlier_incarnation_does_not_settle_a_start(make_cluster):
+    # The run then counted as absent, and a copy of its order was still on its way.
+    cluster = make_cluster(workers=2)
+    await cluster.advance(0.5)
+    name = "w0"
+    cluster.unlist_worker("w1")
+    await cluster.advance(0.5)
+    worker = cluster.workers[name]
+    connection = cluster.leader.workers[name]
+    start = connection.start
+    orders = []
+
+    async def start_with_late_answer(order):
+        orders.append(order)
+        if len(orders) > 1:
+            asyncio.ensure_future(worker._start_delayed(order, 5.0))
+            await cluster.clock.sleep(0.8)
+            return Err(Unsettled("no reply"))
+        answer = await start(order)
+        await cluster.clock.sleep(0.6)
+        return answer
+
+    async def lose_stop(order):
+        await cluster.clock.sleep(0.8)
+        return Err(Unsettled("no reply"))
+
+    connection.start = start_with_late_answer
+    connection.stop = lose_stop
+    await cluster.submit("j1", WHOLE, work_s=20.0)
+    await cluster.advance(0.4)
+    assert len(orders) == 2
+    worker.crash(incarnation_ms=2)
+    avoid(cluster, name)
+    await cluster.advance(1.5)
+    del connection.start, connection.stop
+    cluster.list_worker(cluster.workers["w1"].entry)
+    await cluster.advance(8.0)
+    assert len(cluster.starts("j1")) == 2
+    assert not cluster.double_runs
