--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -20,6 +20,10 @@
 """How much earlier than a poll an order may have been answered whose answer arrives
 after that of the poll; longer than the timeout of an order."""
 
+MAX_ANSWER_AGE_S = 0.25
+"""Age of the last answer up to which a poll acknowledges ends. A worker needs longer to
+start again, to take an order and to end its run."""
+
 
 def age_s(since_s: float | None, now_s: float) -> float | None:
     """Return the time since a monotonic time, rounded; None if that is not known."""
@@ -28,11 +32,6 @@
     return round(now_s - since_s, 3)
 
 
-MAX_ANSWER_AGE_S = 0.25
-"""Age of the last answer up to which a poll acknowledges ends. A worker needs longer to
-start again, to take an order and to end its run."""
-
-
 class ContactRecord(TypedDict):
     """What was known of a worker when a decision on its runs was taken, for the log.
 
