Soak: a link that refuses connections accepts them again when cancelled

The soak's own fault: the injector of drains is cancelled when the faults end, and a link that refused connections just then stayed closed for good, so that half of the two workers were missing.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -56,8 +56,10 @@
         self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
-        await asyncio.sleep(seconds)
-        await self.start()
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            await self.start()
 
     def set_mode(self, mode: LinkMode) -> None:
         """Set the mode; `RESET` also aborts all open connections."""
