--- a/tests/coordinator/cluster.py
+++ b/tests/coordinator/cluster.py
@@ -112,9 +112,9 @@
     def __init__(self, cluster: Cluster, name: str, rank: int) -> None:
         self.name = name
         self.rank = rank
-        self.store = FaultyConnection(cluster.table, cluster.clock)
+        self.store = cluster.connection(cluster.table, cluster.clock)
         self.workers = {
-            worker: FaultyConnection(service, cluster.clock)
+            worker: cluster.connection(service, cluster.clock)
             for worker, service in cluster.workers.items()
         }
         self.log = RecordingLog()
@@ -188,8 +188,10 @@
         capacity: Usage = CAPACITY,
         timing: CoordinatorTiming | None = None,
         max_value_chars: int = 65_536,
+        connection: type[FaultyConnection] = FaultyConnection,
     ) -> None:
         self.clock = ManualClock()
+        self.connection = connection
         self.table = MemoryTable(self.clock)
         self.table.max_value_chars = max_value_chars
         self.table.max_entries = 100
