--- a/chiveledge/coordinator/_worker_lease.py
+++ b/chiveledge/coordinator/_worker_lease.py
@@ -61,16 +61,19 @@
             self._read_s = now_s
 
     def extend(self, now_s: float, lease_s: float) -> int | None:
-        """Extend the lease to at least `lease_s` from now; return its end.
+        """Extend the lease to at least `lease_s` from now; return the end to grant.
 
         The end is in milliseconds on the worker's clock, None if the clock has not been
-        read yet.
+        read yet. It is earlier than the end that this leader counts on if another order
+        may have granted more. The next leader doesn't know of that, so an end that is
+        only assumed must not be granted.
         """
         if not self._is_known:
             return None
         clock_ms = self._clock_ms + (now_s - self._read_s) * 1000
-        self._end_ms = max(self._end_ms, int(clock_ms + lease_s * 1000))
-        return self._end_ms
+        granted_ms = int(clock_ms + lease_s * 1000)
+        self._end_ms = max(self._end_ms, granted_ms)
+        return granted_ms
 
     def left_s(self, now_s: float) -> float | None:
         """Return the time until the lease has expired even on a slow clock.
