--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -7,6 +7,7 @@
 from typing import TypedDict
 
 from chiveledge.coordinator._end_sequence import EndSequence
+from chiveledge.coordinator._loss_sign import LossSign
 from chiveledge.coordinator._tracked_run import TrackedRun
 from chiveledge.coordinator._worker_lease import CLOCK_RATE, WorkerLease
 from chiveledge.services.task_worker import TaskWorker, WorkerEntry
@@ -47,6 +48,8 @@
         Time until its lease is surely over; None if its clock is not known.
     error : str
         Error of the last poll; empty if it was answered.
+    sign : LossSign
+        What the polls without an answer have shown; silent if there were none.
     """
 
     incarnation_ms: int
@@ -56,6 +59,7 @@
     answer_age_s: float | None
     lease_left_s: float | None
     error: str
+    sign: LossSign
 
 
 @dataclass(eq=False)
@@ -74,6 +78,8 @@
         Monotonic time at which the platform ceased to list it.
     error : str
         Error of the last poll; empty if it was answered.
+    loss_sign : LossSign
+        What the polls without an answer have shown.
     draining_since_s : float, optional
         Monotonic time at which the present entry announced draining.
     fence_raised : bool
@@ -127,6 +133,7 @@
     last_answer_s: float | None = None
     unresponsive_since_s: float | None = None
     error: str = ""
+    loss_sign: LossSign = LossSign.SILENT
     draining_since_s: float | None = None
     avoid_until_s: float = 0.0
     incarnation_ms: int = 0
@@ -183,13 +190,18 @@
         self.last_answer_s = now_s
         self.unresponsive_since_s = None
         self.error = ""
+        self.loss_sign = LossSign.SILENT
         if self.clock_went_back_s is not None and sent_s >= self.clock_went_back_s:
             self.clock_went_back_s = None
         self.lease.record_clock(clock_ms, now_s)
 
-    def record_no_answer(self, now_s: float, error: str) -> None:
-        """Record an unanswered poll."""
+    def record_no_answer(
+        self, now_s: float, error: str, sign: LossSign = LossSign.SILENT
+    ) -> None:
+        """Record an unanswered poll, and what it shows."""
         self.error = error
+        if sign is not LossSign.SILENT:
+            self.loss_sign = sign
         if self.unresponsive_since_s is None:
             self.unresponsive_since_s = now_s
 
@@ -262,6 +274,7 @@
             answer_age_s=age_s(self.last_answer_s, now_s),
             lease_left_s=None if lease_left_s is None else round(lease_left_s, 3),
             error=self.error,
+            sign=self.loss_sign,
         )
 
     def begin_incarnation(
@@ -285,6 +298,7 @@
         self.ends = EndSequence()
         self.sent_acknowledgement = 0
         self.last_answer_s = None
+        self.loss_sign = LossSign.SILENT
         self.clock_went_back_s = None
         self.draining_since_s = None
         self.emptying = False
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -9,6 +9,7 @@
 
 from chiveledge.clock import run_with_timeout
 from chiveledge.coordinator._context import TermContext
+from chiveledge.coordinator._loss_sign import classify_unanswered
 from chiveledge.coordinator._orders import OrderDispatcher
 from chiveledge.coordinator._reconciliation import Reconciler
 from chiveledge.coordinator._run_evidence import has_lease_expired, may_extend_leases
@@ -17,7 +18,7 @@
 from chiveledge.coordinator._worker_link import WorkerLink, age_s
 from chiveledge.leadership import Leadership
 from chiveledge.placement import WorkerSuspicion
-from chiveledge.services import Row
+from chiveledge.services import CallError, Row
 from chiveledge.services.task_worker import (
     Declined,
     DeclineReason,
@@ -306,7 +307,9 @@
         )
         link.sent_acknowledgement = acknowledged
 
-    async def _handle_no_answer(self, link: WorkerLink, error: object) -> None:
+    async def _handle_no_answer(
+        self, link: WorkerLink, error: CallError | Declined
+    ) -> None:
         if link.unresponsive_since_s is None:
             self._log.write(
                 "workers",
@@ -315,7 +318,8 @@
                 error=str(error),
                 runs=len(link.runs),
             )
-        link.record_no_answer(self._clock.monotonic(), str(error))
+        sign = classify_unanswered(error)
+        link.record_no_answer(self._clock.monotonic(), str(error), sign)
         await self._clock.sleep(POLL_RETRY_S)
 
     def _reconcile(self, link: WorkerLink, report: PollReport, sent_s: float) -> None:
--- a/chiveledge/services/_http.py
+++ b/chiveledge/services/_http.py
@@ -12,7 +12,7 @@
 
 from chiveledge.decoding import DECODE_ERRORS, describe_error, parse_json
 from chiveledge.metrics import Metrics
-from chiveledge.services.errors import Rejected, Unavailable, Unsettled
+from chiveledge.services.errors import Refused, Rejected, Unavailable, Unsettled
 
 T = TypeVar("T")
 
@@ -228,7 +228,10 @@
                 decoded = parse_json(raw) if raw else None
                 return Ok(HttpReply(response.status, decoded))
         except aiohttp.ClientConnectorError as error:
-            return Err(Unavailable(f"{self._base_url}: {error.strerror or error}"))
+            reason = f"{self._base_url}: {error.strerror or error}"
+            if isinstance(error.os_error, ConnectionRefusedError):
+                return Err(Refused(reason))
+            return Err(Unavailable(reason))
         except TimeoutError:
             self._replace(session)
             return Err(Unsettled(f"{self._base_url}: the call timed out"))
--- a/chiveledge/services/errors.py
+++ b/chiveledge/services/errors.py
@@ -18,6 +18,11 @@
     """The call had no effect, and none if it is repeated, such as one over a limit."""
 
 
+@dataclass(frozen=True)
+class Refused(Unavailable):
+    """The call had no effect: no process takes connections at the address."""
+
+
 @dataclass(frozen=True)
 class Unsettled:
     """The call may have taken effect; its reply was lost, late or unreadable."""
--- a/tests/services/test_odd_replies.py
+++ b/tests/services/test_odd_replies.py
@@ -4,7 +4,9 @@
 
 import contextlib
 import json
+import socket
 
+import aiohttp
 import pytest
 from aiohttp import web
 
@@ -15,6 +17,7 @@
     HttpObjectStore,
     HttpTable,
     HttpWorker,
+    Refused,
     Rejected,
     SyncRequest,
     Transaction,
@@ -113,3 +116,14 @@
     # A server error was taken to prove that a write or an order had no effect.
     async with open_caller(status, "{}") as caller:
         assert type((await WRITES[name](caller)).err()) is error
+
+
+async def test_call_without_a_listener_is_refused():
+    """A worker whose process is gone looked like one that answers with 503."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        host, port = probe.getsockname()
+    async with aiohttp.ClientSession() as session:
+        caller = HttpCaller(session, f"http://{host}:{port}")
+        result = await caller.call("GET", "/")
+    assert isinstance(result.err(), Refused)
