Stand-ins: tasks that crash their worker, machines that come back

A task may crash its worker some time after each start. Its connections break, are refused or stay silent until the machine is back, as a later incarnation of the same name or as a worker of a new name on the same machine and address. The record counts the crashes under each such task and its starts after the third. Without such a task nothing changes.

--- a/standins/machines.py
+++ b/standins/machines.py
@@ -62,6 +62,14 @@
         self._down: set[str] = set()
         self._done: set[tuple[str, int]] = set()
 
+    def replace_worker(
+        self, earlier: MemoryTaskWorker, worker: MemoryTaskWorker
+    ) -> None:
+        """Let a machine host a worker of another name than before."""
+        for machine, present in self._workers.items():
+            if present is earlier:
+                self._workers[machine] = worker
+
     async def list_machines(self) -> Result[tuple[Machine, ...], CallError]:
         """Return all machines."""
         return Ok(
--- a/standins/run_record.py
+++ b/standins/run_record.py
@@ -74,11 +74,18 @@
     A task must not run twice at the same time, nor be started after a run of it has
     ended as done, if that end is acknowledged then or later. An end doesn't count as
     acknowledged if the worker's lease lapsed between the two.
+
+    Attributes
+    ----------
+    crashes : dict
+        For each task that crashes its worker, the times at which a worker crashed with
+        it, by its own fault or by that of another such task.
     """
 
     runs: dict[str, list[RecordedRun]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    crashes: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
 
     @property
     def acknowledged_done(self) -> set[str]:
@@ -117,6 +124,13 @@
         self.runs[order.task].append(run)
         return run
 
+    def starts_after_third_crash(self, task: str) -> int:
+        """Return how often a task was started after three workers crashed under it."""
+        crashes = sorted(self.crashes.get(task, ()))
+        if len(crashes) < 3:
+            return 0
+        return sum(run.started_s > crashes[2] for run in self.runs[task])
+
     def _pairs(self) -> Iterator[tuple[RecordedRun, RecordedRun]]:
         """Yield all pairs of runs of one task, the one that started first in front."""
         for runs in self.runs.values():
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -55,6 +55,11 @@
         outside of a gang.
     ready_at_once : bool
         Whether it reports full progress from its start, as a serving task does.
+    crash_after_s : float, optional
+        Time from each start after which it crashes its worker; None for a task that
+        doesn't.
+    crash_indices : frozenset of int, optional
+        Indices of the tasks of its step that crash their workers; None for all.
     """
 
     work_s: float = 1.0
@@ -62,6 +67,15 @@
     fails: bool = False
     gang: int = 1
     ready_at_once: bool = False
+    crash_after_s: float | None = None
+    crash_indices: frozenset[int] | None = frozenset({0})
+
+    def is_deadly(self, task: str) -> bool:
+        """Whether the task of this name crashes its worker."""
+        if self.crash_after_s is None:
+            return False
+        index = int(task.rsplit(".", 1)[1])
+        return self.crash_indices is None or index in self.crash_indices
 
 
 @dataclass
@@ -84,6 +98,11 @@
     done_s: float = 0.0
     stops_at_s: float | None = None
 
+    @property
+    def is_deadly(self) -> bool:
+        """Whether it crashes its worker."""
+        return self.task.is_deadly(self.order.task)
+
 
 @dataclass
 class WorkerFaults:
@@ -95,6 +114,11 @@
         Calls get no reply, and those that arrive meanwhile have no effect.
     refuses_connections : bool
         Its address refuses connections, as after the worker has left.
+    down : bool
+        All calls are refused, as while the machine restarts.
+    replaced : bool
+        Another worker answers at its address, as after the machine came back with a
+        worker of another name.
     lose_replies : int
         Number of calls that take effect but get no reply.
     late_starts : int
@@ -121,6 +145,8 @@
 
     unresponsive: bool = False
     refuses_connections: bool = False
+    down: bool = False
+    replaced: bool = False
     lose_replies: int = 0
     late_starts: int = 0
     late_start_delay_s: float = 0.0
@@ -148,11 +174,17 @@
         All workers, on which the members of a gang are counted.
     record : FleetRecord, optional
         Record shared by all workers.
+    handle_crash : callable, optional
+        Called after a task has crashed the worker, which is then down.
 
     Attributes
     ----------
     clock_rate : float
         Speed of the worker's clock relative to `clock`.
+    start_answer_s : float
+        Time from the start of a run until the order is answered.
+    silent_when_down : bool
+        Calls get no reply while its machine is down, instead of being refused.
     """
 
     def __init__(
@@ -162,14 +194,19 @@
         find_task: Callable[[str], StandInTask],
         fleet: list[MemoryTaskWorker] | None = None,
         record: FleetRecord | None = None,
+        handle_crash: Callable[[MemoryTaskWorker], None] | None = None,
     ) -> None:
         self.faults = WorkerFaults()
         self.clock_rate = 1.0
+        self.start_answer_s = 0.0
+        self.silent_when_down = False
         self._clock = clock
         self._find_task = find_task
         self._fleet = fleet if fleet is not None else [self]
         self._record = record or FleetRecord()
+        self._handle_crash = handle_crash
         self._run_ended = asyncio.Event()
+        self._outages = 0
         self._reset(entry)
 
     def _reset(self, entry: WorkerEntry) -> None:
@@ -189,6 +226,23 @@
         self._lose_runs()
         self._reset(self.entry._replace(incarnation_ms=incarnation_ms))
 
+    def go_down(self) -> None:
+        """Drop all runs and break all connections, as a loss of power does."""
+        self._lose_runs()
+        self._outages += 1
+        if self.silent_when_down:
+            self.faults.unresponsive = True
+            return
+        self.faults.down = True
+        self._run_ended.set()
+        self._run_ended = asyncio.Event()
+
+    def come_back(self, incarnation_ms: int) -> None:
+        """Start a new incarnation under the same name after `go_down`."""
+        self.faults.down = False
+        self.faults.unresponsive = False
+        self.crash(incarnation_ms)
+
     def leave(self) -> None:
         """Drop all runs and refuse connections from now on."""
         self._lose_runs()
@@ -200,6 +254,10 @@
         passed_s = self._clock.monotonic() - self._started_s
         return int(passed_s * 1000 * self.clock_rate)
 
+    @property
+    def _is_away(self) -> bool:
+        return self.faults.unresponsive or self.faults.down
+
     def advance(self) -> None:
         """Update the progress of all runs and end those that are due."""
         now_s = self._clock.monotonic()
@@ -231,7 +289,9 @@
         self, order: StartOrder
     ) -> Result[OrderAccepted, Declined | CallError]:
         """Start a run, or decline the order."""
-        if self.faults.unresponsive or self.faults.refuses_connections:
+        if self.faults.replaced:
+            return self._decline(DeclineReason.OTHER_LIFE)
+        if self._is_away or self.faults.refuses_connections:
             return await self._fail_unanswered()
         if self.faults.late_starts > 0:
             self.faults.late_starts -= 1
@@ -239,13 +299,21 @@
                 self._start_delayed(order, self.faults.late_start_delay_s)
             )
             return await self._fail_unanswered()
-        return await self._reply(self._start(order))
+        result = self._start(order)
+        if self.start_answer_s:
+            outages = self._outages
+            await self._clock.sleep(self.start_answer_s)
+            if outages != self._outages:
+                return await self._break_connection()
+        return await self._reply(result)
 
     async def stop(
         self, order: StopOrder
     ) -> Result[OrderAccepted, Declined | CallError]:
         """Stop a run; one that hasn't started can't start afterwards."""
-        if self.faults.unresponsive:
+        if self.faults.replaced:
+            return self._decline(DeclineReason.OTHER_LIFE)
+        if self._is_away:
             return await self._fail_unanswered()
         return await self._reply(self._stop(order))
 
@@ -253,7 +321,9 @@
         self, order: PaceOrder
     ) -> Result[OrderAccepted, Declined | CallError]:
         """Accept a pace order without slowing the run down."""
-        if self.faults.unresponsive:
+        if self.faults.replaced:
+            return self._decline(DeclineReason.OTHER_LIFE)
+        if self._is_away:
             return await self._fail_unanswered()
         return await self._reply(Ok(OrderAccepted(self.clock_ms)))
 
@@ -261,7 +331,9 @@
         self, request: PollRequest
     ) -> Result[PollReport, Declined | CallError]:
         """Extend the lease, then wait for an ended run and return a report."""
-        if self.faults.unresponsive or self.faults.refuses_connections:
+        if self.faults.replaced:
+            return self._decline(DeclineReason.OTHER_LIFE)
+        if self._is_away or self.faults.refuses_connections:
             return await self._fail_unanswered()
         if self.faults.late_polls > 0:
             self.faults.late_polls -= 1
@@ -271,8 +343,11 @@
             return await self._fail_unanswered()
         if not self._hold(request):
             return self._decline(DeclineReason.FENCE)
+        outages = self._outages
         if not self.ended and request.wait_s:
             await run_with_timeout(self._clock, self._run_ended.wait(), request.wait_s)
+        if outages != self._outages:
+            return await self._break_connection()
         if self.faults.unresponsive or self.faults.refuses_connections:
             return await self._fail_unanswered()
         return await self._reply(Ok(self._report()))
@@ -313,15 +388,33 @@
         recorded = self._record.start(order, self.entry.name, now_s, is_late=is_late)
         self.runs[key] = StandInRun(order, task, recorded, done_s=resumed_s)
         self.faults.started.append((now_s, order.task, order.run))
+        if task.is_deadly(order.task):
+            asyncio.ensure_future(self._crash_under(self.runs[key]))
         return Ok(OrderAccepted(self.clock_ms))
 
     async def _start_delayed(self, order: StartOrder, delay_s: float) -> None:
         await self._clock.sleep(delay_s)
-        self._start(order, is_late=True)
+        if not self.faults.down and not self.faults.replaced:
+            self._start(order, is_late=True)
+
+    async def _crash_under(self, run: StandInRun) -> None:
+        """Crash the worker unless the run ends before."""
+        await self._clock.sleep(run.task.crash_after_s)
+        self.advance()
+        if self.runs.get((run.order.task, run.order.run)) is not run:
+            return
+        now_s = self._clock.monotonic()
+        for present in self.runs.values():
+            if present.is_deadly:
+                self._record.crashes[present.order.task].append(now_s)
+        self.go_down()
+        if self._handle_crash is not None:
+            self._handle_crash(self)
 
     async def _poll_delayed(self, request: PollRequest, delay_s: float) -> None:
         await self._clock.sleep(delay_s)
-        self._hold(request)
+        if not self.faults.down and not self.faults.replaced:
+            self._hold(request)
 
     def _stop(self, order: StopOrder) -> Result[OrderAccepted, Declined]:
         self.advance()
@@ -427,8 +520,15 @@
             return await self._fail_unanswered()
         return result
 
+    async def _break_connection(self) -> Err[CallError]:
+        """Fail a call that was being served when the worker went down."""
+        if self.silent_when_down:
+            return await self._fail_unanswered()
+        await asyncio.sleep(0)
+        return Err(Unsettled("the connection broke"))
+
     async def _fail_unanswered(self) -> Err[CallError]:
-        if self.faults.refuses_connections:
+        if self.faults.refuses_connections or self.faults.down:
             await asyncio.sleep(0)
             return Err(Unavailable("connection refused"))
         await self._clock.sleep(0.5)
--- a/tests/coordinator/cluster.py
+++ b/tests/coordinator/cluster.py
@@ -5,6 +5,7 @@
 import asyncio
 import inspect
 import json
+from typing import NamedTuple
 
 from result import Err
 
@@ -51,6 +52,7 @@
 
 
 CUT_TIMEOUT_S = 0.6
+SPREAD_PARTS = 5
 
 
 class RecordingLog:
@@ -112,9 +114,9 @@
     def __init__(self, cluster: Cluster, name: str, rank: int) -> None:
         self.name = name
         self.rank = rank
-        self.store = cluster.connection(cluster.table, cluster.clock)
+        self.store = FaultyConnection(cluster.table, cluster.clock)
         self.workers = {
-            worker: cluster.connection(service, cluster.clock)
+            worker: FaultyConnection(service, cluster.clock)
             for worker, service in cluster.workers.items()
         }
         self.log = RecordingLog()
@@ -177,6 +179,27 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+class Reboot(NamedTuple):
+    """How the machine of a worker that went down comes back.
+
+    Attributes
+    ----------
+    after_s : float
+        Time until it is back.
+    spread_s : float
+        Longest time that it takes beyond that; each reboot takes another part of it.
+    new_name : bool
+        Whether its worker then has a new name, instead of a later start only.
+    silent : bool
+        Whether calls get no reply until then, instead of being refused.
+    """
+
+    after_s: float = 3.0
+    spread_s: float = 0.0
+    new_name: bool = False
+    silent: bool = False
+
+
 class Cluster:
     """Store, workers and nodes, with a record of all runs."""
 
@@ -188,10 +211,10 @@
         capacity: Usage = CAPACITY,
         timing: CoordinatorTiming | None = None,
         max_value_chars: int = 65_536,
-        connection: type[FaultyConnection] = FaultyConnection,
+        reboot: Reboot | None = None,
+        start_answer_s: float = 0.0,
     ) -> None:
         self.clock = ManualClock()
-        self.connection = connection
         self.table = MemoryTable(self.clock)
         self.table.max_value_chars = max_value_chars
         self.table.max_entries = 100
@@ -200,7 +223,12 @@
         self.tasks: dict[str, StandInTask] = {}
         self.workers: dict[str, MemoryTaskWorker] = {}
         self.record = FleetRecord()
-        fleet: list[MemoryTaskWorker] = []
+        self.reboot = reboot or Reboot()
+        self._reboots = 0
+        self._start_answer_s = start_answer_s
+        self._fleet: list[MemoryTaskWorker] = []
+        self._worker_tasks: list[asyncio.Task[None]] = []
+        self.nodes: list[Node] = []
         for number in range(workers):
             entry = WorkerEntry(
                 f"w{number}",
@@ -211,21 +239,67 @@
                 frozenset({"a", f"r{number // 2}"}),
                 capacity,
                 incarnation_ms=1,
+                machine=f"m-w{number}" if reboot else "",
             )
-            worker = MemoryTaskWorker(
-                entry, self.clock, self._find_task, fleet, self.record
-            )
-            fleet.append(worker)
-            self.workers[entry.name] = worker
+            self._add_worker(entry)
             self.list_worker(entry)
-        self.machines = MemoryMachines(fleet, self.clock)
+        self.machines = MemoryMachines(self._fleet, self.clock)
         self.waves: list[Wave] = []
-        self._worker_tasks = [asyncio.create_task(w.run()) for w in fleet]
         self.nodes = [Node(self, f"n{i}", i) for i in range(nodes)]
 
     def _find_task(self, task: str) -> StandInTask:
         return self.tasks[task.rsplit(".", 3)[0]]
 
+    def _add_worker(self, entry: WorkerEntry) -> MemoryTaskWorker:
+        """Start a worker that all nodes can reach."""
+        worker = MemoryTaskWorker(
+            entry,
+            self.clock,
+            self._find_task,
+            self._fleet,
+            self.record,
+            self._reboot_later,
+        )
+        worker.start_answer_s = self._start_answer_s
+        worker.silent_when_down = self.reboot.silent
+        self._fleet.append(worker)
+        self.workers[entry.name] = worker
+        self._worker_tasks.append(asyncio.create_task(worker.run()))
+        for node in self.nodes:
+            node.workers[entry.name] = FaultyConnection(worker, self.clock)
+        return worker
+
+    def crash_worker(self, name: str) -> None:
+        """Let a worker lose its power; its machine comes back as `reboot` says."""
+        self.workers[name].go_down()
+        self._reboot_later(self.workers[name])
+
+    def _reboot_later(self, worker: MemoryTaskWorker) -> None:
+        self._worker_tasks.append(asyncio.create_task(self._reboot(worker)))
+
+    async def _reboot(self, worker: MemoryTaskWorker) -> None:
+        self._reboots += 1
+        extra_s = self.reboot.spread_s * (self._reboots % SPREAD_PARTS) / SPREAD_PARTS
+        await self.clock.sleep(self.reboot.after_s + extra_s)
+        earlier = worker.entry
+        now_ms = int(self.clock.monotonic() * 1000)
+        incarnation_ms = max(now_ms, earlier.incarnation_ms + 1)
+        if not self.reboot.new_name:
+            worker.come_back(incarnation_ms)
+            self.list_worker(worker.entry)
+            return
+        name = f"{earlier.machine.removeprefix('m-')}-{incarnation_ms}"
+        entry = earlier._replace(name=name, incarnation_ms=incarnation_ms)
+        worker.faults.replaced = True
+        self.machines.replace_worker(worker, self._add_worker(entry))
+        self.list_worker(entry)
+        self.unlist_worker(earlier.name)
+
+    @property
+    def present_workers(self) -> list[MemoryTaskWorker]:
+        """The workers, without those that were replaced under another name."""
+        return [w for w in self.workers.values() if not w.faults.replaced]
+
     def list_worker(self, entry: WorkerEntry) -> None:
         """Write a worker's row."""
         fields = entry._replace(labels=sorted(entry.labels))._asdict()
@@ -246,7 +320,11 @@
         for _ in range(round(seconds / STEP_S)):
             await self.clock.advance(STEP_S)
 
-    async def submit(
+    async def submit(self, job_id: str, step: Step, **options):
+        """Submit a job of one step, with the options of `send`."""
+        return await self.call(self.send(job_id, step, **options))
+
+    def send(
         self,
         job_id: str,
         step: Step,
@@ -255,10 +333,26 @@
         work_s: float = 1.0,
         fails: bool = False,
         node: int = 0,
+        crash_after_s: float | None = None,
+        crash_indices: frozenset[int] | None = frozenset({0}),
+        **schedule: int,
     ):
-        """Submit a job of one step."""
+        """Return the call that submits a job of one step.
+
+        Parameters
+        ----------
+        crash_after_s, crash_indices
+            Which of its tasks crash their workers, as in `StandInTask`.
+        schedule
+            Fields of the request for a job that runs at several times.
+        """
         self.tasks[job_id] = StandInTask(
-            work_s, step.usage, fails, step.count if step.gang else 1
+            work_s,
+            step.usage,
+            fails,
+            step.count if step.gang else 1,
+            crash_after_s=crash_after_s,
+            crash_indices=crash_indices,
         )
         policy = self.catalogue.queues[queue]
         request = JobRequest(
@@ -273,8 +367,9 @@
             max_attempts=policy.max_attempts,
             stretch=policy.stretch,
             target_s=policy.target_s,
+            **schedule,
         )
-        return await self.call(self.nodes[node].job_store.submit(request, 2.0))
+        return self.nodes[node].job_store.submit(request, 2.0)
 
     async def call(self, coroutine):
         """Advance the clock until a coroutine is done; return its result."""
