--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -16,10 +17,17 @@
     JobProgress,
     StepProgress,
     TaskName,
+    TaskProgress,
 )
 
 EMPTY: frozenset[str] = frozenset()
 
+APART_S = 3.0
+"""How long a task that may have crashed a worker keeps other jobs off the next one."""
+
+REPEATED_APART_S = 30.0
+"""The same for a task under which several workers crashed: it may do so late."""
+
 TRUSTED_WORKER_TIMEOUT_S = 2.5
 """How long a task that failed before waits for a trusted worker."""
 
@@ -122,7 +130,9 @@
                 waiting = _waiting_indices(
                     job.job_id, occurrence, number, progress, step.gang, pending_tasks
                 )
-                for indices, failed in _split_failed(progress, waiting, step.gang):
+                for indices, failed, apart_s in _split_waiting(
+                    progress, waiting, step.gang
+                ):
                     waited_s = _longest_wait_s(progress, indices, now_s)
                     # Failures of lasting tasks don't count against a limit.
                     careful = (
@@ -149,6 +159,7 @@
                         else EMPTY,
                         avoids_suspected=careful,
                         failed_on=_find_failed_on(progress) if careful else EMPTY,
+                        apart_s=apart_s,
                         needs_advice=policy.needs_advice,
                     )
 
@@ -165,20 +176,48 @@
     )
 
 
-def _split_failed(
-    progress: StepProgress, waiting: tuple[int, ...], gang: bool
-) -> Iterator[tuple[tuple[int, ...], bool]]:
-    """Yield tasks without and with earlier failures separately, a gang as a whole.
+class _Waiting(NamedTuple):
+    """Tasks that are placed together.
 
-    Each item holds task indices and whether any of them failed before.
+    Attributes
+    ----------
+    failed : bool
+        Whether any of them failed before.
+    apart_s : float
+        How long their runs keep other jobs off their workers.
     """
-    failed = {index for index in waiting if progress.tasks[index].failures}
+
+    indices: tuple[int, ...]
+    failed: bool
+    apart_s: float
+
+
+def _split_waiting(
+    progress: StepProgress, waiting: tuple[int, ...], gang: bool
+) -> Iterator[_Waiting]:
+    """Yield tasks with different histories separately, a gang as a whole."""
+    if not waiting:
+        return
+    tasks = progress.tasks
     if gang:
-        groups = [(waiting, bool(failed))]
-    else:
-        without_failures = tuple(index for index in waiting if index not in failed)
-        groups = [(without_failures, False), (tuple(sorted(failed)), True)]
-    yield from ((indices, has_failed) for indices, has_failed in groups if indices)
+        failed = any(tasks[index].failures for index in waiting)
+        yield _Waiting(
+            waiting, failed, max(_find_apart_s(tasks[index]) for index in waiting)
+        )
+        return
+    groups: dict[tuple[bool, float], list[int]] = defaultdict(list)
+    for index in waiting:
+        task = tasks[index]
+        groups[bool(task.failures), _find_apart_s(task)].append(index)
+    for (failed, apart_s), indices in sorted(groups.items()):
+        yield _Waiting(tuple(indices), failed, apart_s)
+
+
+def _find_apart_s(task: TaskProgress) -> float:
+    """Return how long a run of a task keeps other jobs off its worker."""
+    if not task.starts_apart:
+        return 0.0
+    return APART_S if task.crashes <= 1 else REPEATED_APART_S
 
 
 def _waiting_indices(
--- a/chiveledge/coordinator/_fleet_view.py
+++ b/chiveledge/coordinator/_fleet_view.py
@@ -8,11 +8,11 @@
 from typing import NamedTuple
 
 from chiveledge.coordinator._demands import find_policy
-from chiveledge.coordinator._tracked_run import TrackedRun
+from chiveledge.coordinator._tracked_run import SETTLED_RUN_S, TrackedRun
 from chiveledge.coordinator._worker_link import WorkerLink
 from chiveledge.placement import FleetView, RunView, WorkerSuspicion, WorkerView
 from chiveledge.services.task_worker import WorkerEntry
-from chiveledge.types import WorkerName
+from chiveledge.types import JobId, WorkerName
 from chiveledge.workload import Catalogue, JobProgress, RunState, TaskName, Usage
 
 SERVING_PERCENT = 100
@@ -37,6 +37,7 @@
     slow: bool
     slowdown: float
     trusted: bool
+    isolated_job: JobId | None
 
 
 class SlowWorkers(NamedTuple):
@@ -136,6 +137,7 @@
                 name in slow.now,
                 slow.slowdowns.get(name, 1.0),
                 name in trusted,
+                link.find_isolated_job(now_s),
             )
             cached = previous.get(name)
             if cached is None or cached.link is not link or cached.inputs != inputs:
@@ -166,6 +168,8 @@
             trusted=inputs.trusted,
             serving=inputs.serving,
             filling=inputs.filling,
+            awaited=inputs.reserved != NOTHING,
+            isolated_job=inputs.isolated_job,
             list_runs=partial(self._list_runs, link),
         )
 
@@ -237,6 +241,9 @@
             and run.state is RunState.RUNNING
         ),
         ending=not tracked.stopping and tracked.ends_within(stop_s, now_s),
+        recent=(
+            run.state is not RunState.RUNNING or now_s - run.began_s < SETTLED_RUN_S
+        ),
     )
 
 
--- a/chiveledge/coordinator/_pending_starts.py
+++ b/chiveledge/coordinator/_pending_starts.py
@@ -90,9 +90,9 @@
         job = self._jobs[item.deferred.demand.job_id]
         if job.state.ended or now_s - item.since_s > PENDING_START_TIMEOUT_S:
             return True
-        return not self._can_still_start(item.deferred)
+        return not self._can_still_start(item.deferred, now_s)
 
-    def _can_still_start(self, deferred: DeferredStart) -> bool:
+    def _can_still_start(self, deferred: DeferredStart, now_s: float) -> bool:
         for placement in deferred.placements:
             link = self._links.get(placement.worker)
             if link is None or not link.listed or link.entry.draining:
@@ -101,6 +101,8 @@
                 return False
             if link.unresponsive_since_s is not None:
                 return False
+            if not deferred.demand.may_join(link.find_isolated_job(now_s)):
+                return False
         return True
 
     def _drop_done_tasks(self, deferred: DeferredStart) -> DeferredStart:
--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -221,6 +221,7 @@
                 number if demand.step.gang else task.last_run + 1,
                 link.name,
                 link.incarnation_ms,
+                machine=link.place,
                 checkpoint=task.checkpoint,
                 began_s=now_s,
                 last_progress_s=now_s,
@@ -231,6 +232,8 @@
                 demand.job_id, demand.occurrence, demand.step_number, placement.index
             )
             tracked = TrackedRun(name, task, run, demand.step)
+            if demand.starts_apart:
+                tracked.isolated_until_s = now_s + demand.apart_s
             link.add_run(tracked)
             started.append((link, tracked))
         self._log.write(
@@ -247,5 +250,6 @@
             waited_s=round(demand.waited_s, 3),
             due_s=round(demand.due_s, 3),
             guaranteed=demand.guaranteed,
+            apart=demand.starts_apart,
         )
         self._spawn(self._orders.launch(job, demand.step, started))
--- a/chiveledge/coordinator/_reconciliation.py
+++ b/chiveledge/coordinator/_reconciliation.py
@@ -142,6 +142,16 @@
         self._finish_run(link, tracked, how, tracked.run.checkpoint)
         self._progress_writer.mark_dirty(self._jobs[tracked.name.job_id])
 
+    def fail_job(self, job: JobProgress, reason: str, **details: int) -> None:
+        """End a job as failed and stop its runs, unless it has ended."""
+        if job.state.ended:
+            return
+        self._log.write(
+            "settlement", "job_failed", id=job.job_id, why=reason, **details
+        )
+        self._suspicion.forget_job(job.job_id)
+        self._orders.end_job(job, JobState.FAILED, reason)
+
     def stop_stalled_runs(self, links: dict[str, WorkerLink], now_s: float) -> None:
         """Stop runs that make no progress at all, and suspect their workers."""
         for link in list(links.values()):
@@ -402,12 +412,9 @@
             progress.failed_run = tracked.run.number
         task.failures += 1
         limit = find_policy(job, self._catalogue()).max_attempts
-        if task.failures >= limit and not step.lasting and not job.state.ended:
-            self._log.write(
-                "settlement", "job_failed", id=job.job_id, failures=task.failures
-            )
-            self._suspicion.forget_job(job.job_id)
-            self._orders.end_job(job, JobState.FAILED, f"{name} used up its attempts")
+        if task.failures >= limit and not step.lasting:
+            reason = f"{name} used up its attempts"
+            self.fail_job(job, reason, failures=task.failures)
 
     def _stop_gang(self, tracked: TrackedRun, how: RunEnd) -> None:
         for link, other in self._orders.find_gang_runs(tracked):
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -24,6 +24,7 @@
 from chiveledge.coordinator._tracked_run import TrackedRun
 from chiveledge.coordinator._upkeep import UpkeepController
 from chiveledge.coordinator._worker_link import WorkerLink
+from chiveledge.coordinator._worker_loss import CrashRecorder
 from chiveledge.coordinator._workers import POLL_RETRY_S, WorkerMonitor
 from chiveledge.decoding import DECODE_ERRORS, describe_error
 from chiveledge.intake import (
@@ -140,6 +141,9 @@
             reconciler,
             self._orders,
             suspicion,
+            CrashRecorder(
+                context, self.links, self.jobs, self._progress_writer.mark_dirty
+            ),
             self._spawn,
             self._plan_due.set,
             self.end,
@@ -314,7 +318,7 @@
         self, job: JobProgress, name: TaskName, task: TaskProgress, run: OpenRun
     ) -> None:
         """Track an open run that an earlier leader started."""
-        link = self._workers.find_or_add(run.worker, run.incarnation_ms)
+        link = self._workers.find_or_add(run.worker, run.incarnation_ms, run.machine)
         tracked = TrackedRun(
             name,
             task,
--- a/chiveledge/coordinator/_tracked_run.py
+++ b/chiveledge/coordinator/_tracked_run.py
@@ -20,6 +20,14 @@
 of a poll and the transmission of its answer."""
 
 
+RECENT_START_S = 3.0
+"""Age up to which a run is more suspect than older ones if its worker crashes."""
+
+SETTLED_RUN_S = 6.0
+"""Age from which a run is older than that, even if the crash is noticed only when a
+poll gets no answer."""
+
+
 @dataclass(eq=False)
 class TrackedRun:
     """An open run and what is needed to detect its end.
@@ -35,6 +43,9 @@
         Whether an earlier leader started the run, so that its start time is unknown.
     reported : bool
         Whether the present incarnation of the worker has reported the run.
+    isolated_until_s : float
+        Monotonic time until which no other job may start on the worker, since the
+        task may have crashed another one; 0 if it is under no suspicion.
     percent_samples : deque
         Monotonic times and percents of the last polls.
     """
@@ -47,6 +58,7 @@
     stopping: bool = False
     adopted: bool = False
     reported: bool = False
+    isolated_until_s: float = 0.0
     percent_samples: deque[tuple[float, int]] = field(
         default_factory=lambda: deque(maxlen=MAX_PERCENT_SAMPLES)
     )
@@ -66,6 +78,11 @@
         """Whether the task uses only capacity that other runs leave."""
         return self.step.filler
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether it was started apart from other jobs."""
+        return self.isolated_until_s > 0.0
+
     @property
     def key(self) -> tuple[str, int]:
         """Task and number of the run."""
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -11,7 +11,7 @@
 from chiveledge.coordinator._tracked_run import TrackedRun
 from chiveledge.coordinator._worker_lease import CLOCK_RATE, WorkerLease
 from chiveledge.services.task_worker import TaskWorker, WorkerEntry
-from chiveledge.types import WorkerName
+from chiveledge.types import JobId, WorkerName
 from chiveledge.workload import Usage
 
 LATE_ORDER_S = 12.0
@@ -117,8 +117,9 @@
         Capacity that all open runs take, including those that are being stopped.
     stopping : Usage
         Capacity that the runs being stopped take.
-    serving_runs, filler_runs : int
-        Number of open runs that serve requests, and of filler runs.
+    serving_runs, filler_runs, isolated_runs : int
+        Number of open runs that serve requests, of filler runs, and of those that
+        were started apart from other jobs.
     """
 
     entry: WorkerEntry
@@ -146,18 +147,33 @@
     stopping: Usage = Usage()
     serving_runs: int = 0
     filler_runs: int = 0
+    isolated_runs: int = 0
 
     @property
     def name(self) -> WorkerName:
         """Name of the worker."""
         return self.entry.name
 
+    @property
+    def place(self) -> str:
+        """Machine of the worker, or its address if it names no machine."""
+        return self.entry.machine or self.entry.address
+
+    def find_isolated_job(self, now_s: float) -> JobId | None:
+        """Return the job that no other may join on the worker, or None."""
+        if self.isolated_runs:
+            for tracked in self.runs.values():
+                if tracked.isolated_until_s > now_s:
+                    return tracked.name.job_id
+        return None
+
     def add_run(self, tracked: TrackedRun) -> None:
         """Add a run that is, or will be, on the worker."""
         self.runs[tracked.key] = tracked
         self.used = self.used.plus(tracked.usage)
         self.serving_runs += tracked.is_serving
         self.filler_runs += tracked.is_filler
+        self.isolated_runs += tracked.is_isolated
 
     def mark_stopping(self, tracked: TrackedRun) -> None:
         """Mark a run whose stop order was issued."""
@@ -173,6 +189,7 @@
             self.stopping = self.stopping.minus(tracked.usage)
         self.serving_runs -= tracked.is_serving
         self.filler_runs -= tracked.is_filler
+        self.isolated_runs -= tracked.is_isolated
         return True
 
     def is_new_incarnation(self, incarnation_ms: int) -> bool:
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -16,6 +16,7 @@
 from chiveledge.coordinator._tracked_run import TrackedRun
 from chiveledge.coordinator._worker_lease import CLOCK_RATE, WorkerLease
 from chiveledge.coordinator._worker_link import WorkerLink, age_s
+from chiveledge.coordinator._worker_loss import CrashRecorder, Verdict
 from chiveledge.leadership import Leadership
 from chiveledge.placement import WorkerSuspicion
 from chiveledge.services import CallError, Row
@@ -52,6 +53,8 @@
         Stops runs.
     suspicion : WorkerSuspicion
         Record of failures, cleared for a worker that restarts.
+    crashes : CrashRecorder
+        Record of the tasks under which workers crashed.
     spawn : callable
         Starts a task that is cancelled when the term ends.
     request_plan, end_term : callable
@@ -68,6 +71,7 @@
         reconciler: Reconciler,
         orders: OrderDispatcher,
         suspicion: WorkerSuspicion,
+        crashes: CrashRecorder,
         spawn: Callable[[Coroutine], asyncio.Task],
         request_plan: Callable[[], None],
         end_term: Callable[[str], None],
@@ -82,6 +86,7 @@
         self._reconciler = reconciler
         self._orders = orders
         self._suspicion = suspicion
+        self._crashes = crashes
         self._spawn = spawn
         self._request_plan = request_plan
         self._end_term = end_term
@@ -93,14 +98,24 @@
         """Begin to poll workers, once all jobs and their open runs are loaded."""
         self._loaded.set()
 
-    def find_or_add(self, name: str, incarnation_ms: int) -> WorkerLink:
+    def find_or_add(self, name: str, incarnation_ms: int, machine: str) -> WorkerLink:
         """Return the worker of a name; add it if it is not listed.
 
         A worker that is not listed any more may still execute earlier orders.
         """
         if name in self.links:
             return self.links[name]
-        entry = WorkerEntry(name, "", "", "", "", frozenset(), Usage(), incarnation_ms)
+        entry = WorkerEntry(
+            name,
+            service="",
+            address="",
+            domain="",
+            rack="",
+            labels=frozenset(),
+            capacity=Usage(),
+            incarnation_ms=incarnation_ms,
+            machine=machine,
+        )
         link = self._make_link(entry, listed=False)
         link.incarnation_ms = incarnation_ms
         self.links[name] = link
@@ -152,6 +167,7 @@
                 rack=entry.rack,
                 service=entry.service,
             )
+            self._give_up(self._crashes.record_listed(entry))
             self._spawn(self._poll_worker(link))
             return
         if entry.incarnation_ms in link.past_incarnations:
@@ -187,6 +203,7 @@
             runs=len(link.runs),
             acknowledged=link.sent_acknowledgement,
         )
+        verdicts = self._crashes.record_restart(link)
         link.begin_incarnation(
             incarnation_ms,
             self._clock.monotonic(),
@@ -199,6 +216,7 @@
                 self._orders.bar(link, task, run)
         for tracked in list(link.runs.values()):
             self._carry_over_run(link, tracked, is_late=tracked.key in late)
+        self._give_up(verdicts)
         self._request_plan()
 
     def _carry_over_run(
@@ -262,6 +280,8 @@
                     self._log.write("workers", "regained", worker=link.name)
                 if link.is_new_incarnation(report.incarnation_ms):
                     self._handle_restart(link, report.incarnation_ms)
+                elif link.unresponsive_since_s is not None:
+                    self._crashes.record_regained(link)
                 if report.incarnation_ms != link.incarnation_ms:
                     # The answer is from the earlier incarnation; poll again.
                     await self._clock.sleep(POLL_RETRY_S)
@@ -318,6 +338,7 @@
                 error=str(error),
                 runs=len(link.runs),
             )
+            self._crashes.record_no_answer(link)
         sign = classify_unanswered(error)
         link.record_no_answer(self._clock.monotonic(), str(error), sign)
         await self._clock.sleep(POLL_RETRY_S)
@@ -340,7 +361,14 @@
         longest_lease_s = self._context.timing.longest_lease_s
         if not has_lease_expired(link, now_s, self._began_s, longest_lease_s):
             return
+        verdicts = self._crashes.record_expiry(link)
         reason = "the worker's lease has lapsed"
         for tracked in list(link.runs.values()):
             self._reconciler.close_run(link, tracked, RunEnd.LAPSED, reason)
+        self._give_up(verdicts)
         self._request_plan()
+
+    def _give_up(self, verdicts: Iterable[Verdict]) -> None:
+        """End jobs whose tasks crash the workers that start them."""
+        for verdict in verdicts:
+            self._reconciler.fail_job(verdict.job, verdict.reason)
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -9,13 +9,17 @@
 from typing import NamedTuple
 
 from chiveledge.placement._order import StepDemand
-from chiveledge.types import WorkerName
+from chiveledge.types import JobId, WorkerName
 from chiveledge.workload import Step, TaskName, Usage
 
 HANDLING_S = 0.3
 """Time for the commits and the read that show a job's completion to its caller."""
 
 
+MAX_APART_SHARE = 0.5
+"""Largest share of a service's workers that are kept for jobs under suspicion."""
+
+
 class RunView(NamedTuple):
     """A run that occupies capacity of a worker.
 
@@ -32,6 +36,8 @@
         Whether it may be stopped for work of a higher priority.
     ending : bool
         Whether it is expected to finish within the time that a stop takes.
+    recent : bool
+        Whether it has begun lately, or has not begun yet.
     """
 
     task: TaskName
@@ -42,6 +48,7 @@
     unsaved_s: float
     movable: bool = True
     ending: bool = False
+    recent: bool = False
 
     @property
     def loss(self) -> float:
@@ -80,6 +87,12 @@
         Whether it has a task with a latency target.
     filling : bool
         Whether it has a filler task.
+    awaited : bool
+        Whether a task waits there until other runs have ended.
+    isolated_job : str, optional
+        Job that no other may join there; None if there is none.
+    allocated_jobs : set of str
+        Jobs whose tasks were allocated to it in this plan.
     reserved : bool
         Whether its free capacity is reserved for urgent work.
     list_runs : callable
@@ -105,6 +118,9 @@
     trusted: bool = False
     serving: bool = False
     filling: bool = False
+    awaited: bool = False
+    isolated_job: JobId | None = None
+    allocated_jobs: set[JobId] = field(default_factory=set)
     reserved: bool = False
     list_runs: Callable[[], list[RunView]] = list
     stop_costs: dict[tuple[Usage, int], object] = field(default_factory=dict)
@@ -114,13 +130,16 @@
         self._initial_state = self._allocation_state
 
     @property
-    def _allocation_state(self) -> tuple[Usage, Usage, bool, bool, bool]:
+    def _allocation_state(
+        self,
+    ) -> tuple[Usage, Usage, bool, bool, bool, JobId | None]:
         return (
             self.free,
             self.future_free,
             self.serving,
             self.filling,
             self.probe_running,
+            self.isolated_job,
         )
 
     def reset(self) -> None:
@@ -131,8 +150,10 @@
             self.serving,
             self.filling,
             self.probe_running,
+            self.isolated_job,
         ) = self._initial_state
         self.reserved = False
+        self.allocated_jobs.clear()
         self.stop_costs.clear()
         self.__dict__.pop("runs", None)
 
@@ -141,6 +162,21 @@
         """Runs on the worker, listed at first use since most plans stop nothing."""
         return self.list_runs()
 
+    def has_only(self, job_id: JobId, *, or_older_runs: bool = False) -> bool:
+        """Return whether nothing but a job runs, waits or is allocated there.
+
+        Parameters
+        ----------
+        or_older_runs : bool, optional
+            Whether to leave out runs of other jobs that began long before.
+        """
+        if self.awaited or not self.allocated_jobs <= {job_id}:
+            return False
+        return all(
+            run.task.job_id == job_id or or_older_runs and not run.recent
+            for run in self.runs
+        )
+
 
 class FleetView:
     """Snapshot of all workers, from which decisions allocate capacity.
@@ -275,10 +311,34 @@
             and not (demand.avoids_suspected and worker.name in demand.failed_on)
             and not (step.filler and worker.serving)
             and not (step.latency_target_ms and worker.filling)
+            and demand.may_join(worker.isolated_job)
         ]
+        if demand.starts_apart:
+            return self._list_apart(found, demand)
         trusted = [worker for worker in found if worker.trusted]
         return trusted if demand.avoids_suspected and trusted else found
 
+    def _list_apart(
+        self, workers: list[WorkerView], demand: StepDemand
+    ) -> list[WorkerView]:
+        """Return workers to keep apart for a job, as many as there may be."""
+        accepting = self._accepting[demand.service]
+        kept = sum(worker.isolated_job is not None for worker in accepting)
+        left = max(0, max(1, int(len(accepting) * MAX_APART_SHARE)) - kept)
+        own = [worker for worker in workers if worker.isolated_job == demand.job_id]
+        others = [worker for worker in workers if worker.isolated_job is None]
+        empty = [worker for worker in others if worker.has_only(demand.job_id)]
+        if empty or not demand.joins_older_runs:
+            return own + empty[:left]
+        quiet = [
+            worker
+            for worker in others
+            if worker.has_only(demand.job_id, or_older_runs=True)
+        ]
+        usage = charged_usage(demand.step)
+        quiet.sort(key=lambda w: (not usage.fits(w.free), len(w.runs), w.name))
+        return own + quiet[:left]
+
     def is_late_after_stop(self, worker: WorkerView, demand: StepDemand) -> bool:
         """Return whether a job is late on a slower worker once it waited for a stop."""
         if worker.slowdown <= 1.0:
@@ -308,6 +368,12 @@
         """Count tasks that wait for stops, by name of the step and worker."""
         self._allocated.update(placed)
 
+    def assign_job(self, worker: WorkerView, demand: StepDemand) -> None:
+        """Record that a task of a demand was allocated to a worker."""
+        worker.allocated_jobs.add(demand.job_id)
+        if demand.starts_apart:
+            worker.isolated_job = demand.job_id
+
     def allocate(self, worker: WorkerView, step: Step, step_name: str) -> None:
         """Allocate capacity to a task that starts now."""
         worker.free = worker.free.minus(charged_usage(step))
--- a/chiveledge/placement/_order.py
+++ b/chiveledge/placement/_order.py
@@ -14,13 +14,21 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from chiveledge.types import Accelerators, WorkerName, WorkspaceName
+from chiveledge.types import Accelerators, JobId, WorkerName, WorkspaceName
 from chiveledge.workload import JobProgress, Step
 
 URGENT_PRIORITY = 0
 """Priority of the jobs for which runs of other jobs may be stopped."""
 
 
+EMPTY_WORKER_TIMEOUT_S = 2.0
+"""How long a task under suspicion waits for a worker without other jobs, before it may
+join runs that began long before."""
+
+APART_TIMEOUT_S = 20.0
+"""How long it waits for a worker on which nothing else has begun lately."""
+
+
 class Timeliness(IntEnum):
     """Whether a job is in time if it starts now; lower values are placed first."""
 
@@ -57,6 +65,9 @@
         worker could use up their last attempt.
     failed_on : frozenset of str
         Workers on which tasks of the step failed.
+    apart_s : float
+        How long the runs keep other jobs off their workers, as a task may have crashed
+        an earlier one; 0 without such a suspicion.
     needs_advice : bool
         Whether only the advice service knows which workers may run the tasks.
     """
@@ -78,8 +89,37 @@
     allowed_workers: frozenset[WorkerName] | None = None
     avoids_suspected: bool = False
     failed_on: frozenset[WorkerName] = frozenset()
+    apart_s: float = 0.0
     needs_advice: bool = False
 
+    @property
+    def starts_apart(self) -> bool:
+        """Whether the tasks start apart from other jobs, so that a crash names theirs.
+
+        If there is no such worker for `APART_TIMEOUT_S`, they start anywhere.
+        """
+        return self.apart_s > 0.0 and self.waited_s < APART_TIMEOUT_S
+
+    @property
+    def may_stop_runs(self) -> bool:
+        """Whether others' runs may be stopped for the tasks if they are urgent.
+
+        Tasks under suspicion wait for an empty worker first.
+        """
+        return not self.starts_apart or self.joins_older_runs
+
+    def may_join(self, isolated_job: JobId | None) -> bool:
+        """Return whether the tasks may start on a worker that is kept for a job.
+
+        A guarantee holds, too, while other jobs are under suspicion.
+        """
+        return isolated_job in (None, self.job_id) or self.guaranteed
+
+    @property
+    def joins_older_runs(self) -> bool:
+        """Whether tasks that start apart may join runs that began long before."""
+        return self.waited_s >= EMPTY_WORKER_TIMEOUT_S
+
     @property
     def urgent(self) -> bool:
         """Whether runs of other jobs may be stopped for it."""
@@ -105,10 +145,12 @@
     return sorted(demands, key=_rank)
 
 
-def _rank(demand: StepDemand) -> tuple[bool, int, Timeliness, float, str]:
+def _rank(demand: StepDemand) -> tuple[bool, int, bool, Timeliness, float, str]:
     return (
         not demand.guaranteed,
         demand.priority,
+        # Empty workers are rarer than room beside others.
+        not demand.starts_apart,
         demand.timeliness,
         demand.due_s,
         demand.step_name,
--- a/chiveledge/placement/_packing.py
+++ b/chiveledge/placement/_packing.py
@@ -126,7 +126,7 @@
     fitting = [worker for worker in pool if usage.fits(free[worker.name])]
     for worker in sorted(
         fitting,
-        key=lambda w: _best_fit_key(w, free[w.name], usage, urgent=demand.urgent),
+        key=lambda w: _best_fit_key(w, free[w.name], usage, demand),
     ):
         count = fleet.count_fitting(
             worker, demand.step, demand.step_name, free[worker.name]
@@ -155,6 +155,7 @@
 ) -> list[Placement]:
     for worker in chosen:
         fleet.allocate(worker, demand.step, demand.step_name)
+        fleet.assign_job(worker, demand)
     return [
         Placement(index, worker.name)
         for index, worker in zip(demand.indices, chosen, strict=False)
@@ -162,13 +163,17 @@
 
 
 def _best_fit_key(
-    worker: WorkerView, free: Usage, usage: Usage, *, urgent: bool
-) -> tuple[bool, float, int, int, int, str]:
-    """Sort key by what a task leaves free; suspected and slow workers come last."""
+    worker: WorkerView, free: Usage, usage: Usage, demand: StepDemand
+) -> tuple[bool, bool, float, int, int, int, str]:
+    """Sort key by what a task leaves free.
+
+    Workers that are kept for another job come last, after suspected and slow ones.
+    """
     left = free.minus(usage)
     return (
+        worker.isolated_job not in (None, demand.job_id),
         worker.suspected or worker.slow,
-        worker.slowdown if urgent else 1.0,
+        worker.slowdown if demand.urgent else 1.0,
         left.accelerators,
         left.memory_mb,
         left.millicores,
--- a/chiveledge/placement/_plan.py
+++ b/chiveledge/placement/_plan.py
@@ -61,7 +61,7 @@
             plan.starts.append(Start(demand, placements))
         placed = {placement.index for placement in placements}
         rest = tuple(index for index in demand.indices if index not in placed)
-        if rest and demand.urgent:
+        if rest and demand.urgent and demand.may_stop_runs:
             deferred_start = _defer_start(fleet, demand._replace(indices=rest))
             if deferred_start:
                 plan.deferred_starts.append(deferred_start)
@@ -78,4 +78,5 @@
     for placement in eviction.placements:
         worker = fleet.workers[placement.worker]
         fleet.allocate_future(worker, demand.step, demand.step_name)
+        fleet.assign_job(worker, demand)
     return DeferredStart(demand, eviction.placements, eviction.groups)
--- a/chiveledge/workload/_progress.py
+++ b/chiveledge/workload/_progress.py
@@ -49,6 +49,8 @@
     incarnation_ms : int
         Incarnation of that worker: start time of its process, in milliseconds since
         1970.
+    machine : str
+        Machine of the worker, or its address if it names no machine.
     stop_reason : str
         Why the run is to be stopped; empty if it isn't.
     checkpoint : str
@@ -63,6 +65,7 @@
     worker: WorkerName
     incarnation_ms: int
     state: RunState = RunState.INTENDED
+    machine: str = ""
     stop_reason: str = ""
     checkpoint: str = ""
     percent: int = 0
@@ -103,6 +106,12 @@
         Workers on which the latest failed runs were.
     stalls : int
         Runs that this leader stopped because they made no progress.
+    crashes : int
+        Worker processes that crashed while a run of the task was there.
+    named_crashes : int
+        Those of them that no other job can have caused.
+    suspected : bool
+        Whether the task is more likely than others to have caused one of them.
     """
 
     last_run: int = 0
@@ -114,6 +123,26 @@
     ready_s: float = 0.0
     failed_on: tuple[WorkerName, ...] = ()
     stalls: int = 0
+    crashes: int = 0
+    named_crashes: int = 0
+    suspected: bool = False
+
+    @property
+    def starts_apart(self) -> bool:
+        """Whether the next run starts on a worker without other jobs."""
+        return self.suspected or self.crashes > 1
+
+    def record_crash(self, *, is_suspect: bool, names_job: bool) -> None:
+        """Record that a worker crashed while a run of the task was there."""
+        self.crashes += 1
+        self.named_crashes += names_job
+        self.suspected |= is_suspect
+
+    def forget_crashes(self) -> None:
+        """Clear the task of all suspicion."""
+        self.crashes = 0
+        self.named_crashes = 0
+        self.suspected = False
 
     def record_failed_on(self, worker: WorkerName) -> None:
         """Record the worker of a failed run."""
--- a/chiveledge/workload/_progress_codec.py
+++ b/chiveledge/workload/_progress_codec.py
@@ -22,7 +22,7 @@
 )
 
 MAX_PART_TASKS = 256
-"""Most tasks in a part; with short names of workers, they take some 16 kB."""
+"""Most tasks in a part; with short names of workers, they take some 24 kB."""
 
 MAX_CHECKPOINT_CHARS = 16_384
 """Longest encoding of a checkpoint, so that two and the rest of a task fit in a row."""
@@ -193,11 +193,28 @@
     }
     if rest:
         fields["tasks"] = rest
+        fields |= _encode_details(tasks, rest)
     if step.failed_run:
         fields["failed_run"] = step.failed_run
     return fields
 
 
+def _encode_details(
+    tasks: list[TaskProgress], indices: Iterable[int]
+) -> dict[str, object]:
+    """Return what only some of the tasks have, by their indices."""
+    machines = {}
+    crashes = {}
+    for index in indices:
+        task = tasks[index]
+        if task.run is not None and task.run.machine:
+            machines[index] = task.run.machine
+        if task.crashes:
+            crashes[index] = [task.crashes, task.named_crashes, task.suspected]
+    details = {"machines": machines, "crashes": crashes}
+    return {name: rows for name, rows in details.items() if rows}
+
+
 def _encode_task(task: TaskProgress) -> list[object]:
     run = task.run
     open_run = run and [run.number, run.worker, run.incarnation_ms, run.checkpoint]
@@ -219,6 +236,11 @@
     ]
     for index, row in fields.get("tasks", {}).items():
         _decode_task(tasks[int(index)], row)
+    for index, machine in fields.get("machines", {}).items():
+        tasks[int(index)].run.machine = machine
+    for index, row in fields.get("crashes", {}).items():
+        task = tasks[int(index)]
+        task.crashes, task.named_crashes, task.suspected = row
     step.tasks[indices] = tasks
     step.failed_run = max(step.failed_run, fields.get("failed_run", 0))
 
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from chiveledge.clock import Clock, run_with_timeout
-from chiveledge.services import CallError, Unavailable, Unsettled
+from chiveledge.services import CallError, Refused, Unsettled
 from chiveledge.services.task_worker import (
     Declined,
     DeclineReason,
@@ -530,6 +530,6 @@
     async def _fail_unanswered(self) -> Err[CallError]:
         if self.faults.refuses_connections or self.faults.down:
             await asyncio.sleep(0)
-            return Err(Unavailable("connection refused"))
+            return Err(Refused("connection refused"))
         await self._clock.sleep(0.5)
         return Err(Unsettled("no reply"))
--- /dev/null
+++ b/tests/placement/test_apart.py
@@ -0,0 +1,88 @@
+"""Tests of the workers on which tasks start that may have crashed an earlier one."""
+
+from __future__ import annotations
+
+from chiveledge.placement import make_plan
+from chiveledge.placement._order import EMPTY_WORKER_TIMEOUT_S
+from tests.placement.fleets import make_demand, make_fleet, make_run, make_worker
+
+
+def list_workers(plan, job: str) -> list[str]:
+    """Return the workers on which a plan starts tasks of a job."""
+    return [
+        placement.worker
+        for start in plan.starts
+        if start.demand.job_id == job
+        for placement in start.placements
+    ]
+
+
+def make_suspect(job: str = "suspect", **options):
+    return make_demand(job, apart_s=3.0, **options)
+
+
+def test_suspect_starts_on_an_empty_worker():
+    """By best fit, it would have joined other jobs and taken them down."""
+    used = make_worker("used", runs=[make_run("other", "used")])
+    plan = make_plan(make_fleet(used, make_worker("empty")), [make_suspect()])
+    assert list_workers(plan, "suspect") == ["empty"]
+
+
+def test_suspects_of_two_jobs_do_not_share_a_worker():
+    """The next crash would have named neither."""
+    workers = [make_worker(f"w{number}") for number in range(4)]
+    demands = [make_suspect("a"), make_suspect("b")]
+    plan = make_plan(make_fleet(*workers), demands)
+    assert len({*list_workers(plan, "a"), *list_workers(plan, "b")}) == 2
+
+
+def test_other_jobs_do_not_join_a_suspect():
+    fleet = make_fleet(make_worker("kept", isolated_job="suspect"), make_worker("free"))
+    plan = make_plan(fleet, [make_demand("other", count=9, accelerators=1)])
+    assert set(list_workers(plan, "other")) == {"free"}
+
+
+def test_guarantee_holds_beside_a_suspect():
+    """A worker that was kept for a suspect was missing from the guarantee."""
+    fleet = make_fleet(make_worker("kept", isolated_job="suspect"))
+    plan = make_plan(fleet, [make_demand("urgent", priority=0, guaranteed=True)])
+    assert list_workers(plan, "urgent") == ["kept"]
+
+
+def test_suspects_leave_half_of_the_workers_to_others():
+    """Many suspects at once would have kept all other jobs waiting."""
+    workers = [make_worker(f"w{number}") for number in range(8)]
+    demands = [make_suspect(f"s{number}", accelerators=8) for number in range(8)]
+    plan = make_plan(make_fleet(*workers), demands)
+    assert len(plan.starts) == 4
+
+
+def test_suspect_waits_for_an_empty_worker_before_it_joins_older_runs():
+    older = [make_run("other", "w"), make_run("other", "w", index=1)]
+    early = make_suspect(waited_s=EMPTY_WORKER_TIMEOUT_S - 0.1)
+    late = make_suspect(waited_s=EMPTY_WORKER_TIMEOUT_S)
+    assert not make_plan(make_fleet(make_worker("w", runs=older)), [early]).starts
+    plan = make_plan(make_fleet(make_worker("w", runs=older)), [late])
+    assert list_workers(plan, "suspect") == ["w"]
+
+
+def test_suspect_does_not_join_runs_that_began_lately():
+    """A crash would have been laid to all of them."""
+    lately = make_run("other", "w")._replace(recent=True)
+    late = make_suspect(waited_s=EMPTY_WORKER_TIMEOUT_S)
+    assert not make_plan(make_fleet(make_worker("w", runs=[lately])), [late]).starts
+
+
+def test_urgent_suspect_stops_no_runs_while_it_waits_for_an_empty_worker():
+    """It would have stopped others' runs only to crash their worker."""
+    full = make_worker("w", runs=[make_run("other", "w", accelerators=8)])
+    plan = make_plan(make_fleet(full), [make_suspect(priority=0)])
+    assert not plan.deferred_starts
+
+
+def test_urgent_suspect_stops_older_runs_on_a_full_fleet():
+    """An innocent urgent job would have waited until runs ended by themselves."""
+    runs = [make_run("other", "w", accelerators=4, index=index) for index in range(2)]
+    late = make_suspect(priority=0, waited_s=EMPTY_WORKER_TIMEOUT_S)
+    plan = make_plan(make_fleet(make_worker("w", runs=runs)), [late])
+    assert [start.demand.job_id for start in plan.deferred_starts] == ["suspect"]
--- a/tests/workload/test_progress_codec.py
+++ b/tests/workload/test_progress_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -125,3 +126,29 @@
     assert TaskName.parse(str(name)) == name
     assert TaskName.parse("a.b") is None
     assert TaskName.parse("a.0.x.1") is None
+
+
+@pytest.mark.parametrize("max_chars", [150, 10_000])
+def test_crashes_under_a_task_outlast_the_leader(max_chars):
+    """Each leader began to count anew, and didn't know the machines of open runs."""
+    job = JobProgress(REQUEST)
+    tasks = job.open_occurrence(0)[1].tasks
+    for index in (3, 60):
+        tasks[index].last_run = 1
+        tasks[index].run = OpenRun(1, "w1", 5, RunState.UNKNOWN, "m1")
+        tasks[index].record_crash(is_suspect=index == 3, names_job=index == 3)
+    header, parts = encode_progress(job, max_chars)
+    assert bool(parts) == (max_chars == 150)
+    assert decode_progress(REQUEST, header, 0, parts.items()) == job
+
+
+def test_progress_without_crashes_is_read_as_before():
+    """Rows of an earlier version have no crashes and no machines."""
+    header = (
+        '{"state":"running","ended_ms":0,"reason":"","finished":[],"occurrences":{"0":'
+        '[{"done":"0","begun":"1","tasks":{"0":[1,0,"",[1,"w1",5,""],[]]}},'
+        '{"done":"0","begun":"0"}]}}'
+    )
+    task = decode_progress(REQUEST, header, 0).find_task(TaskName("j", 0, 0, 0))
+    assert task.run == OpenRun(1, "w1", 5, RunState.UNKNOWN)
+    assert not task.crashes and not task.starts_apart
