Advice: a step on which the service fails holds up no other

What callers saw: nothing of a queue with advice starts while the service fails on the call about one step: that call was repeated 4 times a second for ever, and the steps behind it were never asked about. A service that breaks on that step was broken again each time.

Cause: TicketCache took the first step without tickets, whatever its last call did. Change: steps whose last call failed come last and rest. The rest doubles, up to 32 s, with each failure since which another step's call succeeded, so that an outage of the whole service makes no step wait longer. Measured: test_step_on_which_the_service_fails_does_not_hold_up_the_others and ..._is_asked_about_less_and_less_often fail before and hold after; test_outage_of_the_service_makes_no_step_wait_longer holds before and after.

--- a/chiveledge/coordinator/_advice.py
+++ b/chiveledge/coordinator/_advice.py
@@ -28,6 +28,9 @@
 FETCH_RETRY_S = 0.25
 IDLE_WAIT_S = 0.5
 
+MAX_REST_S = 32.0
+"""Longest pause of a step about which calls fail while those about others succeed."""
+
 
 class Advice(NamedTuple):
     """Answer of the advice service about one step.
@@ -69,6 +72,27 @@
     incarnation_ms: int
 
 
+class _FailedStep(NamedTuple):
+    """A step about which the last call failed.
+
+    Attributes
+    ----------
+    failed_s : float
+        Monotonic time of that failure.
+    own_failures : int
+        Consecutive failures, but for those since which no other call has succeeded:
+        the service may have failed as a whole.
+    """
+
+    failed_s: float
+    own_failures: int
+
+    @property
+    def rests_until_s(self) -> float:
+        """Monotonic time until which the step is not asked about."""
+        return self.failed_s + min(FETCH_RETRY_S * 2**self.own_failures, MAX_REST_S)
+
+
 class TicketCache:
     """Requests tickets for waiting steps, one call at a time, and caches them.
 
@@ -97,6 +121,8 @@
         self._tickets_changed = tickets_changed
         self._tickets: dict[str, dict[WorkerName, Ticket]] = {}
         self._refused: dict[str, set[WorkerName]] = {}
+        self._failed: dict[str, _FailedStep] = {}
+        self._last_success_s = float("-inf")
         self._wanted: dict[str, list[Candidate]] = {}
         self._has_wanted = asyncio.Event()
 
@@ -107,14 +133,15 @@
             self._has_wanted.set()
 
     def discard_steps(self, step_names: Iterable[str]) -> None:
-        """Remove the tickets and refusals of steps that no longer wait."""
+        """Remove all that is cached of steps that no longer wait."""
         for step_name in step_names:
             self._tickets.pop(step_name, None)
             self._refused.pop(step_name, None)
+            self._failed.pop(step_name, None)
 
     def cached_steps(self) -> list[str]:
-        """Return the steps with cached tickets or refusals."""
-        return list(self._tickets.keys() | self._refused.keys())
+        """Return the steps with cached tickets, refusals or failures."""
+        return list(self._tickets.keys() | self._refused.keys() | self._failed.keys())
 
     def find_ticket(
         self, step_name: str, worker: WorkerName, incarnation_ms: int
@@ -148,7 +175,8 @@
     def _next_batch(self) -> tuple[str, list[Candidate]] | None:
         if self._service is None:
             return None
-        for step_name, candidates in self._wanted.items():
+        for step_name in self._list_due_steps():
+            candidates = self._wanted[step_name]
             refused = self._refused.get(step_name, set())
             missing = [
                 candidate
@@ -162,16 +190,40 @@
                 return step_name, missing[:BATCH_WORKERS]
         return None
 
+    def _list_due_steps(self) -> list[str]:
+        """Return the steps to ask about, those that failed last at the end."""
+        now_s = self._clock.monotonic()
+        failed = self._failed
+        due = [
+            step_name
+            for step_name in self._wanted
+            if step_name not in failed or failed[step_name].rests_until_s <= now_s
+        ]
+        return sorted(
+            due, key=lambda name: failed[name].failed_s if name in failed else 0
+        )
+
     async def _fetch(self, step_name: str, batch: list[Candidate]) -> None:
         names = tuple(candidate.name for candidate in batch)
         sent_s = self._clock.monotonic()
         match await self._service.fetch_tickets(step_name, names):
             case Ok(advice):
                 self._record_advice(step_name, batch, advice, sent_s)
+                self._failed.pop(step_name, None)
+                self._last_success_s = self._clock.monotonic()
             case Err(error):
-                self._log.write("advice", "not_given", step=step_name, error=str(error))
+                self._record_failure(step_name, str(error))
                 await self._clock.sleep(FETCH_RETRY_S)
 
+    def _record_failure(self, step_name: str, error: str) -> None:
+        now_s = self._clock.monotonic()
+        before = self._failed.get(step_name)
+        own_failures = before.own_failures if before else 0
+        if before is not None and self._last_success_s > before.failed_s:
+            own_failures += 1
+        self._failed[step_name] = _FailedStep(now_s, own_failures)
+        self._log.write("advice", "not_given", step=step_name, error=error)
+
     def _record_advice(
         self, step_name: str, batch: list[Candidate], advice: Advice, sent_s: float
     ) -> None:
--- a/tests/coordinator/test_advice.py
+++ b/tests/coordinator/test_advice.py
@@ -8,7 +8,11 @@
 
 from chiveledge.clock import ManualClock
 from chiveledge.coordinator import Advice
-from chiveledge.coordinator._advice import BATCH_WORKERS, Candidate, TicketCache
+from chiveledge.coordinator._advice import (
+    BATCH_WORKERS,
+    Candidate,
+    TicketCache,
+)
 from chiveledge.decision_log import NullLog
 from chiveledge.services import Unavailable
 
@@ -78,3 +82,45 @@
     await run_for(stub, 0.5)
     stub.tickets.discard_steps(["j.0.0"])
     assert stub.tickets.cached_steps() == []
+
+
+class StubThatFailsOn(AdviceStub):
+    """An advice service that fails on each call about one step."""
+
+    def __init__(self, step_name: str) -> None:
+        super().__init__()
+        self.failing_step = step_name
+
+    async def fetch_tickets(self, step_name, workers):
+        self.busy = step_name == self.failing_step
+        return await super().fetch_tickets(step_name, workers)
+
+
+async def test_step_on_which_the_service_fails_does_not_hold_up_the_others():
+    # Its call was repeated for ever before that of any step behind it.
+    stub = StubThatFailsOn("j1.0.0")
+    stub.tickets.set_wanted({"j1.0.0": candidates(2), "j2.0.0": candidates(2)})
+    await run_for(stub, 2.0)
+    assert stub.tickets.find_allowed("j2.0.0", candidates(2)) == {"w0"}
+
+
+async def test_step_on_which_the_service_fails_is_asked_about_less_and_less_often():
+    # A service that breaks on one step was called about it 4 times a second.
+    stub = StubThatFailsOn("j1.0.0")
+    stub.tickets.set_wanted({"j1.0.0": candidates(2), "j2.0.0": candidates(2)})
+    await run_for(stub, 60.0)
+    stub.calls.clear()
+    await run_for(stub, 64.0)  # twice the longest pause
+    assert 0 < [step for step, _ in stub.calls].count("j1.0.0") <= 3
+
+
+async def test_outage_of_the_service_makes_no_step_wait_longer():
+    stub = AdviceStub()
+    stub.busy = True
+    wanted = {f"j{number}.0.0": candidates(2) for number in range(3)}
+    stub.tickets.set_wanted(wanted)
+    await run_for(stub, 30.0)
+    stub.busy = False
+    await run_for(stub, 3.0)
+    for step_name in wanted:
+        assert stub.tickets.find_allowed(step_name, candidates(2)) == {"w0"}
