Advice: tickets that have expired on arrival are not requested again at once

What callers saw: with tickets valid for less than a call takes (and 0.3 s more), their step was asked about call after call without a pause, and no other step ever. Cause: an answer counted as a success whatever its tickets were worth. Change: it counts as a failed call of its step, which rests and comes last.

--- a/chiveledge/coordinator/_advice.py
+++ b/chiveledge/coordinator/_advice.py
@@ -209,8 +209,12 @@
         match await self._service.fetch_tickets(step_name, names):
             case Ok(advice):
                 self._record_advice(step_name, batch, advice, sent_s)
-                self._failed.pop(step_name, None)
-                self._last_success_s = self._clock.monotonic()
+                usable_until_s = sent_s + advice.valid_s - RENEW_BEFORE_S
+                if advice.tickets and usable_until_s < self._clock.monotonic():
+                    self._record_failure(step_name, "the tickets have expired")
+                else:
+                    self._failed.pop(step_name, None)
+                    self._last_success_s = self._clock.monotonic()
             case Err(error):
                 self._record_failure(step_name, str(error))
                 await self._clock.sleep(FETCH_RETRY_S)
--- a/tests/coordinator/test_advice.py
+++ b/tests/coordinator/test_advice.py
@@ -124,3 +124,19 @@
     await run_for(stub, 3.0)
     for step_name in wanted:
         assert stub.tickets.find_allowed(step_name, candidates(2)) == {"w0"}
+
+
+async def test_tickets_that_have_expired_on_arrival_do_not_hold_up_other_steps():
+    # They were requested again at once, without a pause, for ever.
+    class ExpiringStub(AdviceStub):
+        async def fetch_tickets(self, step_name, workers):
+            answer = await super().fetch_tickets(step_name, workers)
+            if step_name != "j1.0.0":
+                return answer
+            return Ok(answer.unwrap()._replace(valid_s=0.2))
+
+    stub = ExpiringStub()
+    stub.tickets.set_wanted({"j1.0.0": candidates(2), "j2.0.0": candidates(2)})
+    await run_for(stub, 2.0)
+    assert stub.tickets.find_allowed("j2.0.0", candidates(2)) == {"w0"}
+    assert len(stub.calls) < 12
