Upkeep: unreadable progress of a wave ends no term

What callers saw: one row under upkeep/ that can't be decoded ended the term of each leader in turn, 3 s after it began, so nothing ran until the row was removed. Change: such a wave is logged and not advanced, since its orders may be in flight and their machines count as down. Other waves and all jobs go on.

--- a/chiveledge/coordinator/_upkeep.py
+++ b/chiveledge/coordinator/_upkeep.py
@@ -17,6 +17,7 @@
 from chiveledge.coordinator._fleet_view import find_protected_tasks, view_run
 from chiveledge.coordinator._orders import OrderDispatcher
 from chiveledge.coordinator._worker_link import WorkerLink
+from chiveledge.decoding import DECODE_ERRORS, describe_error
 from chiveledge.leadership import Leadership
 from chiveledge.placement import choose_next_machines, find_drain_timeout_s
 from chiveledge.services import Check, Conflict, Put, Row, Transaction
@@ -91,6 +92,7 @@
         self._jobs = jobs
         self._orders = orders
         self._progress: dict[int, WaveProgress] = {}
+        self._unreadable: set[int] = set()
         self._emptying_since_s: dict[tuple[int, MachineName], float] = {}
         self._ordered_s: dict[MachineName, float] = {}
         self._missing: dict[int, frozenset[MachineName]] = {}
@@ -109,6 +111,8 @@
             await self._clock.sleep(POLL_INTERVAL_S)
 
     def _is_open(self, wave: Wave) -> bool:
+        if wave.number in self._unreadable:
+            return False
         progress = self._progress.get(wave.number)
         return progress is None or not progress.completed
 
@@ -116,14 +120,27 @@
         match await self._context.table.snapshot(PROGRESS_PREFIX):
             case Ok(snapshot):
                 for row in snapshot.rows:
-                    number = int(row.key.removeprefix(PROGRESS_PREFIX))
-                    self._progress[number] = _decode(row)
+                    self._load_wave(row)
                 return True
             case Err(error):
                 self._log.write("upkeep", "not_loaded", error=str(error))
                 return False
         raise AssertionError("unreachable")
 
+    def _load_wave(self, row: Row) -> None:
+        """Load the progress of a wave; one that can't be read is not advanced.
+
+        It may have orders in flight, whose machines count as down.
+        """
+        name = row.key.removeprefix(PROGRESS_PREFIX)
+        try:
+            self._progress[int(name)] = _decode(row)
+        except DECODE_ERRORS as error:
+            if name.isdecimal():
+                self._unreadable.add(int(name))
+            reason = describe_error(error)
+            self._log.write("upkeep", "unreadable", key=row.key, reason=reason)
+
     async def _advance_waves(self, waves: list[Wave]) -> None:
         polled_s = self._clock.monotonic()
         match await self._context.machines.list_machines():
--- a/tests/coordinator/test_upkeep.py
+++ b/tests/coordinator/test_upkeep.py
@@ -7,6 +7,7 @@
 import pytest
 from result import Ok
 
+from chiveledge.services import Put, Transaction
 from chiveledge.services.machines import MachineState, Wave
 from chiveledge.workload import JobState, Step
 from tests.coordinator.cluster import SMALL, Cluster
@@ -217,3 +218,19 @@
     await cluster.advance(WAVE.within_s + FIRST_ORDER_S)
     assert read_state(cluster) == "completed"
     check_upkeeps(cluster)
+
+
+@pytest.mark.parametrize("key", ["upkeep/1", "upkeep/x"])
+@pytest.mark.parametrize("text", ["", "{", "[]", '{"completed":false}'])
+async def test_unreadable_progress_of_a_wave_does_not_end_each_term(cluster, key, text):
+    # The exception ended the term of each leader in turn, and no job ran any more.
+    cluster.table.commit(Transaction("odd", puts=(Put(key, text),)))
+    await cluster.advance(FIRST_ORDER_S)
+    await cluster.submit("j1", Step(usage=SMALL), work_s=0.5)
+    await cluster.advance(20.0)
+    ended = [node.log.find("leadership", "lost") for node in cluster.nodes]
+    assert ended == [[], []]
+    assert cluster.state("j1") is JobState.COMPLETED
+    if key == "upkeep/1":
+        # Its orders may be in flight, which the bound on machines down includes.
+        assert not cluster.machines.upkeeps
