Run times: tiny declared times end no term

What callers saw: after some jobs with declared times near the smallest float, the estimate for another job of their queue overflowed while a plan was made. That ended the term; the next leader's term ended as soon as such jobs had run again. Cause: the ratio of actual to declared times was taken of any positive declared time. Change: declared times count as MIN_RUN_TIME_S at least, as observed ones do.

--- a/chiveledge/coordinator/_run_times.py
+++ b/chiveledge/coordinator/_run_times.py
@@ -15,6 +15,7 @@
 about as much."""
 
 MIN_RUN_TIME_S = 0.01
+"""Shortest run time that is distinguished, whether it was declared or observed."""
 
 
 @dataclass
@@ -57,12 +58,12 @@
         times are alike and would otherwise displace all that was seen before.
         """
         weight = 1 / step.count
-        log_time = math.log(max(run_time_s, MIN_RUN_TIME_S))
+        log_time = _log_time(run_time_s)
         self._run_times.setdefault(request.queue, _LogAverage()).update(
             log_time, weight
         )
         if step.estimate_s > 0:
-            log_ratio = log_time - math.log(step.estimate_s)
+            log_ratio = log_time - _log_time(step.estimate_s)
             self._ratios.setdefault(request.queue, _LogAverage()).update(
                 log_ratio, weight
             )
@@ -75,7 +76,7 @@
         ratio = self._ratios.get(request.queue)
         if ratio is None or step.estimate_s <= 0:
             return math.exp(average.mean)
-        by_ratio = math.log(step.estimate_s) + ratio.mean
+        by_ratio = _log_time(step.estimate_s) + ratio.mean
         share = ratio.precision / (ratio.precision + average.precision)
         return math.exp(average.mean + share * (by_ratio - average.mean))
 
@@ -98,3 +99,7 @@
                 chain_s = step_times_s[earlier] + remaining_s[number]
                 remaining_s[earlier] = max(remaining_s[earlier], chain_s)
         return remaining_s
+
+
+def _log_time(time_s: float) -> float:
+    return math.log(max(time_s, MIN_RUN_TIME_S))
--- a/tests/coordinator/test_run_times.py
+++ b/tests/coordinator/test_run_times.py
@@ -84,3 +84,12 @@
     assert timing.poll_wait_s(180, busy=True) == 1.5
     assert timing.poll_wait_s(800, busy=True) == timing.poll_wait_idle_s
     assert timing.poll_wait_s(24, busy=False) == timing.poll_wait_idle_s
+
+
+def test_tiny_declared_time_does_not_overflow_the_estimate_of_other_jobs():
+    # The exception ended the term: each plan estimates all jobs of the queue.
+    estimator = RunTimeEstimator()
+    for run_time_s in (0.1, 10.0, 0.1, 10.0):
+        estimator.update(REQUEST, Step(estimate_s=run_time_s * 1e-321), run_time_s)
+    usual = Step(estimate_s=10.0)
+    assert estimator.expected_s(REQUEST, usual) < 2**53
