Order of jobs: an infinite declared run time ends no leader

What callers saw: one accepted job with run_time_hint_s 1e999, which JSON reads as infinity, stopped its region: each leader raised while it ordered the waiting jobs, which ends its process's scheduler, and the next leader read the same job. Cause: the magnitude of infinity is no whole number. Change: the hint, which only affects the order, counts as the largest float at most. Stored jobs with such a hint run as well.

--- a/chiveledge/scheduler/_order.py
+++ b/chiveledge/scheduler/_order.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import sys
 from collections.abc import Iterable, Mapping
 from datetime import datetime
 from typing import NamedTuple
@@ -75,7 +76,7 @@
 def _run_time_magnitude(run_time_hint_s: float) -> int:
     """Return the order of magnitude of a run time hint; hints are no more precise."""
     hint_s = run_time_hint_s or DEFAULT_RUN_TIME_S
-    return int(math.log10(max(hint_s, 1.0)))
+    return int(math.log10(min(max(hint_s, 1.0), sys.float_info.max)))
 
 
 def attained_service_level(ran_s: float) -> int:
