Group commit: a write that the store rejects fails no other write

What callers saw: a row that is too long for the store failed every write that shared its transaction by chance: jobs of other callers weren't stored, and a region's leader stepped down because an outcome 'was not committed'. Cause: a rejection answers the whole transaction and was taken for that of each write. Change: a rejected group is sent again write by write, as ProgressWriter does.

--- a/chiveledge/services/group_commit.py
+++ b/chiveledge/services/group_commit.py
@@ -134,6 +134,10 @@
                     # and a lost one may have passed.
                 case Err(Unsettled()):
                     may_have_committed = True
+                case Err(Rejected()) if len(group) > 1:
+                    for write in group:
+                        await self._send_group([write])
+                    return
                 case Err(Rejected()):
                     _resolve(group, result)
                     return
--- a/tests/services/test_table.py
+++ b/tests/services/test_table.py
@@ -14,12 +14,14 @@
     Conflict,
     GroupCommit,
     Put,
+    Rejected,
     Transaction,
     Unavailable,
     Unsettled,
     commit_with_retries,
 )
 from chiveledge.services.table import RETRY_DELAY_S
+from standins.table import MemoryTable
 
 
 def write(key, value, version, write_id="w1"):
@@ -157,3 +159,22 @@
     for _ in range(20):
         await clock.advance(RETRY_DELAY_S)
     assert isinstance(commit.result().unwrap_err(), Unsettled)
+
+
+async def test_rejected_write_fails_no_other_write_of_its_group():
+    # A row that is too long failed all writes that happened to share its transaction.
+    clock = ManualClock()
+    table = MemoryTable(clock)
+    table.max_value_chars = 10
+    writes = GroupCommit(table, clock, Metrics(), timeout_s=1.0, linger_s=0.01)
+    commits = [
+        asyncio.create_task(
+            writes.commit(checks=(Check(key, 0),), puts=(Put(key, value),))
+        )
+        for key, value in (("a", "new"), ("long", "x" * 11), ("b", "new"))
+    ]
+    await clock.advance(0.5)
+    first, long, last = (commit.result() for commit in commits)
+    assert first.is_ok() and last.is_ok()
+    assert isinstance(long.unwrap_err(), Rejected)
+    assert [row.key for row in table.find_all("")] == ["a", "b"]
