Regions: a job whose row gets too long ends no leader

What callers saw: an accepted job with a long payload stopped its region. If its attempt was too long for the row already, it was reserved, rejected and planned anew for ever and held the capacity. Cause: a rejection, which repeats at any time, was handled as an outage or conflict. Change: a rejected start fails the job with the store's reason. A rejected outcome is written shorter: results as an object, no reason for a waiting job; for one that failed or was cancelled also no payload. What is left is shorter than the row of the attempt, which was stored.

--- a/chiveledge/scheduler/_attempt_outcomes.py
+++ b/chiveledge/scheduler/_attempt_outcomes.py
@@ -48,6 +48,19 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class StartRejected:
+    """The store rejects the row that says that the attempt runs."""
+
+    reason: str
+
+
 AttemptOutcome: TypeAlias = (
-    AllFinished | MembersFailed | MembersLost | Reclaimed | Cancelled | NeverStarted
+    AllFinished
+    | MembersFailed
+    | MembersLost
+    | Reclaimed
+    | Cancelled
+    | NeverStarted
+    | StartRejected
 )
--- a/chiveledge/scheduler/_attempt_runner.py
+++ b/chiveledge/scheduler/_attempt_runner.py
@@ -19,10 +19,17 @@
     MembersLost,
     NeverStarted,
     Reclaimed,
+    StartRejected,
 )
 from chiveledge.scheduler._planner import PlannedStart
 from chiveledge.scheduler._worker_session import WorkerSession
-from chiveledge.services import CallError, Conflict, Reservation, TaskState
+from chiveledge.services import (
+    CallError,
+    Conflict,
+    Rejected,
+    Reservation,
+    TaskState,
+)
 from chiveledge.settings import TimingSettings
 from chiveledge.types import AttemptId, WorkerName
 
@@ -152,6 +159,8 @@
         match await self._committer.commit_start(self.job, self.attempt):
             case Ok(job):
                 self.job = job
+            case Err(Rejected(reason)):
+                return StartRejected(reason)
             case Err(error):
                 return NeverStarted(f"the commit failed: {error}")
         self._record_event("gang_committed")
--- a/chiveledge/scheduler/_job_repository.py
+++ b/chiveledge/scheduler/_job_repository.py
@@ -26,6 +26,7 @@
     MembersLost,
     NeverStarted,
     Reclaimed,
+    StartRejected,
 )
 from chiveledge.scheduler._failure_tracker import FailureTracker
 from chiveledge.services import (
@@ -35,6 +36,7 @@
     GroupCommit,
     ObjectStore,
     Put,
+    Rejected,
     Row,
 )
 from chiveledge.types import JobId, WorkerName
@@ -42,6 +44,9 @@
 INLINE_RESULT_CHARS = 16384
 """Largest encoded results that are stored in the job's row."""
 
+SHORT_REASON_CHARS = 100
+"""Longest reason in a row that the store rejected before."""
+
 ENDED_JOB_RETENTION = timedelta(hours=1)
 OBJECT_RETRY_S = 0.5
 
@@ -142,6 +147,26 @@
         return len(expired)
 
     async def _commit(self, job: Job) -> Result[Job, CallError]:
+        """Write a job's row, and a shorter one if the store rejects it.
+
+        A row of a running job is not shortened: a job that can't be stored with its
+        attempt is never started.
+        """
+        result = await self._write(job)
+        if job.state is JobState.RUNNING or not isinstance(result.err(), Rejected):
+            return result
+        return await self._write(await self._shorten(job))
+
+    async def _shorten(self, job: Job) -> Job:
+        """Return a job without what its row can do without in its state."""
+        if job.results:
+            return await self._move_results(job)
+        if not job.state.ended:
+            return job._replace(reason="")
+        spec = job.spec.model_copy(update={"payload": ""})
+        return job._replace(spec=spec, reason=job.reason[:SHORT_REASON_CHARS])
+
+    async def _write(self, job: Job) -> Result[Job, CallError]:
         check = Check(job.key, self._versions[job.job_id])
         deletes = (cancel_key(job.job_id),) if job.state.ended else ()
         result = await self._writes.commit(
@@ -178,6 +203,9 @@
                 return self._apply_failure(queued, workers)
             case MembersLost(workers):
                 return queued._replace(reason=f"lost members on {','.join(workers)}")
+            case StartRejected(reason):
+                reason = f"the store rejects the job's row: {reason}"
+                return self._finalize(queued, JobState.FAILED, reason)
             case Reclaimed(reason) | NeverStarted(reason):
                 return queued._replace(reason=reason)
         raise AssertionError(f"unknown outcome {outcome!r}")
@@ -199,10 +227,15 @@
         )
 
     async def _store_results(self, job: Job, results: tuple[str, ...]) -> Job:
-        text = json.dumps(results)
-        if len(text) <= INLINE_RESULT_CHARS:
-            return job._replace(results=results)
+        job = job._replace(results=results)
+        if len(json.dumps(results)) <= INLINE_RESULT_CHARS:
+            return job
+        return await self._move_results(job)
+
+    async def _move_results(self, job: Job) -> Job:
+        """Store the results of a job as an object instead of in its row."""
+        text = json.dumps(job.results)
         name = f"results/{job.job_id}"
         while (await self._objects.write(name, text)).is_err():
             await self._clock.sleep(OBJECT_RETRY_S)
-        return job._replace(result_object=name)
+        return job._replace(results=(), result_object=name)
--- a/tests/scheduler/test_harmful_jobs.py
+++ b/tests/scheduler/test_harmful_jobs.py
@@ -7,8 +7,9 @@
 
 import json
 
-from chiveledge.jobs import JobSpec, JobState
-from tests.support import REGION, Region, run_region
+from chiveledge.jobs import JobSpec, JobState, job_key
+from chiveledge.services import TaskState
+from tests.support import REGION, Region, count_transitions, run_region
 
 SMALL = {"region": REGION, "cores": 1, "memory_mb": 256}
 
@@ -37,3 +38,38 @@
         assert region.job(job_id).state is JobState.FINISHED
 
     run_region(work)
+
+
+def test_job_whose_results_make_its_row_too_long_ends_no_leader():
+    # The rejected outcome ended the term, and the next leader adopted the same attempt.
+    async def work(region):
+        region.start_leader("a")
+        payload = json.dumps({"run_s": 1.0, "padding": "x" * 60_000})
+        job_id = await region.submit(make_spec(members=32, payload=payload), "k")
+        region.table.max_value_chars = len(region.table.rows[job_key(job_id)].value)
+        region.table.max_value_chars += 1_050  # The attempt fits and the results don't.
+        await check_other_job_finishes(region)
+        job = region.job(job_id)
+        assert job.state is JobState.FINISHED
+        results = json.loads(region.objects.texts[job.result_object])
+        assert results == [f"{job_id}:{member}" for member in range(32)]
+
+    run_region(work)
+
+
+def test_job_whose_attempt_makes_its_row_too_long_fails():
+    # Its start was rejected and tried again for ever, 3 times a second, while it held
+    # the capacity of the region.
+    async def work(region):
+        region.start_leader("a")
+        payload = json.dumps({"run_s": 1.0, "padding": "x" * 2_000})
+        job_id = await region.submit(make_spec(members=32, payload=payload), "k")
+        region.table.max_value_chars = len(region.table.rows[job_key(job_id)].value)
+        region.table.max_value_chars += 150
+        await check_other_job_finishes(region)
+        job = region.job(job_id)
+        assert job.state is JobState.FAILED and "is too long" in job.reason
+        reserved = count_transitions(region, job_id, TaskState.RESERVED)
+        assert set(reserved.values()) == {1}
+
+    run_region(work)
