Regions: a job whose row can't be read ends no leader

What callers saw: one job row that can't be decoded stopped its region: each leader raised when it loaded the rows, and so did the next. Cause: JobRepository.load decoded rows without catching errors. Change: such a row is logged and passed over.

--- a/chiveledge/scheduler/_job_repository.py
+++ b/chiveledge/scheduler/_job_repository.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from chiveledge.clock import Clock
+from chiveledge.decoding import DECODE_ERRORS, describe_error
 from chiveledge.jobs import (
     Attempt,
     Job,
@@ -18,6 +19,7 @@
     encode_job,
 )
 from chiveledge.leadership import Leadership
+from chiveledge.logs import PartLogger
 from chiveledge.scheduler._attempt_outcomes import (
     AllFinished,
     AttemptOutcome,
@@ -50,6 +52,8 @@
 ENDED_JOB_RETENTION = timedelta(hours=1)
 OBJECT_RETRY_S = 0.5
 
+log = PartLogger("scheduler")
+
 
 class JobRepository:
     """Jobs of the region that this process leads, with the versions of their rows.
@@ -93,10 +97,18 @@
         return self._jobs
 
     def load(self, rows: Iterable[Row]) -> list[Job]:
-        """Add the jobs of rows; return those that were not known."""
+        """Add the jobs of rows; return those that were not known.
+
+        A row that can't be read is passed over. The next leader reads it again.
+        """
         new_jobs = []
         for row in rows:
-            job = decode_job(row.value)
+            try:
+                job = decode_job(row.value)
+            except DECODE_ERRORS as error:
+                reason = describe_error(error)
+                log.error("A job can't be read.", key=row.key, reason=reason)
+                continue
             if job.job_id in self._jobs:
                 continue
             self._jobs[job.job_id] = job
--- a/tests/scheduler/test_harmful_jobs.py
+++ b/tests/scheduler/test_harmful_jobs.py
@@ -7,8 +7,8 @@
 
 import json
 
-from chiveledge.jobs import JobSpec, JobState, job_key
-from chiveledge.services import TaskState
+from chiveledge.jobs import JobSpec, JobState, inbox_key, job_key, make_job_id
+from chiveledge.services import Put, TaskState, Transaction
 from tests.support import REGION, Region, count_transitions, run_region
 
 SMALL = {"region": REGION, "cores": 1, "memory_mb": 256}
@@ -73,3 +73,23 @@
         assert set(reserved.values()) == {1}
 
     run_region(work)
+
+
+def test_job_whose_row_cannot_be_read_ends_no_leader():
+    # Decoding it raised an exception in each leader that loaded the region.
+    async def work(region):
+        job_id = make_job_id(REGION, "cafes", "odd")
+        for text in ("{", "null", "[]", '{"spec":{}}'):
+            key = job_key(job_id + text)
+            puts = (Put(key, text), Put(inbox_key(job_id), "{}"))
+            region.table.commit(Transaction(key, puts=puts))
+        region.start_leader("a")
+        await check_other_job_finishes(region)
+        late_key = job_key(job_id)
+        puts = (Put(late_key, "{"), Put(inbox_key(job_id), "{}"))
+        region.table.commit(Transaction("late", puts=puts))
+        await region.run_for(3.0)
+        assert region.leaders[0].jobs.keys().isdisjoint({job_id})
+        assert len(region.leaders) == 1
+
+    run_region(work)
