Known red: a job under which workers crash is started without bound

The product's scheduler counts MembersFailed and not MembersLost: 27 crashes of 4 workers in 120 s, the job still runs.

--- a/tests/scheduler/test_harmful_jobs.py
+++ b/tests/scheduler/test_harmful_jobs.py
@@ -93,3 +93,37 @@
         assert len(region.leaders) == 1
 
     run_region(work)
+
+
+async def crash_under(region: Region, job_id: str, duration_s: float) -> int:
+    """Crash each worker that runs a job for 2 s; return how many crashed."""
+    crashes = 0
+    back_s: dict[str, float] = {}
+    while region.clock.monotonic() < duration_s:
+        now_s = region.clock.monotonic()
+        for name, worker in region.workers.items():
+            if name in back_s and now_s >= back_s[name]:
+                worker.faults.set({})
+                del back_s[name]
+            states = [t.state for t in worker.tasks.values() if t.job == job_id]
+            if name not in back_s and TaskState.RUNNING in states:
+                worker.tasks.clear()
+                worker.event += 1
+                worker.faults.set({"down": True})
+                back_s[name] = now_s + 2.0
+                crashes += 1
+        await region.run_for(0.3)
+    return crashes
+
+
+def test_job_under_which_workers_crash_is_not_started_without_bound():
+    # An attempt that was lost with its worker was counted nowhere: 27 crashes in 120 s.
+    async def work(region):
+        region.start_leader("a")
+        job_id = await region.submit(make_spec(payload='{"run_s": 60.0}'), "k")
+        crashes = await crash_under(region, job_id, 120.0)
+        # Three starts after the third crash break the rule; two are allowed.
+        assert crashes <= 5
+        assert region.job(job_id).state is JobState.FAILED
+
+    run_region(work)
