Orders: a step whose orders are declined as bad rests

What callers saw: an urgent job whose start orders every worker answers with 400 was placed first in each plan on all workers, declined, and the workers were then avoided for 0.5 s; no other job started as long as it existed, without a bound. Cause: the decline was taken for a property of the worker, and the step was tried again at once (such a job may not be shown as failed: only ends count as attempts). Change: a bad order says nothing about the worker, which stays usable. Its step rests, 0.25 s at first and twice as long each time, up to 2 s: less than the 3 s for which a job may have nothing running beside free capacity. A start that is taken ends that.

--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from typing import NamedTuple
 
 from result import Err, Ok
 
@@ -34,10 +35,30 @@
 AVOID_AFTER_DECLINE_S = 0.5
 AVOID_UNHEALTHY_S = 2.0
 
+BAD_ORDER_PAUSE_S = 0.25
+MAX_BAD_ORDER_PAUSE_S = 2.0
+"""Longest pause of a step whose orders are declined as bad. Shorter than the 3 s for
+which a job may have nothing running while there is capacity for it."""
+
 PlacedRuns = list[tuple[WorkerLink, TrackedRun]]
 """Runs, each with the worker on which it is placed."""
 
 
+class _BadOrders(NamedTuple):
+    """Orders of a step that were declined as bad, since the last one that started.
+
+    Attributes
+    ----------
+    rounds : int
+        How often the step rested.
+    until_s : float
+        Monotonic time until which the step rests.
+    """
+
+    rounds: int
+    until_s: float
+
+
 class OrderDispatcher:
     """Dispatches the orders of one leader term to workers.
 
@@ -85,6 +106,12 @@
         self._spawn = spawn
         self._request_plan = request_plan
         self._end_term = end_term
+        self._bad_orders: dict[str, _BadOrders] = {}
+
+    def is_resting(self, step_name: str, now_s: float) -> bool:
+        """Return whether a step rests, since its orders were declined as bad."""
+        bad = self._bad_orders.get(step_name)
+        return bad is not None and now_s < bad.until_s
 
     async def launch(self, job: JobProgress, step: Step, placed: PlacedRuns) -> None:
         """Store the runs, then send their start orders; a gang starts whole or not."""
@@ -186,6 +213,8 @@
         job.state = state
         job.reason = reason
         job.ended_ms = int(self._clock.now().timestamp() * 1000)
+        for name in [n for n in self._bad_orders if n.startswith(f"{job.job_id}.")]:
+            del self._bad_orders[name]
         self._progress_writer.mark_dirty(job)
         if state is JobState.COMPLETED:
             # The members of a gang end together, so the others need no stop order.
@@ -288,6 +317,7 @@
         now_s = self._clock.monotonic()
         link.record_order_clock(clock_ms, now_s)
         tracked.resolved_s = now_s
+        self._bad_orders.pop(tracked.name.step_name, None)
         if tracked.run.state is not RunState.RUNNING:
             tracked.run.state = RunState.RUNNING
             tracked.run.began_s = now_s
@@ -317,6 +347,9 @@
             return
         if declined.reason is DeclineReason.UNHEALTHY:
             link.avoid_until_s = now_s + AVOID_UNHEALTHY_S
+        elif declined.reason is DeclineReason.BAD_ORDER:
+            # It tells of the order and not of the worker, which others may use.
+            self._rest(tracked.name.step_name, now_s)
         elif declined.reason is not DeclineReason.OLD_RUN:
             link.avoid_until_s = now_s + AVOID_AFTER_DECLINE_S
         if not unanswered:
@@ -329,6 +362,15 @@
                 link, tracked, f"declined after an unanswered order: {declined.reason}"
             )
 
+    def _rest(self, step_name: str, now_s: float) -> None:
+        """Let a step rest, longer each time, unless it rests already."""
+        if self.is_resting(step_name, now_s):
+            return
+        bad = self._bad_orders.get(step_name)
+        rounds = bad.rounds if bad else 0
+        pause_s = min(BAD_ORDER_PAUSE_S * 2**rounds, MAX_BAD_ORDER_PAUSE_S)
+        self._bad_orders[step_name] = _BadOrders(rounds + 1, now_s + pause_s)
+
     async def _send_stop(self, link: WorkerLink, tracked: TrackedRun) -> None:
         order = StopOrder(str(tracked.name), tracked.run.number, self._epoch)
         while tracked.key in link.runs:
--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -139,7 +139,12 @@
             now_s,
             self._clock.now().timestamp() * 1000,
         )
-        plan = make_plan(fleet, self._apply_advice(fleet, demands))
+        ready = [
+            demand
+            for demand in demands
+            if not self._orders.is_resting(demand.step_name, now_s)
+        ]
+        plan = make_plan(fleet, self._apply_advice(fleet, ready))
         for start in plan.starts:
             self._start_runs(start.demand, start.placements)
         for deferred in plan.deferred_starts:
--- a/tests/coordinator/test_harmful_jobs.py
+++ b/tests/coordinator/test_harmful_jobs.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+from chiveledge.services.task_worker import DeclineReason
 from chiveledge.workload import JobState, Step
+from standins.task_worker import MemoryTaskWorker
 from tests.coordinator.cluster import SMALL
 
 
@@ -22,3 +24,25 @@
     await cluster.advance(8)
     assert cluster.nodes[0].log.find("leadership", "lost") == []
     assert cluster.state("usual") is JobState.COMPLETED
+
+
+async def test_job_whose_orders_are_declined_as_bad_does_not_keep_workers_from_others(
+    make_cluster, monkeypatch
+):
+    # It was placed first in each plan, on all workers, which were then avoided.
+    start = MemoryTaskWorker.start
+
+    async def decline_bad(worker, order):
+        if order.task.startswith("bad."):
+            return worker._decline(DeclineReason.BAD_ORDER)
+        return await start(worker, order)
+
+    monkeypatch.setattr(MemoryTaskWorker, "start", decline_bad)
+    cluster = make_cluster(nodes=1, workers=4)
+    await cluster.advance(0.5)
+    bad = Step(count=32, usage=SMALL)
+    await cluster.submit("bad", bad, queue="urgent", work_s=5.0)
+    await cluster.advance(0.3)
+    await cluster.submit("good", Step(count=4, usage=SMALL), work_s=1.0)
+    await cluster.advance(5.0)
+    assert cluster.state("good") is JobState.COMPLETED
