Preemption: a wide urgent job does not block the leader for longer than its lease

Cause: for each task, the cost of one more on each worker was searched. Change: a priority queue of workers, in which only the workers that a placement has changed are queued again. The choice is the same. Measured: test_wide_demand_does_not_search_all_workers_for_each_task, which counts calls, fails before and holds after.

--- a/chiveledge/placement/_preemption.py
+++ b/chiveledge/placement/_preemption.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from heapq import heappop, heappush
 from typing import NamedTuple
 
 from chiveledge.placement._fleet import (
@@ -18,6 +20,7 @@
 )
 from chiveledge.placement._order import StepDemand
 from chiveledge.placement._packing import Placement, list_pools
+from chiveledge.types import WorkerName
 from chiveledge.workload import Usage
 
 STOP_LOSS_CORE_S = 0.5
@@ -60,6 +63,15 @@
 NO_STOP = _StopCost(0.0, ())
 
 
+class _QueueRank(NamedTuple):
+    """Order in which workers get tasks."""
+
+    late: bool
+    loss: float
+    free: Usage
+    name: WorkerName
+
+
 class _TrialAllocation:
     """Allocates the tasks of one demand tentatively, stopping groups of runs.
 
@@ -118,20 +130,29 @@
                 return self._drop_unneeded(worker, free, chosen, loss)
         return None
 
-    def place_next(self, worker: WorkerView, stop_cost: _StopCost) -> None:
-        """Place the next task of the demand on a worker and stop the groups."""
+    def place_next(self, worker: WorkerView, stop_cost: _StopCost) -> set[WorkerName]:
+        """Place the next task of the demand on a worker and stop the groups.
+
+        Returns
+        -------
+        set of str
+            Workers on which the cost of one more task may have changed.
+        """
+        changed = {worker.name}
         for group in stop_cost.groups:
             self.groups.add(group)
             for run in self._fleet.groups[group]:
                 holder = self._fleet.workers[run.worker]
                 self.free[holder.name] = self.free_capacity(holder).plus(run.usage)
                 self._stop_costs.pop(holder.name, None)
+                changed.add(holder.name)
         index = self._demand.indices[len(self.placements)]
         self.free[worker.name] = self.free_capacity(worker).minus(self._usage)
         self._stop_costs.pop(worker.name, None)
         self._placed[worker.name] = self._placed.get(worker.name, 0) + 1
         self.placements.append(Placement(index, worker.name))
         self.loss += stop_cost.loss
+        return changed
 
     def _accepts_task(self, worker: WorkerView) -> bool:
         placed_here = self._placed.get(worker.name, 0)
@@ -177,6 +198,64 @@
         return _StopCost(loss, tuple(chosen))
 
 
+class _WorkerQueue:
+    """Workers on which a task can be placed, the one of the least cost first.
+
+    Placing a task changes the cost on few workers. A search of all of them for each
+    of thousands of tasks would take longer than a leader may be silent.
+
+    Parameters
+    ----------
+    trial : _TrialAllocation
+        Gives the cost of one more task.
+    fleet, demand, pool
+        Workers, the demand, and the workers to queue.
+    """
+
+    def __init__(
+        self,
+        trial: _TrialAllocation,
+        fleet: FleetView,
+        demand: StepDemand,
+        pool: list[WorkerView],
+    ) -> None:
+        self._trial = trial
+        self._fleet = fleet
+        self._demand = demand
+        self._pool = {worker.name: worker for worker in pool}
+        self._versions = dict.fromkeys(self._pool, 0)
+        self._entries: list[tuple[_QueueRank, int, _StopCost]] = []
+        for worker in pool:
+            self._push(worker)
+
+    def pop(self) -> tuple[WorkerView, _StopCost] | None:
+        """Remove and return the first worker and its cost, None if there is none."""
+        while self._entries:
+            rank, version, stop_cost = heappop(self._entries)
+            if version == self._versions[rank.name]:
+                return self._pool[rank.name], stop_cost
+        return None
+
+    def update(self, changed: Iterable[WorkerName]) -> None:
+        """Queue workers again whose cost may have changed."""
+        for name in changed:
+            if name in self._pool:
+                self._versions[name] += 1
+                self._push(self._pool[name])
+
+    def _push(self, worker: WorkerView) -> None:
+        stop_cost = self._trial.stop_cost(worker)
+        if stop_cost is None:
+            return
+        rank = _QueueRank(
+            self._fleet.is_late_after_stop(worker, self._demand),
+            stop_cost.loss,
+            self._trial.free_capacity(worker),
+            worker.name,
+        )
+        heappush(self._entries, (rank, self._versions[worker.name], stop_cost))
+
+
 def choose_victims(fleet: FleetView, demand: StepDemand) -> Eviction | None:
     """Choose workers for the waiting tasks of a demand and the runs to stop there.
 
@@ -206,24 +285,13 @@
     fleet: FleetView, demand: StepDemand, pool: list[WorkerView]
 ) -> Eviction | None:
     trial = _TrialAllocation(fleet, demand)
-    for _ in demand.indices:
-        options = [
-            (stop_cost, worker)
-            for worker in pool
-            if (stop_cost := trial.stop_cost(worker))
-        ]
-        if not options:
+    queue = _WorkerQueue(trial, fleet, demand, pool)
+    while len(trial.placements) < len(demand.indices):
+        cheapest = queue.pop()
+        if cheapest is None:
             break
-        stop_cost, worker = min(
-            options,
-            key=lambda row: (
-                fleet.is_late_after_stop(row[1], demand),
-                row[0].loss,
-                trial.free_capacity(row[1]),
-                row[1].name,
-            ),
-        )
-        trial.place_next(worker, stop_cost)
+        worker, stop_cost = cheapest
+        queue.update(trial.place_next(worker, stop_cost))
     missing = len(demand.indices) - len(trial.placements)
     if not trial.placements or (missing and demand.step.gang):
         return None
--- a/tests/placement/test_preemption.py
+++ b/tests/placement/test_preemption.py
@@ -9,7 +9,7 @@
 
 from chiveledge.placement import choose_victims, make_plan
 from chiveledge.placement._fleet import charged_usage
-from chiveledge.placement._preemption import STOP_LOSS_CORE_S
+from chiveledge.placement._preemption import STOP_LOSS_CORE_S, _TrialAllocation
 from chiveledge.workload import Usage
 from tests.placement.fleets import make_demand, make_fleet, make_run, make_worker
 
@@ -236,3 +236,30 @@
         assert demand.step.usage.fits(free[placement.worker])
         free[placement.worker] = free[placement.worker].minus(demand.step.usage)
     assert found.loss <= LOSS_RATIO * best + 1e-6
+
+
+def test_wide_demand_does_not_search_all_workers_for_each_task(monkeypatch):
+    # 2,000 tasks on 810 workers blocked the leader for longer than its lease, and the
+    # next leader, which made the same plan, as well.
+    calls = 0
+    stop_cost = _TrialAllocation.stop_cost
+
+    def count_calls(trial, worker):
+        nonlocal calls
+        calls += 1
+        return stop_cost(trial, worker)
+
+    monkeypatch.setattr(_TrialAllocation, "stop_cost", count_calls)
+    workers, tasks = 50, 400
+    fleet = make_fleet(
+        *(
+            make_worker(
+                f"w{number}",
+                runs=[make_run(f"j{number}", f"w{number}", index=i) for i in range(8)],
+            )
+            for number in range(workers)
+        )
+    )
+    found = choose_victims(fleet, make_demand(count=tasks, priority=0, accelerators=1))
+    assert len(found.placements) == tasks
+    assert calls <= 2 * (workers + tasks)
