Lasting tasks: one that fails at once is not started again without a pause

What callers saw: a lasting task whose runs fail at once was started 20 times a second for ever (a gang 4 times), each time with orders to workers and writes to the store that the progress of all other jobs shares. Failures of lasting tasks have no limit. Cause: a run's end makes its task ready at once, however the runs before ended. Change: from the second run in a row that fails within 0.25 s on, the task (a gang as a whole) rests 0.25 s and then 0.5 s, far less than the 6 s after which it has to run. Measured: test_lasting_task_that_fails_at_once_is_not_started_again_without_pause, 2 cases, fails before and holds after.

--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -17,6 +17,7 @@
 from chiveledge.coordinator._context import TermContext
 from chiveledge.coordinator._hedged_orders import send_hedged
 from chiveledge.coordinator._progress_writer import ProgressWriter
+from chiveledge.coordinator._restart_pauses import RestartPauses
 from chiveledge.coordinator._run_evidence import may_extend_leases
 from chiveledge.coordinator._tracked_run import TrackedRun
 from chiveledge.coordinator._worker_link import LATE_ORDER_S, WorkerLink
@@ -106,6 +107,7 @@
         self._spawn = spawn
         self._request_plan = request_plan
         self._end_term = end_term
+        self.restart_pauses = RestartPauses()
         self._bad_orders: dict[str, _BadOrders] = {}
 
     def is_resting(self, step_name: str, now_s: float) -> bool:
@@ -215,6 +217,7 @@
         job.ended_ms = int(self._clock.now().timestamp() * 1000)
         for name in [n for n in self._bad_orders if n.startswith(f"{job.job_id}.")]:
             del self._bad_orders[name]
+        self.restart_pauses.forget_job(job.job_id)
         self._progress_writer.mark_dirty(job)
         if state is JobState.COMPLETED:
             # The members of a gang end together, so the others need no stop order.
--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -135,7 +135,7 @@
             self._context.catalogue(),
             self._estimator,
             {link.name: link.entry.rack for link in self._links.values()},
-            reservations.tasks,
+            reservations.tasks | self._orders.restart_pauses.list_resting(now_s),
             now_s,
             self._clock.now().timestamp() * 1000,
         )
--- a/chiveledge/coordinator/_reconciliation.py
+++ b/chiveledge/coordinator/_reconciliation.py
@@ -384,6 +384,14 @@
             case RunEnd.FAILED:
                 self._suspicion.record_failure(link.name, tracked.name, now_s)
                 task.record_failed_on(link.name)
+                if step.lasting:
+                    self._orders.restart_pauses.record_failure(
+                        tracked.name,
+                        tracked.run.number,
+                        step,
+                        tracked.ran_s(now_s),
+                        now_s,
+                    )
                 if not task.done:
                     self._record_failure(job, tracked)
         if step.gang and how is not RunEnd.DONE and not task.done:
--- a/tests/coordinator/test_harmful_jobs.py
+++ b/tests/coordinator/test_harmful_jobs.py
@@ -5,6 +5,9 @@
 
 from __future__ import annotations
 
+import pytest
+
+from chiveledge.coordinator._restart_pauses import MAX_PAUSE_S
 from chiveledge.services.task_worker import DeclineReason
 from chiveledge.workload import JobState, Step
 from standins.task_worker import MemoryTaskWorker
@@ -46,3 +49,18 @@
     await cluster.submit("good", Step(count=4, usage=SMALL), work_s=1.0)
     await cluster.advance(5.0)
     assert cluster.state("good") is JobState.COMPLETED
+
+
+@pytest.mark.parametrize("gang", [False, True])
+async def test_lasting_task_that_fails_at_once_is_not_started_again_without_pause(
+    make_cluster, gang
+):
+    # It was started 20 times a second: each start costs orders and store writes.
+    cluster = make_cluster(nodes=1, workers=2)
+    await cluster.advance(0.5)
+    step = Step(count=2, usage=SMALL, lasting=True, gang=gang)
+    await cluster.submit("j1", step, work_s=0.01, fails=True)
+    await cluster.advance(20.0)
+    starts = len(cluster.starts("j1")) / step.count
+    # It goes on: 6 s after its last run, a lasting task has to be at work again.
+    assert 20 / 6 < starts <= 20 / MAX_PAUSE_S + 4
