Gateway: test that a request which crashes minions reaches few of them

Holds before: MAX_SENDS bounds the sends of one request, and the share of minions that may be ejected at once is bounded.

--- a/tests/gateway/test_routing.py
+++ b/tests/gateway/test_routing.py
@@ -12,9 +12,10 @@
 from chiveledge.events import Timeline
 from chiveledge.gateway import MinionPool, RouterPolicy
 from chiveledge.gateway._budget import RetryBudget
-from chiveledge.outcomes import Answered, Refused, UnknownOutcome
+from chiveledge.outcomes import Answered, Reason, Refused, UnknownOutcome
 from chiveledge.peers import MinionLoad
-from chiveledge.services import HostEntry, HostRole, HostState
+from chiveledge.services import HostEntry, HostRole, HostState, MinionLost
+from standins.minion import MemoryMinion
 from tests.gateway.test_at_most_once import Cluster, make_order, start
 
 MAX_SENDS_PER_REQUEST = 1.2
@@ -204,6 +205,38 @@
     assert all(isinstance(outcome, Answered) for outcome in outcomes)
 
 
+class CrashingMinion(MemoryMinion):
+    """Crashes under each request whose body says so, and stays down."""
+
+    crashes = 0
+
+    async def run(self, request):
+        if b"deadly" not in request.body or self.faults.down:
+            return await super().run(request)
+        self.crashes += 1
+        self.faults.set({"down": True})
+        return MinionLost("reset")
+
+
+async def test_request_that_crashes_minions_is_sent_to_few_of_them():
+    """One that crashes minion after minion takes the service down for all others."""
+    cluster = Cluster()
+    cluster.minions = {
+        f"minion-{number}": CrashingMinion(f"minion-{number}", cluster.clock)
+        for number in range(12)
+    }
+    gateway = cluster.make_gateway()
+    deadly = make_forecast(0)._replace(body=b'{"order": "deadly"}')
+    outcome = await cluster.finish(start(gateway, deadly))
+    assert outcome == UnknownOutcome(Reason.LOST_REPLY)
+    assert sum(minion.crashes for minion in cluster.minions.values()) <= 4
+    outcomes = [
+        await cluster.finish(start(gateway, make_forecast(number)))
+        for number in range(1, 11)
+    ]
+    assert all(isinstance(outcome, Answered) for outcome in outcomes)
+
+
 async def test_declined_request_is_sent_to_another_minion_or_refused():
     cluster = Cluster()
     cluster.minions["minion-0"].faults.set({"mode": "leaving"})
