Relay: a request that breaks a peer is sent to it once

What callers saw: a GET or DELETE that breaks each host that serves it reached its peers six times in one call, twice each, and not three times as Relay says. Cause: aiohttp sends an idempotent request once more when the connection breaks, also on a new connection. Change: the relay's sessions don't. aiohttp has no public setting; its test client uses the same attribute.

--- a/chiveledge/intake/_relay.py
+++ b/chiveledge/intake/_relay.py
@@ -171,6 +171,9 @@
         )
         # Connections are not reused: a kept one may be dead after a network fault.
         async with aiohttp.ClientSession(timeout=timeout) as session:
+            # Else a GET or DELETE that broke the peer is sent to it once more. There is
+            # no public setting for this.
+            session._retry_connection = False
             try:
                 async with session.request(
                     method,
--- a/tests/platform/test_api.py
+++ b/tests/platform/test_api.py
@@ -314,6 +314,25 @@
     return web.Response()
 
 
+@pytest.mark.parametrize("method", ["POST", "GET", "DELETE"])
+async def test_request_that_breaks_each_host_reaches_few_of_them(api, method):
+    """It must not be handed on from host to host until none is left."""
+    served = []
+
+    async def break_off(request: web.BaseRequest) -> web.Response:
+        served.append(request.path)
+        return await lose_reply(request)
+
+    api.age_s = STALE_AGE_S
+    async with contextlib.AsyncExitStack() as stack:
+        for number in range(8):
+            url = await stack.enter_async_context(serve(break_off))
+            api.add_peer(f"p{number}", url)
+        body = JOB if method == "POST" else None
+        await api.call(method, f"/q/{ID}", body)
+    assert 0 < len(served) <= 3
+
+
 @pytest.mark.parametrize(
     "method,status", [("POST", 504), ("DELETE", 504), ("GET", 200)]
 )
