--- a/tests/coordinator/test_harmful_jobs.py
+++ b/tests/coordinator/test_harmful_jobs.py
@@ -8,8 +8,17 @@
 import pytest
 
 from chiveledge.coordinator._restart_pauses import MAX_PAUSE_S
+from chiveledge.platform._catalogue import MAX_TASKS
 from chiveledge.services.task_worker import DeclineReason
-from chiveledge.workload import JobState, Step
+from chiveledge.workload import (
+    JobProgress,
+    JobRequest,
+    JobState,
+    Step,
+    can_store_checkpoint,
+    encode_progress,
+)
+from chiveledge.workload._progress_codec import MAX_CHECKPOINT_CHARS
 from standins.task_worker import MemoryTaskWorker
 from tests.coordinator.cluster import SMALL
 
@@ -64,3 +73,20 @@
     starts = len(cluster.starts("j1")) / step.count
     # It goes on: 6 s after its last run, a lasting task has to be at work again.
     assert 20 / 6 < starts <= 20 / MAX_PAUSE_S + 4
+
+
+def test_checkpoints_of_the_largest_job_fit_in_the_memory_of_a_process():
+    # A process that exceeds its memory is killed, and the next leader loads the same
+    # rows. For control, a node spends 128 MB at most.
+    count = 100
+    step = Step(count=count, checkpoints=True)
+    job = JobProgress(JobRequest("j", "q", "cafes", "", (step,), 0))
+    job.open_occurrence(0)
+    text = "x" * (MAX_CHECKPOINT_CHARS - 2)
+    assert can_store_checkpoint(text)
+    for _, task in job.tasks():
+        task.last_run = 1
+        task.checkpoint = text
+    parts = encode_progress(job, 65_536).parts
+    largest = sum(map(len, parts.values())) * MAX_TASKS / count
+    assert largest <= 128e6
