--- a/chiveledge/coordinator/_worker_lease.py
+++ b/chiveledge/coordinator/_worker_lease.py
@@ -6,6 +6,11 @@
 """Lowest rate of a worker's clock relative to the leader's."""
 
 
+ORDER_IN_FLIGHT_S = 3.0
+"""How long after a restart an order for the earlier incarnation may arrive that was not
+delayed: until a poll has shown the restart."""
+
+
 class WorkerLease:
     """Lease on the runs of one incarnation of a worker, in times of its own clock.
 
@@ -17,6 +22,9 @@
     granted_unknown_s : float, optional
         Lease that an order to an earlier incarnation may have granted to this one, in
         seconds from the first reading of its clock; 0 if there was no such order.
+    granted_at_start_s : float, optional
+        Lease that such an order may have granted soon after the worker's start, in
+        seconds from its arrival.
     not_over_before_s : float, optional
         Monotonic time until which late orders to an earlier incarnation may have
         granted a lease.
@@ -26,9 +34,11 @@
         self,
         granted_unknown_s: float = 0.0,
         *,
+        granted_at_start_s: float = 0.0,
         not_over_before_s: float = float("-inf"),
     ) -> None:
         self._granted_unknown_s = granted_unknown_s
+        self._granted_at_start_s = granted_at_start_s
         self._not_over_before_s = not_over_before_s
         self._is_known = False
         self._clock_ms = 0
@@ -55,6 +65,10 @@
         """Record a reading of the worker's clock."""
         if not self._is_known:
             self._end_ms = clock_ms + int(self._granted_unknown_s * 1000)
+            if self._granted_at_start_s:
+                # The worker's clock began with its process.
+                at_start_s = ORDER_IN_FLIGHT_S + self._granted_at_start_s
+                self._end_ms = max(self._end_ms, int(at_start_s * 1000))
         self._is_known = True
         if clock_ms >= self._clock_ms:
             self._clock_ms = clock_ms
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -189,8 +189,13 @@
 
     def _make_link(self, entry: WorkerEntry, *, listed: bool) -> WorkerLink:
         client = self._context.make_worker(entry)
-        # An earlier leader may have extended the lease until its last order.
-        lease = WorkerLease(self._context.timing.work_lease_s / CLOCK_RATE)
+        # An earlier leader may have extended the lease until its last order, and one
+        # that met a restarted worker may have granted the longest lease.
+        timing = self._context.timing
+        lease = WorkerLease(
+            timing.work_lease_s / CLOCK_RATE,
+            granted_at_start_s=0.0 if self._loaded.is_set() else timing.longest_lease_s,
+        )
         return WorkerLink(entry, client, listed=listed, lease=lease)
 
     def _handle_restart(self, link: WorkerLink, incarnation_ms: int) -> None:
--- a/tests/coordinator/test_lease_after_restart.py
+++ b/tests/coordinator/test_lease_after_restart.py
@@ -10,7 +10,7 @@
 import pytest
 
 from chiveledge.workload import Step
-from tests.coordinator.cluster import SMALL, Cluster
+from tests.coordinator.cluster import SMALL, Cluster, Reboot
 from tests.coordinator.test_acknowledgement import advance_until
 
 ONE = Step(count=1, usage=SMALL)
@@ -86,3 +86,36 @@
     await lose_contact(cluster, worker)
     assert not cluster.record.started_after_done
     assert not cluster.double_runs
+
+
+async def test_lease_that_a_repeated_start_grants_the_next_incarnation(make_cluster):
+    """An order with an end on the earlier, longer clock granted 10 s after a restart.
+
+    Runs started there later have the later incarnation, so the next leader assumes
+    the lease of ordinary orders, 6 s. No order is late.
+    """
+    cluster = make_cluster(
+        nodes=2, reboot=Reboot(after_s=0.4, silent=True), start_answer_s=0.02
+    )
+    await cluster.advance(0.5)
+    cluster.unlist_worker("w1")
+    await cluster.advance(12.9)
+    worker = cluster.workers["w0"]
+    list_worker, cluster.list_worker = cluster.list_worker, lambda entry: None
+    cluster.crash_worker("w0")
+    await cluster.submit("j1", ONE, work_s=1.0)
+    leader = cluster.leader
+    await advance_until(cluster, lambda: leader.log.find("workers", "reborn"))
+    list_worker(worker.entry)
+    await advance_until(cluster, lambda: cluster.record.acknowledged_done)
+    await cluster.submit("j2", ONE, work_s=30.0)
+    await advance_until(cluster, lambda: worker.runs)
+    await cluster.call(leader.coordinator.stop())
+    await await_term(cluster, 2)
+    worker.faults.unresponsive = True
+    list_worker(cluster.workers["w1"].entry)
+    await cluster.advance(9.5)
+    worker.faults.unresponsive = False
+    await cluster.advance(3.0)
+    assert not any(run.is_late for runs in cluster.record.runs.values() for run in runs)
+    assert not cluster.double_runs
