--- a/chiveledge/coordinator/_hedged_orders.py
+++ b/chiveledge/coordinator/_hedged_orders.py
@@ -39,6 +39,13 @@
     unanswered: bool
 
 
+async def send_once(
+    clock: Clock, send: Callable[[], Coroutine[None, None, OrderResult]]
+) -> HedgedAnswer:
+    """Send an order that must not be repeated; has the parameters of `send_hedged`."""
+    return HedgedAnswer(await send(), unanswered=False)
+
+
 async def send_hedged(
     clock: Clock, send: Callable[[], Coroutine[None, None, OrderResult]]
 ) -> HedgedAnswer:
--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -15,7 +15,7 @@
 
 from chiveledge.coordinator._advice import TicketCache
 from chiveledge.coordinator._context import TermContext
-from chiveledge.coordinator._hedged_orders import send_hedged
+from chiveledge.coordinator._hedged_orders import send_hedged, send_once
 from chiveledge.coordinator._progress_writer import ProgressWriter
 from chiveledge.coordinator._restart_pauses import RestartPauses
 from chiveledge.coordinator._run_evidence import may_extend_leases
@@ -250,11 +250,17 @@
     async def _start(
         self, link: WorkerLink, tracked: TrackedRun, payload: str, checkpoint: str
     ) -> bool:
-        """Send a start order until it is answered; return whether the run started."""
+        """Send a start order until it is answered; return whether the run started.
+
+        A worker that started again would start the run again. An order of a task that
+        may crash its worker is therefore sent once.
+        """
         run = tracked.run
         run.state = RunState.SENT
         unanswered = False
-        for _ in range(START_ATTEMPTS):
+        may_crash = tracked.task.crashes > 0
+        send = send_once if may_crash else send_hedged
+        for _ in range(1 if may_crash else START_ATTEMPTS):
             now_s = self._clock.monotonic()
             if not may_extend_leases(self._leadership, now_s):
                 break
@@ -273,7 +279,7 @@
             if tracked.stopping or tracked.key not in link.runs:
                 return False
             self._metrics.count("starts_sent")
-            answered = await send_hedged(
+            answered = await send(
                 self._clock, lambda order=order: link.client.start(order)
             )
             unanswered |= answered.unanswered
@@ -299,6 +305,8 @@
                         self._record_unanswered(link, tracked)
             if run.state is RunState.RUNNING:
                 return True
+            if _may_have_restarted(link, tracked):
+                break
         self.stop(link, tracked, "the worker did not answer the start order")
         return False
 
@@ -393,6 +401,12 @@
                     await self._clock.sleep(STOP_RETRY_S)
 
 
+def _may_have_restarted(link: WorkerLink, tracked: TrackedRun) -> bool:
+    """Return whether a worker may be another incarnation than a run was placed on."""
+    is_same = link.incarnation_ms == tracked.run.incarnation_ms
+    return link.unresponsive_since_s is not None or not is_same
+
+
 def _choose_checkpoint(step: Step, placed: PlacedRuns) -> Callable[[TrackedRun], str]:
     """Return a function from run to checkpoint; the members of a gang share one."""
     if not step.checkpoints:
