--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -318,13 +318,19 @@
         trusted = [worker for worker in found if worker.trusted]
         return trusted if demand.avoids_suspected and trusted else found
 
+    def is_mostly_free(self, service: str) -> bool:
+        """Return whether under half of a service's capacity is in use."""
+        workers = self._accepting[service]
+        capacity = sum(worker.capacity.core_equivalents for worker in workers)
+        return sum(w.free.core_equivalents for w in workers) > capacity / 2
+
     def _list_apart(
         self, workers: list[WorkerView], demand: StepDemand
     ) -> list[WorkerView]:
         """Return workers to keep apart for a job, as many as there may be."""
         accepting = self._accepting[demand.service]
         kept = sum(worker.isolated_job is not None for worker in accepting)
-        left = max(0, max(1, int(len(accepting) * MAX_APART_SHARE)) - kept)
+        left = max(0, int(len(accepting) * MAX_APART_SHARE) - kept)
         own = [worker for worker in workers if worker.isolated_job == demand.job_id]
         others = [worker for worker in workers if worker.isolated_job is None]
         empty = [worker for worker in others if worker.has_only(demand.job_id)]
--- a/chiveledge/placement/_order.py
+++ b/chiveledge/placement/_order.py
@@ -28,6 +28,10 @@
 APART_TIMEOUT_S = 20.0
 """How long it waits for a worker on which nothing else has begun lately."""
 
+APART_TIMEOUT_IF_FREE_S = 2.5
+"""The same while under half of the capacity is in use, when a job may have nothing
+running for 3 s at most."""
+
 
 class Timeliness(IntEnum):
     """Whether a job is in time if it starts now; lower values are placed first."""
--- a/chiveledge/placement/_plan.py
+++ b/chiveledge/placement/_plan.py
@@ -6,7 +6,11 @@
 from typing import NamedTuple
 
 from chiveledge.placement._fleet import FleetView
-from chiveledge.placement._order import StepDemand, sort_demands
+from chiveledge.placement._order import (
+    APART_TIMEOUT_IF_FREE_S,
+    StepDemand,
+    sort_demands,
+)
 from chiveledge.placement._packing import Placement, place_step
 from chiveledge.placement._preemption import choose_victims
 
@@ -55,7 +59,7 @@
         Waiting tasks, in any order.
     """
     plan = Plan([], [])
-    for demand in sort_demands(demands):
+    for demand in sort_demands(_release(fleet, demand) for demand in demands):
         placements = place_step(fleet, demand)
         if placements:
             plan.starts.append(Start(demand, placements))
@@ -68,6 +72,14 @@
     return plan
 
 
+def _release(fleet: FleetView, demand: StepDemand) -> StepDemand:
+    """Let tasks that wait to start apart start anywhere, if much capacity is free."""
+    waits = demand.starts_apart and demand.waited_s >= APART_TIMEOUT_IF_FREE_S
+    if waits and fleet.is_mostly_free(demand.service):
+        return demand._replace(apart_s=0.0)
+    return demand
+
+
 def _defer_start(fleet: FleetView, demand: StepDemand) -> DeferredStart | None:
     """Choose runs to stop for a demand and allocate the capacity they release."""
     fleet.add_ending_capacity()
