--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -17,6 +17,7 @@
 from chiveledge.coordinator._supervision import FleetSupervisor
 from chiveledge.coordinator._tracked_run import TrackedRun
 from chiveledge.coordinator._worker_link import WorkerLink
+from chiveledge.coordinator._worker_loss import CrashRecorder
 from chiveledge.leadership import Leadership
 from chiveledge.placement import (
     URGENT_PRIORITY,
@@ -64,6 +65,8 @@
         Tickets for queues whose policy only the advice service knows.
     suspicion : WorkerSuspicion
         Workers that fail or stall what they run.
+    crashes : CrashRecorder
+        Record of the tasks under which workers crashed.
     estimator : RunTimeEstimator
         Predicts run times.
     plan_due : asyncio.Event
@@ -82,6 +85,7 @@
         orders: OrderDispatcher,
         tickets: TicketCache,
         suspicion: WorkerSuspicion,
+        crashes: CrashRecorder,
         estimator: RunTimeEstimator,
         plan_due: asyncio.Event,
         spawn: Callable[[Coroutine], asyncio.Task],
@@ -96,6 +100,7 @@
         self._orders = orders
         self._tickets = tickets
         self._suspicion = suspicion
+        self._crashes = crashes
         self._estimator = estimator
         self._view_builder = FleetViewBuilder(
             jobs, context.catalogue, context.timing.stop_s
@@ -135,7 +140,9 @@
             self._context.catalogue(),
             self._estimator,
             {link.name: link.entry.rack for link in self._links.values()},
-            reservations.tasks | self._orders.restart_pauses.list_resting(now_s),
+            reservations.tasks
+            | self._orders.restart_pauses.list_resting(now_s)
+            | self._crashes.list_resting(),
             now_s,
             self._clock.now().timestamp() * 1000,
         )
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -134,6 +134,9 @@
             suspicion,
             estimator,
         )
+        crashes = CrashRecorder(
+            context, self.links, self.jobs, self._progress_writer.mark_dirty
+        )
         self._workers = WorkerMonitor(
             context,
             leadership,
@@ -141,9 +144,7 @@
             reconciler,
             self._orders,
             suspicion,
-            CrashRecorder(
-                context, self.links, self.jobs, self._progress_writer.mark_dirty
-            ),
+            crashes,
             self._spawn,
             self._plan_due.set,
             self.end,
@@ -163,6 +164,7 @@
             self._orders,
             self._tickets,
             suspicion,
+            crashes,
             estimator,
             self._plan_due,
             self._spawn,
--- a/chiveledge/coordinator/_worker_loss.py
+++ b/chiveledge/coordinator/_worker_loss.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
 from typing import NamedTuple
 
@@ -20,8 +21,8 @@
 from chiveledge.types import DomainName, JobId, WorkerName
 from chiveledge.workload import JobProgress, RunState, TaskName, TaskProgress
 
-SOUND_RUN_S = 30.0
-"""Age from which a lasting task that ran until the crash isn't its cause."""
+CRASH_MEMORY_S = 600.0
+"""Time without a crash after which earlier ones no longer count against a task."""
 
 COMMON_CAUSE_WINDOW_S = 3.0
 """Time within which the leader notices that workers were lost at the same moment: the
@@ -55,15 +56,12 @@
     ----------
     is_recent : bool
         Whether it had begun shortly before.
-    is_sound : bool
-        Whether it is a lasting task that had run for long.
     is_apart : bool
         Whether nothing else had begun on the worker shortly before or after it.
     """
 
     name: TaskName
     is_recent: bool
-    is_sound: bool
     is_apart: bool
 
 
@@ -94,13 +92,20 @@
 
 
 class _Outage(NamedTuple):
-    """When a worker stopped to answer, where it was and which jobs had just begun."""
+    """When a worker stopped to answer, where it was and which jobs it ran.
+
+    Attributes
+    ----------
+    jobs, new_jobs : frozenset of str
+        All jobs that ran there, and those that had just begun.
+    """
 
     incarnation_ms: int
     domain: DomainName
     place: str
     since_s: float
     jobs: frozenset[JobId]
+    new_jobs: frozenset[JobId]
 
 
 class CrashRecorder:
@@ -144,13 +149,18 @@
             for name, outage in self._outages.items()
             if now_s - outage.since_s < SILENT_LOSS_KEPT_S
         }
-        jobs = frozenset(
-            tracked.name.job_id
-            for tracked in link.runs.values()
-            if _is_recent(link, tracked, JUST_BEGUN_S)
+        runs = list(link.runs.values())
+        jobs = frozenset(run.name.job_id for run in runs)
+        new_jobs = frozenset(
+            run.name.job_id for run in runs if _is_recent(link, run, JUST_BEGUN_S)
         )
         self._outages[link.name] = _Outage(
-            link.incarnation_ms, link.entry.domain, link.place, now_s, jobs
+            link.incarnation_ms,
+            link.entry.domain,
+            link.place or link.name,
+            now_s,
+            jobs,
+            new_jobs,
         )
 
     def record_regained(self, link: WorkerLink) -> None:
@@ -178,6 +188,27 @@
             return []
         return self._blame(link, sign)
 
+    def list_resting(self) -> set[TaskName]:
+        """Return the tasks that wait until it is known how their workers were lost.
+
+        Silent workers that may have crashed count like those that surely have.
+        """
+        now_s = self._clock.monotonic()
+        silent = Counter(
+            run.name
+            for loss in self._silent
+            if now_s - loss.lost_s < SILENT_LOSS_KEPT_S
+            for run in loss.runs
+        )
+        resting: set[TaskName] = set()
+        for name, count in silent.items():
+            task = self._find_open_task(name)
+            if task is not None and task.crashes + count >= MAX_CRASHES:
+                step = self._jobs[name.job_id].request.steps[name.step]
+                indices = range(step.count) if step.gang else [name.index]
+                resting |= {name._replace(index=index) for index in indices}
+        return resting
+
     def record_listed(self, entry: WorkerEntry) -> list[Verdict]:
         """Record a worker that was not listed before.
 
@@ -186,6 +217,25 @@
         place = entry.machine or entry.address
         return self._blame_silent(entry.name, place, entry.incarnation_ms)
 
+    def record_missed_restarts(self) -> list[Verdict]:
+        """Record the restarts that no leader has seen, once all jobs are loaded.
+
+        They show in the runs that were stored with an earlier incarnation.
+        """
+        verdicts = []
+        for link in list(self._links.values()):
+            missed = {
+                tracked.run.incarnation_ms
+                for tracked in link.runs.values()
+                if tracked.adopted
+                and 0 < tracked.run.incarnation_ms < link.incarnation_ms
+            }
+            for incarnation_ms in sorted(missed):
+                loss = self._make_loss(link, incarnation_ms)
+                if loss is not None:
+                    verdicts += self._settle(loss, LossSign.RESTARTED)
+        return verdicts
+
     def _find_sign(self, link: WorkerLink) -> LossSign:
         if link.loss_sign is LossSign.SILENT and self._find_next_life(link):
             return LossSign.REPLACED
@@ -195,7 +245,7 @@
         """Return the worker that runs in a link's place now, if there is another."""
         for other in self._links.values():
             is_later = other.incarnation_ms > link.incarnation_ms
-            if is_later and other is not link and link.place == other.place:
+            if is_later and other is not link and link.place == other.place != "":
                 return other
         return None
 
@@ -224,15 +274,22 @@
         loss = self._make_loss(link)
         return [] if loss is None else self._settle(loss, sign)
 
-    def _make_loss(self, link: WorkerLink) -> WorkerLoss | None:
-        """Return the loss of a worker with all its runs; None if it is no crash."""
-        if link.entry.draining or link.emptying:
-            return None
+    def _make_loss(
+        self, link: WorkerLink, incarnation_ms: int | None = None
+    ) -> WorkerLoss | None:
+        """Return the loss of an incarnation with its runs; None if it is no crash.
+
+        It is that of the present incarnation unless another one is given.
+        """
+        if incarnation_ms is None:
+            incarnation_ms = link.incarnation_ms
+            if link.entry.draining or link.emptying:
+                return None
         runs = [
             tracked
             for tracked in link.runs.values()
             if tracked.run.state is not RunState.INTENDED
-            and tracked.run.incarnation_ms == link.incarnation_ms
+            and tracked.run.incarnation_ms == incarnation_ms
         ]
         if not runs:
             return None
@@ -242,14 +299,13 @@
             link.name,
             link.place,
             link.entry.domain or (next_life.entry.domain if next_life else ""),
-            link.incarnation_ms,
+            incarnation_ms,
             # A worker that never answered was lost before the term or at its beginning.
             outage.since_s if outage else self._began_s,
             tuple(
                 LostRun(
                     run.name,
                     _is_recent(link, run),
-                    _is_sound(link, run),
                     run.is_isolated,
                 )
                 for run in runs
@@ -258,15 +314,20 @@
 
     def _settle(self, loss: WorkerLoss, sign: LossSign) -> list[Verdict]:
         """Count a crash under the tasks that ran; return the jobs to give up."""
-        has_common_cause = self._has_common_cause(loss)
+        others = self._list_common_outages(loss)
+        has_common_cause = bool(others)
         recent = [run for run in loss.runs if run.is_recent]
         names_job = not has_common_cause and (
             _has_one_job(loss.runs)
             or _has_one_job(recent)
             and all(run.is_apart for run in recent)
         )
-        suspects = recent or ([] if has_common_cause else loss.runs)
-        # Older runs may have done it, unless the crash has a known cause.
+        if has_common_cause:
+            # Older runs may have done it only if their job ran on all these workers.
+            shared = frozenset.intersection(*(outage.jobs for outage in others))
+            suspects = recent or [run for run in loss.runs if run.name.job_id in shared]
+        else:
+            suspects = recent or loss.runs
         counted = suspects if names_job or has_common_cause else loss.runs
         self._metrics.count(f"workers_lost_{sign}")
         self._log.write(
@@ -291,10 +352,10 @@
         if task is None:
             return
         self._mark_dirty(self._jobs[run.name.job_id])
-        if run.is_sound:
+        now_ms = int(self._clock.now().timestamp() * 1000)
+        if now_ms - task.last_crash_ms > CRASH_MEMORY_S * 1000:
             task.forget_crashes()
-        else:
-            task.record_crash(is_suspect=is_suspect, names_job=names_job)
+        task.record_crash(now_ms, is_suspect=is_suspect, names_job=names_job)
 
     def _list_verdicts(self, runs: Sequence[LostRun]) -> Iterator[Verdict]:
         given_up: set[JobId] = set()
@@ -317,26 +378,29 @@
         task = job.find_task(name)
         return None if task is None or task.done else task
 
-    def _has_common_cause(self, loss: WorkerLoss) -> bool:
-        """Return whether a large part of a failure domain was lost at that moment.
+    def _list_common_outages(self, loss: WorkerLoss) -> list[_Outage]:
+        """Return the losses of that moment if a large part of a failure domain is gone.
 
-        A job that had just begun on all of these workers may be the cause itself.
+        Empty if a job that had just begun on all of these workers may be the cause.
         """
         lost = {
-            outage.place: outage.jobs
+            outage.place: outage
             for outage in self._outages.values()
             if outage.domain == loss.domain
             and abs(outage.since_s - loss.lost_s) <= COMMON_CAUSE_WINDOW_S
         }
         total = {
-            link.place
+            link.place or link.name
             for link in self._links.values()
             if link.entry.domain == loss.domain
         }
         least = max(MIN_COMMON_WORKERS, COMMON_CAUSE_SHARE * len(total))
         if not loss.domain or len(lost) < least:
-            return False
-        return not frozenset.intersection(*lost.values())
+            return []
+        outages = list(lost.values())
+        if frozenset.intersection(*(outage.new_jobs for outage in outages)):
+            return []
+        return outages
 
 
 def _has_one_job(runs: Sequence[LostRun]) -> bool:
@@ -350,9 +414,3 @@
     if not tracked.reported or link.last_answer_s is None:
         return not tracked.adopted
     return tracked.run.began_s > link.last_answer_s - age_s
-
-
-def _is_sound(link: WorkerLink, tracked: TrackedRun) -> bool:
-    if not tracked.step.lasting or not tracked.reported or link.last_answer_s is None:
-        return False
-    return link.last_answer_s - tracked.run.began_s >= SOUND_RUN_S
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -96,6 +96,7 @@
 
     def start_polling(self) -> None:
         """Begin to poll workers, once all jobs and their open runs are loaded."""
+        self._give_up(self._crashes.record_missed_restarts())
         self._loaded.set()
 
     def find_or_add(self, name: str, incarnation_ms: int, machine: str) -> WorkerLink:
--- a/chiveledge/workload/_progress.py
+++ b/chiveledge/workload/_progress.py
@@ -110,6 +110,8 @@
         Worker processes that crashed while a run of the task was there.
     named_crashes : int
         Those of them that no other job can have caused.
+    last_crash_ms : int
+        Wall time of the last of them in milliseconds since 1970; 0 before.
     suspected : bool
         Whether the task is more likely than others to have caused one of them.
     """
@@ -125,6 +127,7 @@
     stalls: int = 0
     crashes: int = 0
     named_crashes: int = 0
+    last_crash_ms: int = 0
     suspected: bool = False
 
     @property
@@ -132,8 +135,9 @@
         """Whether the next run starts on a worker without other jobs."""
         return self.suspected or self.crashes > 1
 
-    def record_crash(self, *, is_suspect: bool, names_job: bool) -> None:
+    def record_crash(self, now_ms: int, *, is_suspect: bool, names_job: bool) -> None:
         """Record that a worker crashed while a run of the task was there."""
+        self.last_crash_ms = now_ms
         self.crashes += 1
         self.named_crashes += names_job
         self.suspected |= is_suspect
--- a/chiveledge/workload/_progress_codec.py
+++ b/chiveledge/workload/_progress_codec.py
@@ -210,7 +210,12 @@
         if task.run is not None and task.run.machine:
             machines[index] = task.run.machine
         if task.crashes:
-            crashes[index] = [task.crashes, task.named_crashes, task.suspected]
+            crashes[index] = [
+                task.crashes,
+                task.named_crashes,
+                task.last_crash_ms,
+                task.suspected,
+            ]
     details = {"machines": machines, "crashes": crashes}
     return {name: rows for name, rows in details.items() if rows}
 
@@ -240,7 +245,7 @@
         tasks[int(index)].run.machine = machine
     for index, row in fields.get("crashes", {}).items():
         task = tasks[int(index)]
-        task.crashes, task.named_crashes, task.suspected = row
+        task.crashes, task.named_crashes, task.last_crash_ms, task.suspected = row
     step.tasks[indices] = tasks
     step.failed_run = max(step.failed_run, fields.get("failed_run", 0))
 
