A start whose worker shrank while the run was stored is not sent

What callers saw (stand-in): a worker that doesn't guard its capacity was brought over it 6 s after it had shrunk (LIMIT); of a gang, the other members were started for nothing beside a worker that declined.

Cause: the room is checked when the start is planned. The run is stored before its order is sent, which lasts as long as the store refuses that write, and nothing looked at the capacity again.

Change: after the store, a run whose worker is over its capacity is discarded (nothing was sent) and planned anew; a gang as a whole.

--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -94,6 +94,9 @@
             for link, tracked in placed:
                 self.discard(link, tracked, f"not sent: {obstacle}")
             return
+        placed = self._discard_exceeding(step, placed)
+        if not placed:
+            return
         checkpoint = _choose_checkpoint(step, placed)
         did_start = await asyncio.gather(
             *(
@@ -120,6 +123,24 @@
             return "a worker restarted"
         return ""
 
+    def _discard_exceeding(self, step: Step, placed: PlacedRuns) -> PlacedRuns:
+        """Discard the runs whose workers shrank while they were stored.
+
+        Returns the other runs; none of a gang that isn't whole any more.
+        """
+        reason = "not sent: the worker's capacity shrank"
+        kept = []
+        for link, tracked in placed:
+            if link.is_over_capacity:
+                self.discard(link, tracked, reason)
+            else:
+                kept.append((link, tracked))
+        if not step.gang or len(kept) == len(placed):
+            return kept
+        for link, tracked in kept:
+            self.discard(link, tracked, f"{reason} for another member of the gang")
+        return []
+
     def stop(self, link: WorkerLink, tracked: TrackedRun, reason: str) -> None:
         """Stop a run; its capacity becomes free once the worker reports its end."""
         if tracked.stopping or tracked.key not in link.runs:
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -145,6 +145,11 @@
         """Name of the worker."""
         return self.entry.name
 
+    @property
+    def is_over_capacity(self) -> bool:
+        """Whether its open runs exceed its capacity, which may shrink at any time."""
+        return not self.used.fits(self.entry.capacity)
+
     def add_run(self, tracked: TrackedRun) -> None:
         """Add a run that is, or will be, on the worker."""
         self.runs[tracked.key] = tracked
