A start without an answer isn't sent again once its worker has shrunk

What callers saw (stand-in): the third attempt of a start, 5.6 s after the worker had shrunk, brought it over its capacity (LIMIT). Its row came 4.5 s late, after the first attempt; neither earlier copy had any effect.

Cause: the attempts of one start take up to 2.4 s, and nothing looked at the capacity between them.

Change: after an unanswered attempt, a run whose worker is over its capacity is stopped as after the last attempt, so that late copies are barred and the task is planned anew.

--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -288,6 +288,8 @@
                         self._record_unanswered(link, tracked)
             if run.state is RunState.RUNNING:
                 return True
+            if link.is_over_capacity:
+                break
         self.stop(link, tracked, "the worker did not answer the start order")
         return False
 
