Runs that a worker reports and no job has open count against its capacity

Cause: only open runs of readable jobs were added up.

Change: the reported runs that no job has open are added at each poll, by the step of their task. For a job with unreadable progress the steps come from its request. If that can't be read either, nothing is free on a worker that would start whatever it is told to; one that guards its capacity declines by itself.

Not covered: such a run between its start and the next poll.

--- a/chiveledge/coordinator/_fleet_view.py
+++ b/chiveledge/coordinator/_fleet_view.py
@@ -124,7 +124,7 @@
             name = link.name
             inputs = _ViewInputs(
                 link.entry,
-                link.used,
+                link.occupied,
                 link.stopping,
                 reserved.get(name, NOTHING),
                 link.serving_runs > 0,
--- a/chiveledge/coordinator/_pending_starts.py
+++ b/chiveledge/coordinator/_pending_starts.py
@@ -126,7 +126,8 @@
             link = self._links[placement.worker]
             reserved_usage = reserved.get(link.name, Usage())
             free = free_after.get(
-                link.name, link.entry.capacity.minus(link.used).minus(reserved_usage)
+                link.name,
+                link.entry.capacity.minus(link.occupied).minus(reserved_usage),
             )
             if usage.fits(free):
                 free_after[link.name] = free.minus(usage)
--- a/chiveledge/coordinator/_reconciliation.py
+++ b/chiveledge/coordinator/_reconciliation.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Container, Coroutine
+from collections.abc import Coroutine, Mapping
 
 from chiveledge.coordinator._context import TermContext
 from chiveledge.coordinator._demands import find_policy
@@ -20,6 +20,7 @@
     MIN_STALL_S,
     RunSpeed,
     WorkerSuspicion,
+    charged_usage,
     find_stall_timeout_s,
     should_evacuate,
 )
@@ -29,7 +30,9 @@
     JobState,
     RunEnd,
     RunState,
+    Step,
     TaskName,
+    Usage,
     can_store_checkpoint,
 )
 
@@ -47,8 +50,9 @@
         Stops runs.
     jobs : dict
         All jobs by ID, except unreadable ones.
-    unreadable_jobs : container of str
-        IDs of jobs whose rows can't be decoded. Which runs they have open is not known.
+    unreadable_jobs : mapping
+        Steps, by ID, of the jobs whose progress can't be decoded; none if their request
+        can't be decoded either. Which runs they have open is not known.
     suspicion : WorkerSuspicion
         Updated with how runs begin and end on each worker.
     estimator : RunTimeEstimator
@@ -61,7 +65,7 @@
         progress_writer: ProgressWriter,
         orders: OrderDispatcher,
         jobs: dict[str, JobProgress],
-        unreadable_jobs: Container[str],
+        unreadable_jobs: Mapping[str, tuple[Step, ...]],
         suspicion: WorkerSuspicion,
         estimator: RunTimeEstimator,
     ) -> None:
@@ -102,6 +106,7 @@
         link.record_answer(report.clock_ms, self._clock.monotonic(), sent_s)
         for row in report.running:
             self._record_running(link, row)
+        link.unknown_usage = self._find_unknown_usage(link, report)
         new_ends = link.ends.receive(report.ended)
         for end in new_ends:
             self._record_end(link, end)
@@ -265,6 +270,32 @@
         if row.checkpoint and self._can_store(tracked, row.checkpoint):
             run.checkpoint = row.checkpoint
 
+    def _find_unknown_usage(self, link: WorkerLink, report: PollReport) -> Usage:
+        """Return the capacity that the reported runs take which no job has open."""
+        usage = Usage()
+        for row in report.running:
+            if (row.task, row.run) not in link.runs:
+                usage = usage.plus(self._find_usage(link, row.task))
+        return usage
+
+    def _find_usage(self, link: WorkerLink, task: str) -> Usage:
+        """Return the capacity that a task takes.
+
+        If that is not known, nothing is free on a worker that would start whatever it
+        is told to; any other declines what doesn't fit.
+        """
+        name = TaskName.parse(task)
+        if name is not None:
+            job = self._jobs.get(name.job_id)
+            unreadable = self._unreadable_jobs.get(name.job_id, ())
+            steps = unreadable if job is None else job.request.steps
+            if name.step < len(steps):
+                return charged_usage(steps[name.step])
+        service = self._catalogue().services.get(link.entry.service)
+        if service is not None and service.checks_capacity:
+            return Usage()
+        return link.entry.capacity
+
     def _can_store(self, tracked: TrackedRun, checkpoint: str) -> bool:
         if can_store_checkpoint(checkpoint):
             return True
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -39,6 +39,7 @@
     JobProgress,
     JobState,
     OpenRun,
+    Step,
     TaskName,
     TaskProgress,
     decode_progress,
@@ -87,7 +88,7 @@
         self._plan_due = asyncio.Event()
         self._began_s = self._clock.monotonic()
         self._unmatched_progress: dict[str, StoredJob] = {}
-        self._unreadable_jobs: set[str] = set()
+        self._unreadable_jobs: dict[str, tuple[Step, ...]] = {}
         self._early_cancellations: set[str] = set()
         self._request_versions: dict[str, int] = {}
         self._removed: dict[str, _RemovedJob] = {}
@@ -283,7 +284,7 @@
         except DECODE_ERRORS as error:
             if stored is not None:
                 # Without its progress, the job might run a second time.
-                self._unreadable_jobs.add(job_id)
+                self._unreadable_jobs[job_id] = _decode_steps(row)
             reason = describe_error(error)
             self._log.write("coordinator", "bad_job", id=job_id, reason=reason)
             return
@@ -396,3 +397,11 @@
         return JobProgress(request)
     header = stored.header
     return decode_progress(request, header.value, header.version, stored.part_texts)
+
+
+def _decode_steps(row: Row) -> tuple[Step, ...]:
+    """Return the steps of a request, none if it can't be decoded."""
+    try:
+        return decode_request(row.value).steps
+    except DECODE_ERRORS:
+        return ()
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -111,6 +111,8 @@
         Capacity that all open runs take, including those that are being stopped.
     stopping : Usage
         Capacity that the runs being stopped take.
+    unknown_usage : Usage
+        Capacity that those runs take which the last report shows and no job has open.
     serving_runs, filler_runs : int
         Number of open runs that serve requests, and of filler runs.
     """
@@ -137,6 +139,7 @@
     emptying: bool = False
     used: Usage = Usage()
     stopping: Usage = Usage()
+    unknown_usage: Usage = Usage()
     serving_runs: int = 0
     filler_runs: int = 0
 
@@ -145,10 +148,15 @@
         """Name of the worker."""
         return self.entry.name
 
+    @property
+    def occupied(self) -> Usage:
+        """Capacity that all runs on it take."""
+        return self.used.plus(self.unknown_usage)
+
     @property
     def is_over_capacity(self) -> bool:
-        """Whether its open runs exceed its capacity, which may shrink at any time."""
-        return not self.used.fits(self.entry.capacity)
+        """Whether its runs exceed its capacity, which may shrink at any time."""
+        return not self.occupied.fits(self.entry.capacity)
 
     def add_run(self, tracked: TrackedRun) -> None:
         """Add a run that is, or will be, on the worker."""
@@ -293,5 +301,6 @@
         self.clock_went_back_s = None
         self.draining_since_s = None
         self.emptying = False
+        self.unknown_usage = Usage()
         for tracked in self.runs.values():
             tracked.percent_samples.clear()
