A restarted worker gets nothing before its row shows its capacity

What callers saw (stand-in): a worker came back smaller under its name, a poll showed that before its row was written anew, and a start by the capacity of the earlier incarnation brought it over its own (LIMIT).

Change: nothing is placed on a worker, and no deferred start goes there, while its entry is that of another incarnation. Cost: up to one heartbeat without starts after a restart that a poll shows first.

Two tests in test_late_orders.py restart a worker by hand; its row now follows 0.7 s later. The new test first lacked a pause: of two jobs the smaller was placed first, and it held without the change.

--- a/chiveledge/coordinator/_fleet_view.py
+++ b/chiveledge/coordinator/_fleet_view.py
@@ -199,6 +199,7 @@
     """
     return (
         link.listed
+        and link.is_described
         and not link.entry.draining
         and link.fence_raised
         and link.unresponsive_since_s is None
--- a/chiveledge/coordinator/_pending_starts.py
+++ b/chiveledge/coordinator/_pending_starts.py
@@ -97,7 +97,7 @@
             link = self._links.get(placement.worker)
             if link is None or not link.listed or link.entry.draining:
                 return False
-            if link.emptying:
+            if link.emptying or not link.is_described:
                 return False
             if link.unresponsive_since_s is not None:
                 return False
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -148,6 +148,15 @@
         """Name of the worker."""
         return self.entry.name
 
+    @property
+    def is_described(self) -> bool:
+        """Whether the entry is that of the present incarnation.
+
+        The next incarnation may be of another kind, and its first poll may come before
+        its entry.
+        """
+        return self.entry.incarnation_ms in (0, self.incarnation_ms)
+
     @property
     def occupied(self) -> Usage:
         """Capacity that all runs on it take."""
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 from aiohttp import web
@@ -17,6 +18,7 @@
     UpkeepRefusal,
     UpkeepRefused,
 )
+from chiveledge.services.task_worker import WorkerEntry
 from standins.task_worker import MemoryTaskWorker
 
 REPLY_TIMEOUT_S = 0.5
@@ -43,6 +45,11 @@
 class MemoryMachines:
     """Machines that host one worker each and are named after it.
 
+    Parameters
+    ----------
+    list_worker : callable
+        Writes the row of a worker that has restarted.
+
     Attributes
     ----------
     lose_replies : int
@@ -52,13 +59,18 @@
     """
 
     def __init__(
-        self, workers: list[MemoryTaskWorker], clock: Clock, upkeep_s: float = 2.0
+        self,
+        workers: list[MemoryTaskWorker],
+        clock: Clock,
+        upkeep_s: float = 2.0,
+        list_worker: Callable[[WorkerEntry], None] = lambda entry: None,
     ) -> None:
         self.lose_replies = 0
         self.upkeeps: list[Upkeep] = []
         self._workers = {f"m-{worker.entry.name}": worker for worker in workers}
         self._clock = clock
         self._upkeep_s = upkeep_s
+        self._list_worker = list_worker
         self._down: set[str] = set()
         self._done: set[tuple[str, int]] = set()
 
@@ -108,6 +120,7 @@
         await self._clock.sleep(self._upkeep_s)
         worker.crash(worker.entry.incarnation_ms + 1)
         worker.faults.unresponsive = False
+        self._list_worker(worker.entry)
         self._down.discard(machine)
 
 
--- a/tests/coordinator/cluster.py
+++ b/tests/coordinator/cluster.py
@@ -218,7 +218,7 @@
             fleet.append(worker)
             self.workers[entry.name] = worker
             self.list_worker(entry)
-        self.machines = MemoryMachines(fleet, self.clock)
+        self.machines = MemoryMachines(fleet, self.clock, list_worker=self.list_worker)
         self.waves: list[Wave] = []
         self._worker_tasks = [asyncio.create_task(w.run()) for w in fleet]
         self.nodes = [Node(self, f"n{i}", i) for i in range(nodes)]
--- a/tests/coordinator/test_late_orders.py
+++ b/tests/coordinator/test_late_orders.py
@@ -196,8 +196,9 @@
         worker.faults.late_poll_delay_s = LATE_S
     await cluster.advance(2.2)
     assert not any(worker.faults.late_polls for worker in cluster.workers.values())
-    for worker in cluster.workers.values():
+    for name, worker in cluster.workers.items():
         worker.crash(incarnation_ms=2)
+        cluster.list_worker_later(name, 0.7)
     await cluster.advance(0.8)
     await cluster.submit("j1", WHOLE, work_s=30.0)
     await cluster.advance(LATE_S)
@@ -258,6 +259,7 @@
     while worker.faults.late_polls:
         await cluster.advance(0.05)
     worker.crash(incarnation_ms=2)
+    cluster.list_worker_later("w0", 0.7)
     while not worker.runs:
         await cluster.advance(0.05)
         assert cluster.clock.monotonic() < 64.0
--- a/tests/coordinator/test_shrinking_capacity.py
+++ b/tests/coordinator/test_shrinking_capacity.py
@@ -183,12 +183,17 @@
     """A poll showed the restart first, and the row of the earlier life counted."""
     cluster = make(workers=1)
     await cluster.advance(0.5)
+    await cluster.submit("j0", Step(usage=SMALL), work_s=30.0)
+    await cluster.advance(1.0)
     worker = cluster.workers["w0"]
     worker.resize(HALF)
     worker.crash(incarnation_ms=2)
+    await cluster.call(cluster.nodes[0].job_store.cancel("j0", "cafes", 2.0))
     cluster.list_worker_later("w0")
-    await cluster.advance(0.8)
+    while not cluster.leader.log.find("workers", "reborn"):
+        await cluster.advance(0.05)
     await cluster.submit("j1", WHOLE, work_s=1.0)
+    await cluster.advance(1.0)
     await cluster.submit("j2", WHOLE._replace(usage=HALF), work_s=1.0)
     await cluster.advance(4.0)
     assert not cluster.starts("j1")
