No run is moved to a worker that is over its capacity

What could happen: a run on a slow worker was stopped to go on elsewhere, though nothing fits there.

Cause: `count_in` looked only at what a task asks for, so a worker whose memory exceeds its capacity since it shrank still counted for tasks that ask for none. `fits`, by which tasks are placed, looks at all.

Change: `count_in` returns 0 where `fits` doesn't hold.

--- a/chiveledge/workload/_model.py
+++ b/chiveledge/workload/_model.py
@@ -84,10 +84,12 @@
 
     def count_in(self, free: Usage) -> int:
         """Return how many tasks of this usage fit into `free` together."""
+        if not self.fits(free):
+            return 0
         counts = [
             have // need for need, have in zip(self, free, strict=True) if need > 0
         ]
-        return max(0, min(counts, default=1_000_000))
+        return min(counts, default=1_000_000)
 
 
 class Step(NamedTuple):
--- a/tests/placement/test_packing.py
+++ b/tests/placement/test_packing.py
@@ -35,6 +35,13 @@
     assert len(list_workers(fleet, make_demand(count=20, usage=usage))) == fitting
 
 
+def test_no_run_is_moved_to_a_worker_over_its_capacity():
+    """Its free memory was below zero, and only what the task asks for was counted."""
+    worker = make_worker("w1", runs=[make_run("a", "w1", usage=Usage(0, 65000, 0))])
+    step = make_demand(usage=Usage(1000, 0, 1)).step
+    assert not make_fleet(worker).has_full_speed_capacity("pool", step, 1)
+
+
 def test_gang_is_placed_completely_or_not_at_all():
     fleet = make_fleet(make_worker("w1"), make_worker("w2", accepting=False))
     assert list_workers(fleet, make_demand(count=2, accelerators=8, gang=True)) == []
