Nothing starts by a list of workers that can't be read any more

What callers saw (stand-in): the store answered all calls but reads of the list of workers, so the leader kept its lease, and 6 s after a worker that doesn't guard its capacity had shrunk, a start brought it over (LIMIT holds for all machines, in touch or not).

Change: once the list is older than 3 s, nothing starts on workers that don't guard their capacity. A leader without any contact to the store has lost its lease long before. With the list unreadable alone, services without `enforces_capacity` stand still.

--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -44,6 +44,11 @@
 leaves at least half of the processor time to polls, renewals and orders, unless a plan
 takes longer than this limit."""
 
+MAX_LIST_AGE_S = 3.0
+"""Age of the list of workers up to which they get whatever fits by it: longer than two
+reads from a slow store, and the attempts of a start end before a capacity counts that
+shrank unseen."""
+
 
 class PlanningController:
     """Plans when something changed, and carries the plans out.
@@ -70,6 +75,8 @@
         Set when a plan is due.
     spawn : callable
         Starts a task that is cancelled when the term ends.
+    list_age_s : callable
+        Returns the age of the platform's list of workers as this leader knows it.
     """
 
     def __init__(
@@ -85,6 +92,7 @@
         estimator: RunTimeEstimator,
         plan_due: asyncio.Event,
         spawn: Callable[[Coroutine], asyncio.Task],
+        list_age_s: Callable[[], float],
     ) -> None:
         self._context = context
         self._clock = context.clock
@@ -102,6 +110,7 @@
         )
         self._plan_due = plan_due
         self._spawn = spawn
+        self._list_age_s = list_age_s
         self._pending_starts = PendingStarts(links, jobs, self._start_runs)
         self._arrivals: dict[str, UrgentArrivals] = defaultdict(UrgentArrivals)
 
@@ -139,6 +148,7 @@
             now_s,
             self._clock.now().timestamp() * 1000,
         )
+        demands = [row for row in demands if self._may_start(row.service)]
         plan = make_plan(fleet, self._apply_advice(fleet, demands))
         for start in plan.starts:
             self._start_runs(start.demand, start.placements)
@@ -147,6 +157,13 @@
         if slow.now:
             self._supervisor.move_off_slow_workers(fleet, slow.now, now_s)
 
+    def _may_start(self, service: str) -> bool:
+        """Return whether the capacity of a service's workers is known or guarded."""
+        if self._list_age_s() <= MAX_LIST_AGE_S:
+            return True
+        found = self._context.catalogue().services.get(service)
+        return found is not None and found.checks_capacity
+
     def record_admission(self, job: JobProgress) -> None:
         """Record the arrival of a job; urgent jobs raise the reserved capacity."""
         policy = find_policy(job, self._context.catalogue())
@@ -209,6 +226,8 @@
                     )
 
     def _start_runs(self, demand: StepDemand, placements: list[Placement]) -> None:
+        if not self._may_start(demand.service):
+            return
         job = self._jobs[demand.job_id]
         step = job.open_occurrence(demand.occurrence)[demand.step_number]
         number = max(task.last_run for task in step.tasks) + 1
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -146,6 +146,13 @@
             self.end,
             self._ended.is_set,
         )
+        self._worker_list = TableFollower(
+            context.table,
+            context.worker_prefix,
+            self._clock,
+            self._log,
+            self._workers.apply_changes,
+        )
         self._upkeep = UpkeepController(
             context, leadership, self.links, self.jobs, self._orders
         )
@@ -163,6 +170,7 @@
             estimator,
             self._plan_due,
             self._spawn,
+            lambda: self._worker_list.age_s,
         )
 
     def end(self, reason: str) -> None:
@@ -213,14 +221,7 @@
         """Load the progress, workers and inbox, then run the loops of the term."""
         await self._load_progress()
         self._spawn(self._progress_writer.run())
-        workers = TableFollower(
-            self._context.table,
-            self._context.worker_prefix,
-            self._clock,
-            self._log,
-            self._workers.apply_changes,
-        )
-        while not await workers.step():
+        while not await self._worker_list.step():
             await self._clock.sleep(POLL_RETRY_S)
         while not await self._inbox.step():
             await self._clock.sleep(POLL_RETRY_S)
@@ -232,7 +233,7 @@
             workers=len(self.links),
             took_s=round(self._clock.monotonic() - self._began_s, 3),
         )
-        self._spawn(workers.run())
+        self._spawn(self._worker_list.run())
         self._spawn(self._inbox.run())
         self._spawn(self._cleanup_loop())
         self._spawn(self._tickets.run())
--- a/tests/coordinator/test_shrinking_capacity.py
+++ b/tests/coordinator/test_shrinking_capacity.py
@@ -19,7 +19,7 @@
 from chiveledge.workload import JobState, Step, Usage
 from standins import task_worker
 from standins.task_worker import StandInTask
-from tests.coordinator.cluster import CAPACITY, SMALL, Cluster
+from tests.coordinator.cluster import CAPACITY, SMALL, WORKER_PREFIX, Cluster
 from tests.coordinator.test_random_faults import FaultScenario
 
 HALF = Usage(4000, 4000, 4)
@@ -61,6 +61,28 @@
     return end
 
 
+def refuse_worker_list(cluster: Cluster) -> Callable[[], None]:
+    """Let the store refuse reads of the list of workers, no other calls."""
+    table = cluster.table
+    calls = {"watch": table.watch, "snapshot": table.snapshot}
+
+    def refuse(name: str) -> None:
+        async def read_others(prefix, *arguments):
+            if prefix == WORKER_PREFIX:
+                return Err(Unavailable("too many reads"))
+            return await calls[name](prefix, *arguments)
+
+        setattr(table, name, read_others)
+
+    def end() -> None:
+        for name in calls:
+            delattr(table, name)
+
+    for name in calls:
+        refuse(name)
+    return end
+
+
 async def start_unknown_run(cluster: Cluster, name: str, work_s: float) -> None:
     """Let a worker carry out an order of which the leader knows nothing."""
     cluster.tasks["unknown"] = StandInTask(work_s, HALF)
@@ -201,6 +223,23 @@
     assert not cluster.record.overloads
 
 
+async def test_nothing_starts_by_a_list_of_workers_that_cannot_be_read(make):
+    """The store answered all but reads of the list, so no capacity was known."""
+    cluster = make(workers=1)
+    await cluster.advance(0.5)
+    end_refusal = refuse_worker_list(cluster)
+    cluster.resize_worker("w0", HALF)
+    await cluster.advance(KNOWN_S)
+    await cluster.submit("j1", WHOLE, work_s=1.0)
+    await cluster.advance(3.0)
+    assert not cluster.starts("j1")
+    end_refusal()
+    await cluster.submit("j2", WHOLE._replace(usage=HALF), work_s=1.0)
+    await cluster.advance(3.0)
+    assert not cluster.starts("j1")
+    assert cluster.state("j2") is JobState.COMPLETED
+
+
 async def test_running_work_is_left_alone_on_a_worker_that_shrank(make):
     cluster = make(workers=1)
     await cluster.advance(0.5)
