--- a/chiveledge/coordinator/_fleet_view.py
+++ b/chiveledge/coordinator/_fleet_view.py
@@ -125,7 +125,7 @@
             name = link.name
             inputs = _ViewInputs(
                 link.entry,
-                link.used,
+                link.occupied,
                 link.stopping,
                 reserved.get(name, NOTHING),
                 link.serving_runs > 0,
@@ -203,6 +203,7 @@
     """
     return (
         link.listed
+        and link.is_described
         and not link.entry.draining
         and link.fence_raised
         and link.unresponsive_since_s is None
--- a/chiveledge/coordinator/_pending_starts.py
+++ b/chiveledge/coordinator/_pending_starts.py
@@ -97,7 +97,7 @@
             link = self._links.get(placement.worker)
             if link is None or not link.listed or link.entry.draining:
                 return False
-            if link.emptying:
+            if link.emptying or not link.is_described:
                 return False
             if link.unresponsive_since_s is not None:
                 return False
@@ -128,7 +128,8 @@
             link = self._links[placement.worker]
             reserved_usage = reserved.get(link.name, Usage())
             free = free_after.get(
-                link.name, link.entry.capacity.minus(link.used).minus(reserved_usage)
+                link.name,
+                link.entry.capacity.minus(link.occupied).minus(reserved_usage),
             )
             if usage.fits(free):
                 free_after[link.name] = free.minus(usage)
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -40,6 +40,7 @@
     JobProgress,
     JobState,
     OpenRun,
+    Step,
     TaskName,
     TaskProgress,
     decode_progress,
@@ -88,7 +89,7 @@
         self._plan_due = asyncio.Event()
         self._began_s = self._clock.monotonic()
         self._unmatched_progress: dict[str, StoredJob] = {}
-        self._unreadable_jobs: set[str] = set()
+        self._unreadable_jobs: dict[str, tuple[Step, ...]] = {}
         self._early_cancellations: set[str] = set()
         self._request_versions: dict[str, int] = {}
         self._removed: dict[str, _RemovedJob] = {}
@@ -150,6 +151,13 @@
             self.end,
             self._ended.is_set,
         )
+        self._worker_list = TableFollower(
+            context.table,
+            context.worker_prefix,
+            self._clock,
+            self._log,
+            self._workers.apply_changes,
+        )
         self._upkeep = UpkeepController(
             context, leadership, self.links, self.jobs, self._orders
         )
@@ -168,6 +176,7 @@
             estimator,
             self._plan_due,
             self._spawn,
+            lambda: self._worker_list.age_s,
         )
 
     def end(self, reason: str) -> None:
@@ -218,14 +227,7 @@
         """Load the progress, workers and inbox, then run the loops of the term."""
         await self._load_progress()
         self._spawn(self._progress_writer.run())
-        workers = TableFollower(
-            self._context.table,
-            self._context.worker_prefix,
-            self._clock,
-            self._log,
-            self._workers.apply_changes,
-        )
-        while not await workers.step():
+        while not await self._worker_list.step():
             await self._clock.sleep(POLL_RETRY_S)
         while not await self._inbox.step():
             await self._clock.sleep(POLL_RETRY_S)
@@ -237,7 +239,7 @@
             workers=len(self.links),
             took_s=round(self._clock.monotonic() - self._began_s, 3),
         )
-        self._spawn(workers.run())
+        self._spawn(self._worker_list.run())
         self._spawn(self._inbox.run())
         self._spawn(self._cleanup_loop())
         self._spawn(self._tickets.run())
@@ -289,7 +291,7 @@
         except DECODE_ERRORS as error:
             if stored is not None:
                 # Without its progress, the job might run a second time.
-                self._unreadable_jobs.add(job_id)
+                self._unreadable_jobs[job_id] = _decode_steps(row)
             reason = describe_error(error)
             self._log.write("coordinator", "bad_job", id=job_id, reason=reason)
             return
@@ -402,3 +404,11 @@
         return JobProgress(request)
     header = stored.header
     return decode_progress(request, header.value, header.version, stored.part_texts)
+
+
+def _decode_steps(row: Row) -> tuple[Step, ...]:
+    """Return the steps of a request, none if it can't be decoded."""
+    try:
+        return decode_request(row.value).steps
+    except DECODE_ERRORS:
+        return ()
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -117,6 +117,8 @@
         Capacity that all open runs take, including those that are being stopped.
     stopping : Usage
         Capacity that the runs being stopped take.
+    unknown_usage : Usage
+        Capacity that those runs take which the last report shows and no job has open.
     serving_runs, filler_runs, isolated_runs : int
         Number of open runs that serve requests, of filler runs, and of those that
         were started apart from other jobs.
@@ -145,6 +147,7 @@
     emptying: bool = False
     used: Usage = Usage()
     stopping: Usage = Usage()
+    unknown_usage: Usage = Usage()
     serving_runs: int = 0
     filler_runs: int = 0
     isolated_runs: int = 0
@@ -159,6 +162,25 @@
         """Machine of the worker, or its address if it names no machine."""
         return self.entry.machine or self.entry.address
 
+    @property
+    def is_described(self) -> bool:
+        """Whether the entry is that of the present incarnation.
+
+        The next incarnation may be of another kind, and its first poll may come before
+        its entry.
+        """
+        return self.entry.incarnation_ms in (0, self.incarnation_ms)
+
+    @property
+    def occupied(self) -> Usage:
+        """Capacity that all runs on it take."""
+        return self.used.plus(self.unknown_usage)
+
+    @property
+    def is_over_capacity(self) -> bool:
+        """Whether its runs exceed its capacity, which may shrink at any time."""
+        return not self.occupied.fits(self.entry.capacity)
+
     def find_isolated_job(self, now_s: float) -> JobId | None:
         """Return the job that no other may join on the worker, or None."""
         if self.isolated_runs:
@@ -319,5 +341,6 @@
         self.clock_went_back_s = None
         self.draining_since_s = None
         self.emptying = False
+        self.unknown_usage = Usage()
         for tracked in self.runs.values():
             tracked.percent_samples.clear()
