--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -8,6 +8,8 @@
 
 from chiveledge.coordinator._run_times import RunTimeEstimator
 from chiveledge.placement import (
+    APART_S,
+    REPEATED_APART_S,
     StepDemand,
     find_guaranteed_jobs,
 )
@@ -22,12 +24,6 @@
 
 EMPTY: frozenset[str] = frozenset()
 
-APART_S = 3.0
-"""How long a task that may have crashed a worker keeps other jobs off the next one."""
-
-REPEATED_APART_S = 30.0
-"""The same for a task under which several workers crashed: it may do so late."""
-
 TRUSTED_WORKER_TIMEOUT_S = 2.5
 """How long a task that failed before waits for a trusted worker."""
 
--- a/chiveledge/placement/__init__.py
+++ b/chiveledge/placement/__init__.py
@@ -11,6 +11,8 @@
 )
 from chiveledge.placement._learnt_speed import LearntSpeeds, MemberRate
 from chiveledge.placement._order import (
+    APART_S,
+    REPEATED_APART_S,
     URGENT_PRIORITY,
     StepDemand,
     find_guaranteed_jobs,
@@ -33,8 +35,10 @@
 from chiveledge.placement._upkeep import choose_next_machines, find_drain_timeout_s
 
 __all__ = [
+    "APART_S",
     "COMPLETE_PERCENT",
     "MIN_STALL_S",
+    "REPEATED_APART_S",
     "URGENT_PRIORITY",
     "DeferredStart",
     "FleetView",
--- a/chiveledge/placement/_order.py
+++ b/chiveledge/placement/_order.py
@@ -21,6 +21,12 @@
 """Priority of the jobs for which runs of other jobs may be stopped."""
 
 
+APART_S = 3.0
+"""How long a task that may have crashed a worker keeps other jobs off the next one."""
+
+REPEATED_APART_S = 30.0
+"""The same for a task under which several workers crashed: it may do so late."""
+
 EMPTY_WORKER_TIMEOUT_S = 2.0
 """How long a task under suspicion waits for a worker without other jobs, before it may
 join runs that began long before."""
@@ -30,7 +36,8 @@
 
 APART_TIMEOUT_IF_FREE_S = 2.5
 """The same while under half of the capacity is in use, when a job may have nothing
-running for 3 s at most."""
+running for 3 s at most. Not for a job that may be given up, since two workers crashed
+under it."""
 
 
 class Timeliness(IntEnum):
--- a/chiveledge/placement/_plan.py
+++ b/chiveledge/placement/_plan.py
@@ -8,6 +8,7 @@
 from chiveledge.placement._fleet import FleetView
 from chiveledge.placement._order import (
     APART_TIMEOUT_IF_FREE_S,
+    REPEATED_APART_S,
     StepDemand,
     sort_demands,
 )
@@ -74,8 +75,10 @@
 
 def _release(fleet: FleetView, demand: StepDemand) -> StepDemand:
     """Let tasks that wait to start apart start anywhere, if much capacity is free."""
-    waits = demand.starts_apart and demand.waited_s >= APART_TIMEOUT_IF_FREE_S
-    if waits and fleet.is_mostly_free(demand.service):
+    if not demand.starts_apart or demand.apart_s >= REPEATED_APART_S:
+        return demand
+    is_due = demand.waited_s >= APART_TIMEOUT_IF_FREE_S
+    if is_due and fleet.is_mostly_free(demand.service):
         return demand._replace(apart_s=0.0)
     return demand
 
