--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -333,15 +333,13 @@
         left = max(0, int(len(accepting) * MAX_APART_SHARE) - kept)
         own = [worker for worker in workers if worker.isolated_job == demand.job_id]
         others = [worker for worker in workers if worker.isolated_job is None]
-        empty = [worker for worker in others if worker.has_only(demand.job_id)]
-        if empty or not demand.joins_older_runs:
-            return own + empty[:left]
-        quiet = [
-            worker
-            for worker in others
-            if worker.has_only(demand.job_id, or_older_runs=True)
-        ]
         usage = charged_usage(demand.step)
+        empty = [w for w in others if w.has_only(demand.job_id) and usage.fits(w.free)]
+        room = sum(usage.count_in(worker.free) for worker in own + empty[:left])
+        needed = len(demand.indices) if demand.step.gang else 1
+        if room >= needed or not demand.joins_older_runs:
+            return own + empty[:left]
+        quiet = [w for w in others if w.has_only(demand.job_id, or_older_runs=True)]
         quiet.sort(key=lambda w: (not usage.fits(w.free), len(w.runs), w.name))
         return own + quiet[:left]
 
--- a/tests/placement/test_apart.py
+++ b/tests/placement/test_apart.py
@@ -7,6 +7,7 @@
     APART_TIMEOUT_IF_FREE_S,
     EMPTY_WORKER_TIMEOUT_S,
 )
+from chiveledge.workload import Usage
 from tests.placement.fleets import make_demand, make_fleet, make_run, make_worker
 
 
@@ -114,3 +115,15 @@
     workers = [make_worker(name, runs=[lately]) for name in ("w", "v")]
     soon = make_suspect(waited_s=APART_TIMEOUT_IF_FREE_S)
     assert list_workers(make_plan(make_fleet(*workers), [soon]), "suspect")
+
+
+def test_suspect_joins_older_runs_if_the_empty_worker_is_too_small():
+    """Any empty worker kept it from joining older runs, even one without room."""
+    small = make_worker("small", capacity=Usage(32000, 64000, 1))
+    used = [
+        make_worker(f"w{number}", runs=[make_run("other", f"w{number}")])
+        for number in range(5)
+    ]
+    waited_s = EMPTY_WORKER_TIMEOUT_S + 1.0
+    demand = make_suspect(accelerators=4, waited_s=waited_s)
+    assert make_plan(make_fleet(small, *used), [demand]).starts
