--- a/chiveledge/coordinator/_worker_loss.py
+++ b/chiveledge/coordinator/_worker_loss.py
@@ -176,7 +176,8 @@
         Called while the link still shows the earlier incarnation.
         """
         verdicts = self._blame_silent(link.name, link.place, link.incarnation_ms + 1)
-        if link.name not in self._outages:
+        outage = self._outages.get(link.name)
+        if outage is None or outage.incarnation_ms != link.incarnation_ms:
             self.record_no_answer(link)
         return verdicts + self._blame(link, LossSign.RESTARTED)
 
