--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -318,6 +318,10 @@
         trusted = [worker for worker in found if worker.trusted]
         return trusted if demand.avoids_suspected and trusted else found
 
+    def count_keepable(self, service: str) -> int:
+        """Return how many workers may be kept for jobs under suspicion."""
+        return int(len(self._accepting[service]) * MAX_APART_SHARE)
+
     def is_mostly_free(self, service: str) -> bool:
         """Return whether under half of a service's capacity is in use."""
         workers = self._accepting[service]
@@ -330,7 +334,7 @@
         """Return workers to keep apart for a job, as many as there may be."""
         accepting = self._accepting[demand.service]
         kept = sum(worker.isolated_job is not None for worker in accepting)
-        left = max(0, int(len(accepting) * MAX_APART_SHARE) - kept)
+        left = max(0, self.count_keepable(demand.service) - kept)
         own = [worker for worker in workers if worker.isolated_job == demand.job_id]
         others = [worker for worker in workers if worker.isolated_job is None]
         usage = charged_usage(demand.step)
--- a/chiveledge/placement/_plan.py
+++ b/chiveledge/placement/_plan.py
@@ -74,8 +74,12 @@
 
 
 def _release(fleet: FleetView, demand: StepDemand) -> StepDemand:
-    """Let tasks that wait to start apart start anywhere, if much capacity is free."""
-    if not demand.starts_apart or demand.apart_s >= REPEATED_APART_S:
+    """Let tasks start anywhere that can't start apart, or not soon on a free fleet."""
+    if not demand.starts_apart:
+        return demand
+    if not fleet.count_keepable(demand.service):
+        return demand._replace(apart_s=0.0)
+    if demand.apart_s >= REPEATED_APART_S:
         return demand
     is_due = demand.waited_s >= APART_TIMEOUT_IF_FREE_S
     if is_due and fleet.is_mostly_free(demand.service):
