--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -29,6 +29,9 @@
 )
 from chiveledge.workload import RunEnd, RunState, Usage
 
+FIRST_EPOCH = 1
+"""Epoch of the first leader that a store has seen."""
+
 POLL_RETRY_S = 0.2
 UNLISTED_GRACE_S = 3.0
 
@@ -193,9 +196,10 @@
         # An earlier leader may have extended the lease until its last order, and one
         # that met a restarted worker may have granted the longest lease.
         timing = self._context.timing
+        has_predecessor = self._epoch > FIRST_EPOCH and not self._loaded.is_set()
         lease = WorkerLease(
             timing.work_lease_s / CLOCK_RATE,
-            granted_at_start_s=0.0 if self._loaded.is_set() else timing.longest_lease_s,
+            granted_at_start_s=timing.longest_lease_s if has_predecessor else 0.0,
         )
         return WorkerLink(entry, client, listed=listed, lease=lease)
 
