--- a/chiveledge/coordinator/_worker_loss.py
+++ b/chiveledge/coordinator/_worker_loss.py
@@ -61,6 +61,7 @@
     """
 
     name: TaskName
+    number: int
     is_recent: bool
     is_apart: bool
 
@@ -306,6 +307,7 @@
             tuple(
                 LostRun(
                     run.name,
+                    run.run.number,
                     _is_recent(link, run),
                     run.is_isolated,
                 )
@@ -350,13 +352,15 @@
 
     def _count(self, run: LostRun, *, is_suspect: bool, names_job: bool) -> None:
         task = self._find_open_task(run.name)
-        if task is None:
+        if task is None or task.crashed_run >= run.number:
             return
         self._mark_dirty(self._jobs[run.name.job_id])
         now_ms = int(self._clock.now().timestamp() * 1000)
         if now_ms - task.last_crash_ms > CRASH_MEMORY_S * 1000:
             task.forget_crashes()
-        task.record_crash(now_ms, is_suspect=is_suspect, names_job=names_job)
+        task.record_crash(
+            run.number, now_ms, is_suspect=is_suspect, names_job=names_job
+        )
 
     def _list_verdicts(self, runs: Sequence[LostRun]) -> Iterator[Verdict]:
         given_up: set[JobId] = set()
--- a/chiveledge/workload/_progress.py
+++ b/chiveledge/workload/_progress.py
@@ -110,6 +110,9 @@
         Worker processes that crashed while a run of the task was there.
     named_crashes : int
         Those of them that no other job can have caused.
+    crashed_run : int
+        Number of the latest run that was counted as lost with its worker, as it may
+        still be open for the next leader; 0 if there is none.
     last_crash_ms : int
         Wall time of the last of them in milliseconds since 1970; 0 before.
     suspected : bool
@@ -127,6 +130,7 @@
     stalls: int = 0
     crashes: int = 0
     named_crashes: int = 0
+    crashed_run: int = 0
     last_crash_ms: int = 0
     suspected: bool = False
 
@@ -135,8 +139,11 @@
         """Whether the next run starts on a worker without other jobs."""
         return self.suspected or self.crashes > 1
 
-    def record_crash(self, now_ms: int, *, is_suspect: bool, names_job: bool) -> None:
+    def record_crash(
+        self, run: int, now_ms: int, *, is_suspect: bool, names_job: bool
+    ) -> None:
         """Record that a worker crashed while a run of the task was there."""
+        self.crashed_run = run
         self.last_crash_ms = now_ms
         self.crashes += 1
         self.named_crashes += names_job
--- a/chiveledge/workload/_progress_codec.py
+++ b/chiveledge/workload/_progress_codec.py
@@ -213,6 +213,7 @@
             crashes[index] = [
                 task.crashes,
                 task.named_crashes,
+                task.crashed_run,
                 task.last_crash_ms,
                 task.suspected,
             ]
@@ -245,7 +246,8 @@
         tasks[int(index)].run.machine = machine
     for index, row in fields.get("crashes", {}).items():
         task = tasks[int(index)]
-        task.crashes, task.named_crashes, task.last_crash_ms, task.suspected = row
+        task.crashes, task.named_crashes, task.crashed_run, *rest = row
+        task.last_crash_ms, task.suspected = rest
     step.tasks[indices] = tasks
     step.failed_run = max(step.failed_run, fields.get("failed_run", 0))
 
--- a/tests/coordinator/test_deadly_tasks.py
+++ b/tests/coordinator/test_deadly_tasks.py
@@ -11,7 +11,7 @@
 import pytest
 
 from chiveledge.services.machines import Wave
-from chiveledge.workload import JobState, Step
+from chiveledge.workload import JobState, Step, TaskName
 from tests.coordinator.cluster import SMALL, Cluster, Reboot
 
 FULL_WORKER = SMALL._replace(accelerators=8)
@@ -491,3 +491,20 @@
                 cluster.crash_worker(worker.entry.name)
     await check_completed(cluster, [*names, "wide", "gang"])
     assert count_lost(cluster, names) >= 2 * len(names)
+
+
+async def test_crash_is_counted_once_though_leaders_change(make_fleet):
+    """Each leader that found the run still open counted the same crash again."""
+    cluster = await make_fleet(SAME_NAME)
+    await cluster.submit("job", Step(usage=SMALL), crash_after_s=CRASH_S)
+    await wait_for_crashes(cluster, 1)
+    (crashed,) = [w for w in cluster.present_workers if w.faults.down]
+    for _ in range(3):
+        # The row shows the restart, but no call tells whether the run is there.
+        cluster.nodes[0].workers[crashed.entry.name].cut = True
+        await cluster.advance(5.0)
+        job = cluster.leader.coordinator.term.jobs["job"]
+        task = job.find_task(TaskName("job", 0, 0, 0))
+        assert task.run is not None
+        assert task.crashes == 1
+        await cluster.restart(0)
--- a/tests/workload/test_progress_codec.py
+++ b/tests/workload/test_progress_codec.py
@@ -136,7 +136,7 @@
     for index in (3, 60):
         tasks[index].last_run = 1
         tasks[index].run = OpenRun(1, "w1", 5, RunState.UNKNOWN, "m1")
-        tasks[index].record_crash(7, is_suspect=index == 3, names_job=index == 3)
+        tasks[index].record_crash(1, 7, is_suspect=index == 3, names_job=index == 3)
     header, parts = encode_progress(job, max_chars)
     assert bool(parts) == (max_chars == 150)
     assert decode_progress(REQUEST, header, 0, parts.items()) == job
