--- a/chiveledge/jobs.py
+++ b/chiveledge/jobs.py
@@ -140,6 +140,10 @@
         Name of the object that holds large results.
     reason : str
         Why the job failed or waits.
+    blame : int
+        How much the losses of its workers point to the job.
+    lost_at : datetime, optional
+        Wall time of the last such loss.
     """
 
     job_id: JobId
@@ -155,6 +159,8 @@
     result_object: str = ""
     reason: str = ""
     ended_at: datetime | None = None
+    blame: int = 0
+    lost_at: datetime | None = None
 
     @property
     def key(self) -> str:
@@ -194,6 +200,11 @@
     fields["spec"] = job.spec.model_dump(mode="json")
     fields["submitted_at"] = job.submitted_at.isoformat()
     fields["ended_at"] = job.ended_at.isoformat() if job.ended_at else None
+    if job.lost_at is None:
+        # Processes of an earlier version read the rows of other jobs, too.
+        del fields["blame"], fields["lost_at"]
+    else:
+        fields["lost_at"] = job.lost_at.isoformat()
     if job.attempt is not None:
         fields["attempt"] = _encode_attempt(job.attempt)
     return json.dumps(fields)
@@ -206,6 +217,8 @@
     fields["submitted_at"] = datetime.fromisoformat(fields["submitted_at"])
     if fields["ended_at"]:
         fields["ended_at"] = datetime.fromisoformat(fields["ended_at"])
+    if fields.get("lost_at"):
+        fields["lost_at"] = datetime.fromisoformat(fields["lost_at"])
     fields["state"] = JobState(fields["state"])
     fields["failed_on"] = tuple(fields["failed_on"])
     fields["results"] = tuple(fields["results"])
--- a/chiveledge/scheduler/_attempt_outcomes.py
+++ b/chiveledge/scheduler/_attempt_outcomes.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
+from chiveledge.scheduler._lost_attempts import LossSign
 from chiveledge.types import WorkerName
 
 
@@ -27,6 +28,7 @@
     """Members were lost, since workers are unresponsive or their leases lapsed."""
 
     workers: tuple[WorkerName, ...]
+    sign: LossSign = LossSign.SILENT
 
 
 @dataclass(frozen=True)
--- a/chiveledge/scheduler/_attempt_runner.py
+++ b/chiveledge/scheduler/_attempt_runner.py
@@ -21,6 +21,7 @@
     Reclaimed,
     StartRejected,
 )
+from chiveledge.scheduler._lost_attempts import LossSign
 from chiveledge.scheduler._planner import PlannedStart
 from chiveledge.scheduler._worker_session import WorkerSession
 from chiveledge.services import (
@@ -253,9 +254,19 @@
             )
         )
         if lost:
-            return MembersLost(lost)
+            return MembersLost(lost, self._find_loss_sign(lost))
         return self._requested_outcome
 
+    def _find_loss_sign(self, workers: Sequence[WorkerName]) -> LossSign:
+        """Return what is known of workers whose members are gone."""
+        sessions = self._sessions.values()
+        lost_count = sum(session.lost for session in sessions)
+        if lost_count > 1 and 2 * lost_count >= len(sessions):
+            return LossSign.WIDESPREAD
+        if any(self._session(worker).lost for worker in workers):
+            return LossSign.SILENT
+        return LossSign.RESTARTED
+
     async def _end(self, outcome: AttemptOutcome) -> None:
         """Stop all members, commit the outcome, and make the workers forget them."""
         if isinstance(outcome, Reclaimed):
--- a/chiveledge/scheduler/_job_repository.py
+++ b/chiveledge/scheduler/_job_repository.py
@@ -31,6 +31,12 @@
     StartRejected,
 )
 from chiveledge.scheduler._failure_tracker import FailureTracker
+from chiveledge.scheduler._lost_attempts import (
+    SHARED_LOSS_S,
+    LossRecord,
+    LossSign,
+    add_loss,
+)
 from chiveledge.services import (
     CallError,
     Check,
@@ -90,6 +96,7 @@
         self._clock = clock
         self._jobs: dict[JobId, Job] = {}
         self._versions: dict[JobId, int] = {}
+        self._lost_workers: dict[WorkerName, tuple[float, JobId]] = {}
 
     @property
     def jobs(self) -> dict[JobId, Job]:
@@ -213,8 +220,8 @@
                 return self._finalize(job, JobState.CANCELLED, "cancelled")
             case MembersFailed(workers):
                 return self._apply_failure(queued, workers)
-            case MembersLost(workers):
-                return queued._replace(reason=f"lost members on {','.join(workers)}")
+            case MembersLost(workers, sign):
+                return self._apply_loss(queued, workers, sign)
             case StartRejected(reason):
                 reason = f"the store rejects the job's row: {reason}"
                 return self._finalize(queued, JobState.FAILED, reason)
@@ -231,6 +238,42 @@
             return self._finalize(job, JobState.FAILED, reason)
         return job._replace(reason=f"failed on {','.join(workers)}; will be retried")
 
+    def _apply_loss(
+        self, job: Job, workers: tuple[WorkerName, ...], sign: LossSign
+    ) -> Job:
+        """Queue a job again whose workers were lost, unless too many were."""
+        earlier = LossRecord(job.blame, job.lost_at) if job.lost_at else None
+        alone = self._was_alone(job.job_id, workers)
+        record = add_loss(earlier, sign, alone=alone, now=self._clock.now())
+        log.info(
+            "Workers of a job were lost.",
+            job=job.job_id,
+            workers=workers,
+            sign=sign,
+            alone=alone,
+            blame=record.blame,
+        )
+        job = job._replace(blame=record.blame, lost_at=record.last_at)
+        if record.is_exhausted:
+            reason = f"its workers are lost again and again, now {','.join(workers)}"
+            return self._finalize(job, JobState.FAILED, reason)
+        return job._replace(reason=f"lost members on {','.join(workers)}")
+
+    def _was_alone(self, job_id: JobId, workers: tuple[WorkerName, ...]) -> bool:
+        """Return whether no other job ran on lost workers; record their loss."""
+        now_s = self._clock.monotonic()
+        shared = any(
+            other.job_id != job_id
+            and other.attempt is not None
+            and not set(workers).isdisjoint(other.attempt.workers)
+            for other in self._jobs.values()
+        )
+        for worker in workers:
+            lost_s, lost_job = self._lost_workers.get(worker, (0.0, job_id))
+            shared |= lost_job != job_id and now_s - lost_s < SHARED_LOSS_S
+            self._lost_workers[worker] = (now_s, job_id)
+        return not shared
+
     def _finalize(self, job: Job, state: JobState, reason: str) -> Job:
         if state is not JobState.FINISHED:
             self._failure_tracker.discard_job(job.job_id)
--- a/tests/scheduler/test_harmful_jobs.py
+++ b/tests/scheduler/test_harmful_jobs.py
@@ -127,3 +127,37 @@
         assert region.job(job_id).state is JobState.FAILED
 
     run_region(work)
+
+
+def test_job_whose_workers_are_all_cut_off_again_and_again_is_not_given_up():
+    # A cut region loses all attempts at once, which says nothing of the jobs.
+    async def work(region):
+        region.start_leader("a")
+        job_id = await region.submit(make_spec(payload='{"run_s": 30.0}'), "k")
+        for _ in range(8):
+            await region.run_for(3.0)
+            for worker in region.workers.values():
+                worker.faults.set({"down": True})
+            await region.run_for(12.0)
+            for worker in region.workers.values():
+                worker.faults.set({})
+        await region.run_until(
+            lambda: region.job(job_id).state is JobState.FINISHED, within_s=90.0
+        )
+
+    run_region(work)
+
+
+def test_losses_of_workers_outlast_the_leader():
+    # The next leader would have begun to count anew.
+    async def work(region):
+        leader = region.start_leader("a")
+        job_id = await region.submit(make_spec(payload='{"run_s": 60.0}'), "k")
+        crashes = await crash_under(region, job_id, 9.0)
+        leader.cancel()
+        region.start_leader("b")
+        crashes += await crash_under(region, job_id, 120.0)
+        assert 2 <= crashes <= 5
+        assert region.job(job_id).state is JobState.FAILED
+
+    run_region(work)
