--- a/chiveledge/coordinator/_context.py
+++ b/chiveledge/coordinator/_context.py
@@ -9,6 +9,7 @@
 from chiveledge.coordinator._advice import AdviceService
 from chiveledge.coordinator._timing import CoordinatorTiming
 from chiveledge.decision_log import DecisionLog
+from chiveledge.drains import NO_DRAINS, KnownDrains
 from chiveledge.metrics import Metrics
 from chiveledge.services import Row, WatchedTable
 from chiveledge.services.machines import MachineService, Wave
@@ -36,6 +37,8 @@
         Lists machines and begins their upkeep; None disables upkeep.
     waves : callable
         Returns the waves of upkeep that operators requested.
+    drains : callable
+        Returns the drains of failure domains as this process knows them.
     """
 
     table: WatchedTable
@@ -51,3 +54,4 @@
     advice: AdviceService | None = None
     machines: MachineService | None = None
     waves: Callable[[], Iterable[Wave]] = tuple
+    drains: Callable[[], KnownDrains] = lambda: NO_DRAINS
--- a/chiveledge/coordinator/_fleet_view.py
+++ b/chiveledge/coordinator/_fleet_view.py
@@ -10,6 +10,7 @@
 from chiveledge.coordinator._demands import find_policy
 from chiveledge.coordinator._tracked_run import SETTLED_RUN_S, TrackedRun
 from chiveledge.coordinator._worker_link import WorkerLink
+from chiveledge.drains import NO_DRAINS, KnownDrains
 from chiveledge.placement import FleetView, RunView, WorkerSuspicion, WorkerView
 from chiveledge.services.task_worker import WorkerEntry
 from chiveledge.types import JobId, WorkerName
@@ -35,6 +36,7 @@
     probe_running: bool
     suspected: bool
     slow: bool
+    cold: bool
     slowdown: float
     trusted: bool
     isolated_job: JobId | None
@@ -78,6 +80,8 @@
     stop_s : float
         Longest time that a stop takes. A run that ends by itself within this time
         releases its capacity as soon as a stopped one, and loses no work.
+    drains : callable, optional
+        Returns the drains of failure domains as far as they are known.
     """
 
     def __init__(
@@ -85,8 +89,10 @@
         jobs: dict[str, JobProgress],
         catalogue: Callable[[], Catalogue],
         stop_s: float,
+        drains: Callable[[], KnownDrains] = lambda: NO_DRAINS,
     ) -> None:
         self._jobs = jobs
+        self._drains = drains
         self._catalogue = catalogue
         self._stop_s = stop_s
         self._views: dict[WorkerName, _CachedView] = {}
@@ -114,9 +120,11 @@
             Capacity on each worker that is reserved for tasks waiting for stops.
         """
         links = list(links)
+        drains = self._drains()
         self._now_s = now_s
         self._protected = find_protected_tasks(links, self._jobs)
-        avoided = suspicion.avoided(now_s, len(links))
+        usable = [link for link in links if drains.may_start_in(link.entry.domain)]
+        avoided = suspicion.avoided(now_s, len(usable))
         probing = suspicion.probing(now_s)
         suspected = suspicion.suspected()
         trusted = suspicion.trusted(now_s)
@@ -130,11 +138,12 @@
                 reserved.get(name, NOTHING),
                 link.serving_runs > 0,
                 link.filler_runs > 0,
-                is_accepting(link, now_s) and name not in avoided,
+                is_accepting(link, now_s, drains) and name not in avoided,
                 name in probing,
                 name in probing and _has_probe(link, suspicion),
                 name in suspected,
                 name in slow.now,
+                now_s < link.cold_until_s,
                 slow.slowdowns.get(name, 1.0),
                 name in trusted,
                 link.find_isolated_job(now_s),
@@ -164,6 +173,7 @@
             probe_running=inputs.probe_running,
             suspected=inputs.suspected,
             slow=inputs.slow,
+            cold=inputs.cold,
             slowdown=inputs.slowdown,
             trusted=inputs.trusted,
             serving=inputs.serving,
@@ -196,7 +206,9 @@
     )
 
 
-def is_accepting(link: WorkerLink, now_s: float) -> bool:
+def is_accepting(
+    link: WorkerLink, now_s: float, drains: KnownDrains = NO_DRAINS
+) -> bool:
     """Return whether new runs may be placed on a worker.
 
     Failures and stalls of earlier runs are not considered here.
@@ -209,6 +221,7 @@
         and link.unresponsive_since_s is None
         and now_s >= link.avoid_until_s
         and not link.emptying
+        and drains.may_start_in(link.entry.domain)
     )
 
 
--- a/chiveledge/coordinator/_hedged_orders.py
+++ b/chiveledge/coordinator/_hedged_orders.py
@@ -40,14 +40,18 @@
 
 
 async def send_once(
-    clock: Clock, send: Callable[[], Coroutine[None, None, OrderResult]]
+    clock: Clock,
+    send: Callable[[], Coroutine[None, None, OrderResult]],
+    may_repeat: Callable[[], bool] = lambda: False,
 ) -> HedgedAnswer:
     """Send an order that must not be repeated; has the parameters of `send_hedged`."""
     return HedgedAnswer(await send(), unanswered=False)
 
 
 async def send_hedged(
-    clock: Clock, send: Callable[[], Coroutine[None, None, OrderResult]]
+    clock: Clock,
+    send: Callable[[], Coroutine[None, None, OrderResult]],
+    may_repeat: Callable[[], bool] = lambda: True,
 ) -> HedgedAnswer:
     """Send an order, and a copy of it if there is no answer within `HEDGE_DELAY_S`.
 
@@ -55,6 +59,8 @@
     ----------
     send : callable
         Sends the order once and returns its answer.
+    may_repeat : callable, optional
+        Whether a copy may be sent by then.
     """
     first = asyncio.create_task(send())
     timer = asyncio.create_task(clock.sleep(HEDGE_DELAY_S))
@@ -63,6 +69,8 @@
         await asyncio.wait({first, timer}, return_when=asyncio.FIRST_COMPLETED)
         if first.done():
             return HedgedAnswer(first.result(), unanswered=False)
+        if not may_repeat():
+            return HedgedAnswer(await first, unanswered=False)
         copies.append(asyncio.create_task(send()))
         return await _wait_for_answer(copies)
     finally:
--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -41,6 +41,8 @@
 """Longest pause of a step whose orders are declined as bad. Shorter than the 3 s for
 which a job may have nothing running while there is capacity for it."""
 
+DRAINED_REASON = "the failure domain is drained, or the drains are not known"
+
 PlacedRuns = list[tuple[WorkerLink, TrackedRun]]
 """Runs, each with the worker on which it is placed."""
 
@@ -98,6 +100,7 @@
         self._log = context.log
         self._metrics = context.metrics
         self._timing = context.timing
+        self._drains = context.drains
         self._leadership = leadership
         self._epoch = leadership.epoch
         self._progress_writer = progress_writer
@@ -123,7 +126,7 @@
             for link, tracked in placed:
                 self.discard(link, tracked, f"not sent: {obstacle}")
             return
-        placed = self._discard_exceeding(step, placed)
+        placed = self._discard_unusable(step, placed)
         if not placed:
             return
         checkpoint = _choose_checkpoint(step, placed)
@@ -152,24 +155,38 @@
             return "a worker restarted"
         return ""
 
-    def _discard_exceeding(self, step: Step, placed: PlacedRuns) -> PlacedRuns:
-        """Discard the runs whose workers shrank while they were stored.
+    def _discard_unusable(self, step: Step, placed: PlacedRuns) -> PlacedRuns:
+        """Discard the runs whose workers shrank or are drained since they were placed.
 
         Returns the other runs; none of a gang that isn't whole any more.
         """
-        reason = "not sent: the worker's capacity shrank"
         kept = []
+        reason = ""
         for link, tracked in placed:
-            if link.is_over_capacity:
+            unusable = self._find_unusable(link)
+            if unusable:
+                reason = f"not sent: {unusable}"
                 self.discard(link, tracked, reason)
             else:
                 kept.append((link, tracked))
-        if not step.gang or len(kept) == len(placed):
+        if not step.gang or not reason:
             return kept
         for link, tracked in kept:
             self.discard(link, tracked, f"{reason} for another member of the gang")
         return []
 
+    def _find_unusable(self, link: WorkerLink) -> str:
+        """Return why nothing may start on a worker any more; empty if it may."""
+        if link.is_over_capacity:
+            return "the worker's capacity shrank"
+        if not self._may_start_on(link):
+            return DRAINED_REASON
+        return ""
+
+    def _may_start_on(self, link: WorkerLink) -> bool:
+        """Return whether a start order may be sent by the drains known now."""
+        return self._drains().may_start_in(link.entry.domain)
+
     def stop(self, link: WorkerLink, tracked: TrackedRun, reason: str) -> None:
         """Stop a run; its capacity becomes free once the worker reports its end."""
         if tracked.stopping or tracked.key not in link.runs:
@@ -285,6 +302,9 @@
             now_s = self._clock.monotonic()
             if not may_extend_leases(self._leadership, now_s):
                 break
+            if not self._may_start_on(link):
+                self._withdraw(link, tracked, was_sent=unanswered)
+                return False
             incarnation_ms = link.incarnation_ms
             order = StartOrder(
                 task=str(tracked.name),
@@ -301,7 +321,9 @@
                 return False
             self._metrics.count("starts_sent")
             answered = await send(
-                self._clock, lambda order=order: link.client.start(order)
+                self._clock,
+                lambda order=order: link.client.start(order),
+                lambda: self._may_start_on(link),
             )
             unanswered |= answered.unanswered
             if answered.unanswered:
@@ -331,6 +353,21 @@
         self.stop(link, tracked, "the worker did not answer the start order")
         return False
 
+    def _withdraw(
+        self, link: WorkerLink, tracked: TrackedRun, *, was_sent: bool
+    ) -> None:
+        """Withdraw a start that may not be sent, or sent again, because of a drain.
+
+        An order that was never sent can't be carried out; one that may have arrived is
+        stopped.
+        """
+        if was_sent:
+            self.stop(
+                link, tracked, f"no answer to the start order, and {DRAINED_REASON}"
+            )
+        else:
+            self.discard(link, tracked, f"not sent: {DRAINED_REASON}")
+
     def _record_unanswered(self, link: WorkerLink, tracked: TrackedRun) -> None:
         link.record_unanswered_start(tracked, self._clock.monotonic())
         self._metrics.count("starts_unanswered")
--- a/chiveledge/coordinator/_pending_starts.py
+++ b/chiveledge/coordinator/_pending_starts.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from chiveledge.coordinator._worker_link import WorkerLink
+from chiveledge.drains import KnownDrains
 from chiveledge.placement import DeferredStart, Placement, StepDemand, charged_usage
 from chiveledge.types import WorkerName
 from chiveledge.workload import JobProgress, TaskName, Usage
@@ -54,6 +55,8 @@
         State of each worker by name, and all jobs by ID.
     start : callable
         Starts tasks of a demand at their placements.
+    drains : callable
+        Returns the drains of failure domains as far as they are known.
     """
 
     def __init__(
@@ -61,10 +64,12 @@
         links: dict[WorkerName, WorkerLink],
         jobs: dict[str, JobProgress],
         start: Callable[[StepDemand, list[Placement]], None],
+        drains: Callable[[], KnownDrains],
     ) -> None:
         self._links = links
         self._jobs = jobs
         self._start = start
+        self._drains = drains
         self._pending: list[PendingStart] = []
 
     def add(self, deferred: DeferredStart, now_s: float) -> None:
@@ -93,10 +98,13 @@
         return not self._can_still_start(item.deferred, now_s)
 
     def _can_still_start(self, deferred: DeferredStart, now_s: float) -> bool:
+        drains = self._drains()
         for placement in deferred.placements:
             link = self._links.get(placement.worker)
             if link is None or not link.listed or link.entry.draining:
                 return False
+            if not drains.may_start_in(link.entry.domain):
+                return False
             if link.emptying or not link.is_described:
                 return False
             if link.unresponsive_since_s is not None:
--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -10,6 +10,7 @@
 from chiveledge.coordinator._advice import Candidate, TicketCache
 from chiveledge.coordinator._context import TermContext
 from chiveledge.coordinator._demands import find_policy, list_demands
+from chiveledge.coordinator._drain_monitor import DrainMonitor
 from chiveledge.coordinator._fleet_view import FleetViewBuilder
 from chiveledge.coordinator._orders import OrderDispatcher
 from chiveledge.coordinator._pending_starts import PendingStarts
@@ -111,12 +112,15 @@
         self._crashes = crashes
         self._estimator = estimator
         self._view_builder = FleetViewBuilder(
-            jobs, context.catalogue, context.timing.stop_s
+            jobs, context.catalogue, context.timing.stop_s, context.drains
         )
         self._plan_due = plan_due
         self._spawn = spawn
         self._list_age_s = list_age_s
-        self._pending_starts = PendingStarts(links, jobs, self._start_runs)
+        self._pending_starts = PendingStarts(
+            links, jobs, self._start_runs, context.drains
+        )
+        self._drain_monitor = DrainMonitor(context, links)
         self._arrivals: dict[str, UrgentArrivals] = defaultdict(UrgentArrivals)
 
     async def run(self) -> None:
@@ -136,6 +140,7 @@
 
     def _plan(self) -> None:
         now_s = self._clock.monotonic()
+        self._drain_monitor.check_age(now_s)
         self._supervisor.check_runs(now_s)
         reservations = self._pending_starts.review(now_s)
         slow = self._supervisor.find_slow_workers(now_s)
@@ -161,6 +166,7 @@
             if self._may_start(demand.service)
             and not self._orders.is_resting(demand.step_name, now_s)
         ]
+        self._drain_monitor.check_waits(ready, now_s)
         plan = make_plan(fleet, self._apply_advice(fleet, ready))
         for start in plan.starts:
             self._start_runs(start.demand, start.placements)
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -91,6 +91,8 @@
         since then.
     avoid_until_s : float
         Monotonic time until which no new run is placed on the worker.
+    cold_until_s : float
+        Monotonic time until which the worker said that it is slow after its start.
     incarnation_ms : int
         Start time of the worker process, in milliseconds since 1970.
     past_incarnations : set of int
@@ -139,6 +141,7 @@
     loss_sign: LossSign = LossSign.SILENT
     draining_since_s: float | None = None
     avoid_until_s: float = 0.0
+    cold_until_s: float = 0.0
     incarnation_ms: int = 0
     past_incarnations: set[int] = field(default_factory=set)
     incarnation_began_s: float = float("-inf")
--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -162,6 +162,7 @@
             link.incarnation_ms = entry.incarnation_ms
             if entry.draining:
                 link.draining_since_s = self._clock.monotonic()
+            link.cold_until_s = self._clock.monotonic() + entry.cold_left_s
             self.links[entry.name] = link
             self._log.write(
                 "workers",
@@ -188,6 +189,8 @@
             )
         if entry.address != link.entry.address:
             link.client = self._context.make_worker(entry)
+        if entry.cold_left_s != link.entry.cold_left_s:
+            link.cold_until_s = self._clock.monotonic() + entry.cold_left_s
         link.entry = entry
         link.listed = True
 
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -79,6 +79,8 @@
         Whether a task failed or stalled there since its last success.
     slow : bool
         Whether its runs progress slowly now.
+    cold : bool
+        Whether it says itself that it is still slow after its start.
     slowdown : float
         How many times as long runs always take on it as on a worker at full speed.
     trusted : bool
@@ -114,6 +116,7 @@
     probe_running: bool = False
     suspected: bool = False
     slow: bool = False
+    cold: bool = False
     slowdown: float = 1.0
     trusted: bool = False
     serving: bool = False
--- a/chiveledge/placement/_packing.py
+++ b/chiveledge/placement/_packing.py
@@ -167,12 +167,13 @@
 ) -> tuple[bool, bool, float, int, int, int, str]:
     """Sort key by what a task leaves free.
 
-    Workers that are kept for another job come last, after suspected and slow ones.
+    Workers that are kept for another job come last, after suspected and slow ones and,
+    for urgent tasks, cold ones.
     """
     left = free.minus(usage)
     return (
         worker.isolated_job not in (None, demand.job_id),
-        worker.suspected or worker.slow,
+        worker.suspected or worker.slow or (demand.urgent and worker.cold),
         worker.slowdown if demand.urgent else 1.0,
         left.accelerators,
         left.memory_mb,
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -15,6 +15,7 @@
 from chiveledge.clock import SystemClock
 from chiveledge.coordinator import Coordinator, CoordinatorTiming, TermContext
 from chiveledge.decision_log import JsonLog
+from chiveledge.drains import KnownDrains
 from chiveledge.events import Timeline
 from chiveledge.intake import (
     JOB_STATUS_PREFIX,
@@ -67,8 +68,15 @@
 Running work survives the loss of all hosts for this long.
 """
 
+DRAINS_AGE_SHARE = 0.7
+"""Age up to which the drains are relied on, as a share of `drain_apply_s`.
+
+The rest is for an order on its way to a worker.
+"""
+
 CONFIGURATION_WATCH_SHARE = 0.2
-"""Maximum duration of a configuration watch, as a share of `config_apply_s`.
+"""Maximum duration of a watch of the operators' rows, as a share of the shortest time
+within which one of them has to be in force.
 
 One unanswered watch, its margin and the snapshot read after it end before the
 configuration is so old that callers are sent elsewhere.
@@ -218,7 +226,7 @@
             self._clock,
             self._log,
             self._operator_rows.apply_changes,
-            wait_s=self._settings.bounds.config_apply_s * CONFIGURATION_WATCH_SHARE,
+            wait_s=self._shortest_apply_s * CONFIGURATION_WATCH_SHARE,
         )
         self._status_follower = TableFollower(
             store,
@@ -292,6 +300,7 @@
             advice=self._make_advice(),
             machines=self._make_machines(),
             waves=lambda: self._operator_rows.waves,
+            drains=self._get_drains,
         )
         leadership = Leadership(
             SHARD,
@@ -304,6 +313,14 @@
         )
         return Coordinator(context, leadership, lambda: len(self._peers))
 
+    def _get_drains(self) -> KnownDrains:
+        apply_s = self._settings.bounds.drain_apply_s
+        return KnownDrains(
+            self._operator_rows.drains,
+            self._configuration_follower.age_s,
+            float("inf") if apply_s is None else apply_s * DRAINS_AGE_SHARE,
+        )
+
     def _make_advice(self) -> PlatformAdvice | None:
         if self._settings.advice is None:
             return None
@@ -316,6 +333,12 @@
         url = f"http://{self._settings.machines}"
         return PlatformMachines(self._make_caller(url, 2))
 
+    @property
+    def _shortest_apply_s(self) -> float:
+        """Shortest time within which a row of the operators has to be in force."""
+        bounds = self._settings.bounds
+        return min(bounds.config_apply_s, bounds.drain_apply_s or bounds.config_apply_s)
+
     @property
     def _max_configuration_age_s(self) -> float:
         return self._settings.bounds.config_apply_s * TRUSTED_AGE_SHARE
@@ -330,6 +353,7 @@
         return web.Response(status=200 if ready else 503)
 
     async def _handle_metrics(self, request: web.BaseRequest) -> web.Response:
+        self._metrics.set("drained_domains", len(self._operator_rows.drains))
         return web.Response(text=render_metrics(self._metrics))
 
     async def _watch_settings(self) -> None:
--- a/chiveledge/platform/_operator_rows.py
+++ b/chiveledge/platform/_operator_rows.py
@@ -1,16 +1,19 @@
-"""What operators write: the configuration and the waves of upkeep."""
+"""What operators write: the configuration, waves of upkeep and drains of domains."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from result import Err, Ok
 
 from chiveledge.decision_log import DecisionLog
+from chiveledge.drains import Drain
 from chiveledge.platform._catalogue import CONFIGURATION_KEY, decode_catalogue
+from chiveledge.platform._drain_rows import DrainRows
 from chiveledge.platform._machines import WAVE_PREFIX, decode_wave
 from chiveledge.services import Row
 from chiveledge.services.machines import Wave
+from chiveledge.types import DomainName
 from chiveledge.workload import Catalogue
 
 
@@ -20,7 +23,8 @@
     Parameters
     ----------
     log : DecisionLog
-        Receives a line for each configuration and wave, also for unreadable ones.
+        Receives a line for each configuration, wave and drain, also for unreadable
+        ones.
 
     Attributes
     ----------
@@ -32,17 +36,25 @@
         self.catalogue = Catalogue()
         self._log = log
         self._waves: dict[str, Wave] = {}
+        self._drain_rows = DrainRows(log)
 
     @property
     def waves(self) -> list[Wave]:
         """The waves of upkeep that operators requested."""
         return list(self._waves.values())
 
+    @property
+    def drains(self) -> Mapping[DomainName, Drain]:
+        """The drains of failure domains in force, by domain."""
+        return self._drain_rows.drains
+
     def apply_changes(
         self, rows: Iterable[Row], deleted: Iterable[str], is_snapshot: bool
     ) -> None:
-        """Apply changed and deleted rows; a snapshot replaces the waves."""
+        """Apply changed and deleted rows; a snapshot replaces the waves and drains."""
         rows = list(rows)
+        deleted = list(deleted)
+        self._drain_rows.apply_changes(rows, deleted, is_snapshot)
         if is_snapshot:
             self._waves.clear()
         for key in deleted:
--- a/chiveledge/platform/_settings.py
+++ b/chiveledge/platform/_settings.py
@@ -57,6 +57,9 @@
         Shortest time between orders for a machine from different leaders.
     upkeep_s : float
         Downtime of a machine for its upkeep.
+    drain_apply_s : float, optional
+        Time within which the drain of a failure domain has to be in force; None if
+        nothing promises one.
     """
 
     grace_s: float = 6.0
@@ -67,6 +70,7 @@
     keep_status_s: float = 120.0
     machine_lease_s: float = 3.0
     upkeep_s: float = 2.0
+    drain_apply_s: float | None = None
 
 
 class HostLimits(NamedTuple):
@@ -231,9 +235,14 @@
         keep_status_s=_get_number(fields, "status_s", default.keep_status_s),
         machine_lease_s=_get_number(fields, "lease_ms", 3000) / 1000,
         upkeep_s=_get_number(fields, "upkeep_s", default.upkeep_s),
+        drain_apply_s=_get_drain_apply_s(fields),
     )
 
 
+def _get_drain_apply_s(fields: Mapping[str, Any]) -> float | None:
+    return _get_number(fields, "evac_ms", 0) / 1000 or None
+
+
 def _check_object(value: object, field: str) -> Mapping[str, Any]:
     if not isinstance(value, dict):
         raise _FieldError(field, "set an object")
--- a/chiveledge/platform/_store.py
+++ b/chiveledge/platform/_store.py
@@ -339,7 +339,8 @@
 
 
 def _decode_changes(body: dict) -> Changes:
-    rows = body["rows"]
+    # A row that changed twice may be listed twice, the last change last.
+    rows = {_decode_key(row): row for row in body["rows"]}.values()
     return Changes(
         rows=tuple(_decode_row(row) for row in rows if not row.get("deleted")),
         deleted=tuple(_decode_key(row) for row in rows if row.get("deleted")),
--- a/chiveledge/platform/_workers.py
+++ b/chiveledge/platform/_workers.py
@@ -125,6 +125,7 @@
         draining=state == "draining",
         leaves_s=None if remaining is None else check_whole_number(remaining) / 1000,
         machine=check_type(fields.get("machine", ""), str),
+        cold_left_s=check_number(fields.get("cold_left_ms", 0)) / 1000,
     )
 
 
--- a/chiveledge/services/task_worker.py
+++ b/chiveledge/services/task_worker.py
@@ -26,6 +26,8 @@
         Minimum time that a leaving worker still has, in seconds.
     machine : str
         Name of the machine that the worker runs on.
+    cold_left_s : float
+        How much longer the worker stays slow after its start, in seconds.
     """
 
     name: WorkerName
@@ -39,6 +41,7 @@
     draining: bool = False
     leaves_s: float | None = None
     machine: str = ""
+    cold_left_s: float = 0.0
 
 
 class StartOrder(NamedTuple):
--- a/tests/coordinator/cluster.py
+++ b/tests/coordinator/cluster.py
@@ -12,11 +12,13 @@
 
 from chiveledge.clock import ManualClock
 from chiveledge.coordinator import Coordinator, CoordinatorTiming, TermContext
+from chiveledge.drains import NO_DRAINS, KnownDrains
 from chiveledge.events import Timeline
 from chiveledge.intake import JobStatusCache, JobStore, TableFollower
 from chiveledge.intake._status_cache import JOB_STATUS_PREFIX
 from chiveledge.leadership import Leadership
 from chiveledge.metrics import Metrics
+from chiveledge.platform._drain_rows import DRAIN_PREFIX, DrainRows
 from chiveledge.services import Put, Row, Transaction, Unsettled
 from chiveledge.services.machines import Wave
 from chiveledge.services.task_worker import WorkerEntry
@@ -138,6 +140,15 @@
             self.log,
             self.status_cache.apply_changes,
         )
+        self.drain_rows = DrainRows(self.log)
+        self._drain_max_age_s = cluster.drain_max_age_s
+        self.drain_follower = TableFollower(
+            self.store,
+            DRAIN_PREFIX,
+            cluster.clock,
+            self.log,
+            self.drain_rows.apply_changes,
+        )
         context = TermContext(
             table=self.store,
             worker_prefix=WORKER_PREFIX,
@@ -151,6 +162,7 @@
             max_row_chars=cluster.table.max_value_chars,
             machines=cluster.machines,
             waves=lambda: cluster.waves,
+            drains=self._get_drains,
         )
         leadership = Leadership(
             "all",
@@ -166,12 +178,21 @@
             asyncio.create_task(self.coordinator.run()),
             asyncio.create_task(self.follower.run()),
         ]
+        if cluster.drain_max_age_s is not None:
+            self.tasks.append(asyncio.create_task(self.drain_follower.run()))
 
     @property
     def leads(self) -> bool:
         """Whether this node leads."""
         return self.coordinator.term is not None
 
+    def _get_drains(self) -> KnownDrains:
+        if self._drain_max_age_s is None:
+            return NO_DRAINS
+        return KnownDrains(
+            self.drain_rows.drains, self.drain_follower.age_s, self._drain_max_age_s
+        )
+
     async def kill(self) -> None:
         """End at once without releasing the leadership."""
         term = self.coordinator.term
@@ -215,6 +236,8 @@
         max_value_chars: int = 65_536,
         reboot: Reboot | None = None,
         start_answer_s: float = 0.0,
+        domains: tuple[str, ...] = ("domain",),
+        drain_max_age_s: float | None = None,
     ) -> None:
         self.clock = ManualClock()
         self.table = MemoryTable(self.clock)
@@ -225,6 +248,7 @@
         self.tasks: dict[str, StandInTask] = {}
         self.workers: dict[str, MemoryTaskWorker] = {}
         self.record = FleetRecord()
+        self.drain_max_age_s = drain_max_age_s
         self.reboot = reboot or Reboot()
         self._reboots = 0
         self._start_answer_s = start_answer_s
@@ -236,7 +260,7 @@
                 f"w{number}",
                 "pool",
                 f"10.0.0.{number}:1",
-                "domain",
+                domains[number % len(domains)],
                 f"r{number // 2}",
                 frozenset({"a", f"r{number // 2}"}),
                 capacity,
@@ -314,6 +338,15 @@
         """Delete a worker's row."""
         self.table.commit(Transaction("w", deletes=(WORKER_PREFIX + name,)))
 
+    def drain(self, domain: str, value: str = "{}") -> None:
+        """Request as an operator that nothing starts in a failure domain."""
+        put = Put(DRAIN_PREFIX + domain, value)
+        self.table.commit(Transaction("op", puts=(put,)))
+
+    def undrain(self, domain: str) -> None:
+        """Give a failure domain back."""
+        self.table.commit(Transaction("op", deletes=(DRAIN_PREFIX + domain,)))
+
     def resize_worker(
         self, name: str, capacity: Usage, *, listed_after_s: float = HEARTBEAT_S
     ) -> None:
