--- a/chiveledge/log_report/_histories.py
+++ b/chiveledge/log_report/_histories.py
@@ -83,6 +83,10 @@
         For each step the steps that must be done before it.
     deferred : list of tuple
         Unix time and step of each decision to stop other runs for it.
+    waits_for_drain : dict
+        Unix time since when a step waits for the drain of a failure domain.
+    drain_wait_s : float
+        Seconds that its steps have waited for drains that were lifted.
     """
 
     job_id: str
@@ -100,6 +104,8 @@
     runs: list[RunRecord] = field(default_factory=list)
     placed: list[Placed] = field(default_factory=list)
     deferred: list[tuple[float, int]] = field(default_factory=list)
+    waits_for_drain: dict[int, float] = field(default_factory=dict)
+    drain_wait_s: float = 0.0
 
     @property
     def chain_s(self) -> float:
@@ -185,6 +191,9 @@
         for (node, _), lost_s in self._store_lost_s.items():
             outage = (node, lost_s, self._period.end_s)
             self._period.store_outages.append(outage)
+        for job in self._period.jobs.values():
+            for step in list(job.waits_for_drain):
+                _end_drain_wait(job, step, self._period.end_s)
         return self._period
 
     def _apply(self, time_s: float, line: LogLine) -> None:
@@ -233,6 +242,12 @@
             case ("coordinator", "deferred"):
                 step = _parse_step(str(fields.get("step")))
                 self._find(job_id).deferred.append((time_s, step))
+            case ("coordinator", "waits_for_drain"):
+                step = _parse_step(str(fields.get("step")))
+                self._find(job_id).waits_for_drain.setdefault(step, time_s)
+            case ("coordinator", "drain_wait_over"):
+                step = _parse_step(str(fields.get("step")))
+                _end_drain_wait(self._find(job_id), step, time_s)
             case ("orders", "stop"):
                 key = str(fields.get("task")), fields.get("run")
                 self._stop_reasons[key] = str(fields.get("why"))
@@ -270,6 +285,8 @@
             bool(fields.get("checkpoints", False)),
         )
         job.placed.append(placed)
+        # A later leader finds no drain and writes no line that the wait is over.
+        _end_drain_wait(job, placed.step, time_s)
 
     def _record_end(
         self, time_s: float, fields: dict[str, object], job: JobHistory
@@ -305,6 +322,11 @@
         )
 
 
+def _end_drain_wait(job: JobHistory, step: int, time_s: float) -> None:
+    since_s = job.waits_for_drain.pop(step, time_s)
+    job.drain_wait_s += time_s - since_s
+
+
 def _parse_step(step_name: str) -> int:
     number = step_name.rpartition(".")[2]
     return int(number) if number.isdecimal() else 0
--- a/chiveledge/log_report/_report.py
+++ b/chiveledge/log_report/_report.py
@@ -50,6 +50,10 @@
         Core-seconds that these runs lost, by cause.
     estimate_ratio : Quantiles, optional
         Ratio of actual to expected run time of the runs that were done.
+    drain_waits : int
+        Jobs that waited for the drain of a failure domain.
+    drain_wait_s : float
+        Seconds that all their steps waited for it.
     """
 
     name: str
@@ -65,6 +69,8 @@
     ends_without_result: dict[str, int]
     lost_core_s: dict[TimeUse, float]
     estimate_ratio: Quantiles | None
+    drain_waits: int
+    drain_wait_s: float
 
 
 class Outage(NamedTuple):
@@ -176,6 +182,8 @@
         ends_without_result=_sum_ends(jobs),
         lost_core_s=_sum_losses(jobs),
         estimate_ratio=find_quantiles(_list_estimate_ratios(jobs)),
+        drain_waits=sum(job.drain_wait_s > 0 for job in jobs),
+        drain_wait_s=sum(job.drain_wait_s for job in jobs),
     )
 
 
--- a/chiveledge/log_report/_text.py
+++ b/chiveledge/log_report/_text.py
@@ -60,6 +60,11 @@
     lines.append(
         f"  actual over expected run time: {_describe(group.estimate_ratio, '')}"
     )
+    if group.drain_waits:
+        lines.append(
+            f"  jobs that waited for a drained failure domain: {group.drain_waits}, "
+            f"for {group.drain_wait_s:.1f} s in all"
+        )
     for how, count in sorted(group.ends_without_result.items()):
         lines.append(f"  runs {how}: {count}")
     for use, lost in sorted(group.lost_core_s.items()):
--- a/tests/log_report/test_log_report.py
+++ b/tests/log_report/test_log_report.py
@@ -110,6 +110,35 @@
     assert [group.name for group in report.workspaces] == ["cafes"]
 
 
+def wait_for_drain(at_s, job="j1", step=0):
+    name = f"{job}.0.{step}"
+    return make_line(at_s, "coordinator", "waits_for_drain", id=job, step=name)
+
+
+def test_waits_for_drains_are_counted():
+    """Also those that another leader ends or that nothing has ended yet."""
+    lines = [
+        *hand_in(0.0, 0.1, 0.2),
+        wait_for_drain(1.0),
+        make_line(3.0, "coordinator", "drain_wait_over", id="j1", step="j1.0.0"),
+        place(3.0),
+        *hand_in(0.0, 0.1, 0.2, "j2"),
+        wait_for_drain(1.0, "j2"),
+        make_line(2.0, "coordinator", "loaded", node="n2"),
+        wait_for_drain(2.0, "j2"),
+        place(5.0, "j2"),
+        *hand_in(0.0, 0.1, 0.2, "j3"),
+        wait_for_drain(4.0, "j3"),
+        make_line(10.0, "node", "stop"),
+    ]
+    report = make_report(read_histories(lines))
+    (group,) = report.kinds
+    assert (group.drain_waits, group.drain_wait_s) == (3, pytest.approx(2 + 4 + 6))
+    assert any(
+        "drained failure domain: 3, for 12.0 s" in t for t in describe_report(report)
+    )
+
+
 def test_wait_without_a_leader_is_counted_apart():
     lines = [
         make_line(-1.0, "coordinator", "loaded", node="n1"),
