--- a/tests/coordinator/test_drains.py
+++ b/tests/coordinator/test_drains.py
@@ -375,10 +375,7 @@
     """Jobs, random faults and drains that are set and lifted at random."""
 
     def __init__(self, seed: int) -> None:
-        super().__init__(seed)
-        self.cluster = Cluster(
-            workers=6, nodes=3, domains=("a", "b", "c"), drain_max_age_s=MAX_AGE_S
-        )
+        super().__init__(seed, domains=("a", "b", "c"), drain_max_age_s=MAX_AGE_S)
         self.periods: list[list] = []
 
     async def inject_fault(self, number: int) -> None:
--- a/tests/coordinator/test_random_faults.py
+++ b/tests/coordinator/test_random_faults.py
@@ -30,11 +30,11 @@
 
 
 class FaultScenario:
-    """Jobs and random faults of one seed."""
+    """Jobs and random faults of one seed; takes options of the cluster."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, **options) -> None:
         self.rng = random.Random(seed)
-        self.cluster = Cluster(workers=6, nodes=3)
+        self.cluster = Cluster(workers=6, nodes=3, **options)
         for worker in self.cluster.workers.values():
             worker.clock_rate = self.rng.choice([0.98, 1.0, 1.02])
         self.accepted: dict[str, Step] = {}
