--- a/demo/platform.py
+++ b/demo/platform.py
@@ -9,7 +9,7 @@
 
 from chiveledge.workload import Usage
 from standins.deployment import CONFIGURATION, Deployment
-from standins.task_worker import StandInTask
+from standins.simulated_task import StandInTask
 
 GANG = StandInTask(0.5, Usage(1000, 0, 4), gang=2)
 URGENT = StandInTask(0.5, Usage(1000, 0, 4))
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,7 @@
 
 from chiveledge.workload import Usage
 from standins.deployment import CALLER, Deployment
-from standins.task_worker import StandInTask
+from standins.simulated_task import StandInTask
 
 MAX_JOBS = 25
 """Jobs per caller; those of four callers occupy eight accelerators for some 25 s."""
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -16,7 +16,7 @@
 from soak.callers import JobRecord
 from standins.deployment import CONFIGURATION, Deployment
 from standins.platform import describe_worker
-from standins.task_worker import StandInTask
+from standins.simulated_task import StandInTask
 
 MIN_PAUSE_S = 0.2
 MAX_PAUSE_S = 1.5
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -20,7 +20,8 @@
 from chiveledge.workload import Usage
 from standins.platform import StoreStandIn, describe_worker, make_worker_app
 from standins.run_record import FleetRecord
-from standins.task_worker import MemoryTaskWorker, StandInTask
+from standins.simulated_task import StandInTask
+from standins.task_worker import MemoryTaskWorker
 
 CONDITION_TIMEOUT_S = 30.0
 """Time within which a repeated call must satisfy its condition."""
--- a/tests/coordinator/cluster.py
+++ b/tests/coordinator/cluster.py
@@ -32,8 +32,9 @@
 )
 from standins.machines import MemoryMachines
 from standins.run_record import FleetRecord
+from standins.simulated_task import StandInTask
 from standins.table import MemoryTable
-from standins.task_worker import MemoryTaskWorker, StandInTask
+from standins.task_worker import MemoryTaskWorker
 
 STEP_S = 0.05
 HEARTBEAT_S = 1.5
--- a/tests/coordinator/test_known_failures.py
+++ b/tests/coordinator/test_known_failures.py
@@ -14,7 +14,7 @@
 from chiveledge.services import Put, Transaction, Unavailable, Unsettled
 from chiveledge.services.task_worker import EndedTask
 from chiveledge.workload import JobRequest, JobState, RunEnd, Step
-from standins.task_worker import StandInTask
+from standins.simulated_task import StandInTask
 from tests.coordinator.cluster import SMALL, WORKER_PREFIX
 
 POLL_WAIT_S = 2.0
--- a/tests/coordinator/test_shrinking_capacity.py
+++ b/tests/coordinator/test_shrinking_capacity.py
@@ -18,7 +18,7 @@
 from chiveledge.services.task_worker import StartOrder
 from chiveledge.workload import JobState, Step, Usage
 from standins import task_worker
-from standins.task_worker import StandInTask
+from standins.simulated_task import StandInTask
 from tests.coordinator.cluster import CAPACITY, SMALL, WORKER_PREFIX, Cluster
 from tests.coordinator.test_random_faults import FaultScenario
 
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -20,7 +20,8 @@
 from chiveledge.services.task_worker import WorkerEntry
 from chiveledge.workload import JobRequest, JobState, decode_request, encode_request
 from standins.platform import describe_worker
-from standins.task_worker import MemoryTaskWorker, StandInTask
+from standins.simulated_task import StandInTask
+from standins.task_worker import MemoryTaskWorker
 from tests.platform.test_api import CONFIGURATION, JOB
 from tests.platform.test_workers import ENTRY
 
--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -22,7 +22,8 @@
 )
 from standins.deployment import serve
 from standins.machines import MemoryMachines, make_machines_app
-from standins.task_worker import MemoryTaskWorker, StandInTask
+from standins.simulated_task import StandInTask
+from standins.task_worker import MemoryTaskWorker
 from tests.platform.test_workers import ENTRY
 
 
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -22,7 +22,7 @@
 from chiveledge.workload import Usage
 from standins.deployment import Deployment, find_free_port, serve
 from standins.platform import describe_worker
-from standins.task_worker import StandInTask
+from standins.simulated_task import StandInTask
 
 SETTINGS = {
     "node": "n1",
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -31,7 +31,8 @@
 from chiveledge.workload import RunEnd, Usage
 from standins.deployment import serve
 from standins.platform import describe_worker, make_worker_app
-from standins.task_worker import MemoryTaskWorker, StandInTask
+from standins.simulated_task import StandInTask
+from standins.task_worker import MemoryTaskWorker
 
 ENTRY = WorkerEntry(
     "i-1",
--- a/tests/standins/test_run_record.py
+++ b/tests/standins/test_run_record.py
@@ -9,7 +9,8 @@
 from chiveledge.services.task_worker import PollRequest, StartOrder, WorkerEntry
 from chiveledge.workload import Usage
 from standins.run_record import FleetRecord
-from standins.task_worker import MemoryTaskWorker, StandInTask
+from standins.simulated_task import StandInTask
+from standins.task_worker import MemoryTaskWorker
 
 LEASE_S = 6.0
 WORK_S = 1.0
