Tests with real processes draw ports that outgoing connections don't take

Cause: a free port was found by binding port 0, closed, and bound by the process later or again after a restart; meanwhile the system gave it to an outgoing connection of another test run. Change: ports below the range of outgoing connections, drawn at random.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -6,7 +6,6 @@
 import base64
 import json
 import os
-import socket
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -19,6 +18,7 @@
 from chiveledge.services.task_worker import WorkerEntry
 from chiveledge.workload import Usage
 from standins.platform import StoreStandIn, describe_worker, make_worker_app
+from standins.ports import find_free_port
 from standins.run_record import FleetRecord
 from standins.simulated_task import StandInTask
 from standins.task_worker import MemoryTaskWorker
@@ -63,13 +63,6 @@
 }
 
 
-def find_free_port() -> int:
-    """Return an unused TCP port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 async def serve(app: web.Application) -> tuple[web.AppRunner, str]:
     """Serve `app` on a free port; return its runner and address."""
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -20,8 +20,9 @@
     stat_settings,
 )
 from chiveledge.workload import Usage
-from standins.deployment import Deployment, find_free_port, serve
+from standins.deployment import Deployment, serve
 from standins.platform import describe_worker
+from standins.ports import find_free_port
 from standins.simulated_task import StandInTask
 
 SETTINGS = {
--- a/tests/process/conftest.py
+++ b/tests/process/conftest.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import socket
 
 import aiohttp
 import pytest
@@ -16,6 +15,7 @@
 from standins.hosts import MemoryHosts, make_hosts_app
 from standins.minion import MemoryMinion, make_minion_app
 from standins.objects import MemoryObjects, make_objects_app
+from standins.ports import find_free_port
 from standins.table import MemoryTable, make_table_app
 from standins.worker import MemoryWorker, make_worker_app
 from tests.support import REGION, make_document
@@ -24,12 +24,6 @@
 TIMEOUT_S = 30.0
 
 
-def find_free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Deployment:
     """Processes of the project and the stand-ins of their platform."""
 
