Tests: drains with upkeep, changes of domain, withdrawn gangs, copies and the feed

Cause: a review of drains found these paths without a test. Change: a wave of upkeep in drained domains, a worker whose entry changes its domain (also while its order is stored), a follower that stopped, a gang that is withdrawn more often than it may fail, the copy of an order, and a row that the store's feed lists twice.

--- a/tests/coordinator/test_drains.py
+++ b/tests/coordinator/test_drains.py
@@ -344,6 +344,67 @@
     assert cluster.state("j1") is JobState.COMPLETED
 
 
+@pytest.mark.parametrize("into_drained", [False, True])
+async def test_worker_that_changes_its_domain(make, into_drained):
+    """The domain of its last entry counts, not that in which it was listed first."""
+    cluster = make(workers=2)
+    await cluster.advance(1.0)
+    entry = cluster.workers["w0"].entry
+    await drain(cluster, "c" if into_drained else "a")
+    cluster.list_worker(entry._replace(domain="c"))
+    await cluster.advance(KNOWN_S)
+    await cluster.submit("j1", WHOLE._replace(count=2))
+    await cluster.advance(6.0)
+    assert bool(cluster.workers["w0"].faults.started) is not into_drained
+    assert cluster.state("j1") is JobState.COMPLETED
+
+
+async def test_entry_that_moves_a_worker_into_a_drained_domain_stops_its_order(make):
+    cluster = make(workers=2)
+    await cluster.advance(1.0)
+    await drain(cluster, "c")
+    entry = cluster.workers["w0"].entry._replace(domain="c")
+    after_storing(cluster, lambda: cluster.list_worker(entry))
+    await cluster.submit("j1", WHOLE._replace(count=2, gang=True))
+    await cluster.advance(5.0)
+    assert not cluster.starts("j1")
+    cluster.undrain("c")
+    await cluster.advance(5.0)
+    assert cluster.state("j1") is JobState.COMPLETED
+
+
+async def test_follower_that_stopped_ends_starts(make):
+    """Its copy of the drains would be relied on for ever."""
+    cluster = make()
+    await cluster.advance(1.0)
+    cluster.leader.tasks[2].cancel()
+    await cluster.advance(MAX_AGE_S + 0.5)
+    cluster.drain("a")
+    await cluster.submit("j1", WHOLE._replace(count=4))
+    await cluster.advance(10.0)
+    assert not cluster.starts("j1")
+
+
+async def test_withdrawn_starts_are_no_failures(make):
+    """A gang that is withdrawn more often than it may fail ends well all the same."""
+    cluster = make()
+    await cluster.advance(1.0)
+    await drain(cluster, "a")
+    await cluster.submit("j1", FOUR)
+    rounds = 2 * cluster.catalogue.queues["standard"].max_attempts
+    for _ in range(rounds):
+        after_storing(cluster, lambda: cluster.drain("a"))
+        cluster.undrain("a")
+        await cluster.advance(2.0)
+        del cluster.table.transact
+    withdrawn = cluster.leader.log.find("orders", "not_started")
+    assert len(withdrawn) == FOUR.count * rounds
+    assert not cluster.starts("j1")
+    cluster.undrain("a")
+    await cluster.advance(5.0)
+    assert cluster.state("j1") is JobState.COMPLETED
+
+
 async def test_urgent_work_prefers_workers_that_are_not_cold(make):
     cluster = make(workers=2, domains=("a",))
     cold = cluster.workers["w0"].entry._replace(cold_left_s=5.0)
--- a/tests/coordinator/test_hedged_orders.py
+++ b/tests/coordinator/test_hedged_orders.py
@@ -20,7 +20,7 @@
 WHOLE_WORKER = Usage(1000, 1000, 8)
 
 
-async def send(*answers):
+async def send(*answers, may_repeat=lambda: True):
     """Send an order whose copies get these answers after these times."""
     clock = ManualClock()
     copies = iter(answers)
@@ -32,7 +32,7 @@
         await clock.sleep(delay_s)
         return result
 
-    task = asyncio.create_task(send_hedged(clock, send_copy))
+    task = asyncio.create_task(send_hedged(clock, send_copy, may_repeat))
     while not task.done():
         await clock.advance(0.01)
     return task.result(), len(sent), clock.monotonic()
@@ -55,6 +55,14 @@
     assert (answer.result, sent, answer.unanswered) == (result, copies, unanswered)
 
 
+@pytest.mark.parametrize("result", [ACCEPTED, NO_ANSWER])
+async def test_copy_that_may_not_be_sent_any_more_is_not_sent(result):
+    """The copy would have been sent after a drain of the worker's domain was known."""
+    answer, sent, took_s = await send((0.8, result), may_repeat=lambda: False)
+    assert (answer.result, sent, answer.unanswered) == (result, 1, False)
+    assert took_s >= 0.8
+
+
 async def test_answer_of_the_copy_is_not_held_up_by_the_first():
     _, _, took_s = await send((0.8, NO_ANSWER), (0.05, ACCEPTED))
     assert took_s <= HEDGE_DELAY_S + 0.1
--- a/tests/coordinator/test_upkeep.py
+++ b/tests/coordinator/test_upkeep.py
@@ -16,6 +16,8 @@
 FIRST_ORDER_S = 4.0
 """Longest time until a leader sends its first upkeep order."""
 
+MAX_DRAINS_AGE_S = 3.5
+
 
 @pytest.fixture
 async def cluster():
@@ -59,6 +61,38 @@
     assert cluster.state("long") is JobState.COMPLETED
 
 
+@pytest.mark.parametrize("all_domains", [False, True])
+async def test_wave_in_a_drained_domain_completes(make_cluster, all_domains):
+    """Upkeep empties its machines there as elsewhere, and nothing starts on them."""
+    cluster = make_cluster(
+        workers=4, nodes=2, domains=("a", "b"), drain_max_age_s=MAX_DRAINS_AGE_S
+    )
+    cluster.waves = [WAVE]
+    await cluster.advance(0.5)
+    step = Step(count=8, usage=SMALL._replace(accelerators=2), checkpoints=True)
+    await cluster.submit("long", step, work_s=12.0)
+    await cluster.advance(0.5)
+    drained = ("a", "b") if all_domains else ("a",)
+    for domain in drained:
+        cluster.drain(domain)
+    await cluster.advance(1.0)
+    since_s = cluster.clock.monotonic()
+    await cluster.advance(WAVE.within_s + FIRST_ORDER_S)
+    check_upkeeps(cluster)
+    assert read_state(cluster) == "completed"
+    started_in = {
+        worker.entry.domain
+        for worker in cluster.workers.values()
+        for start_s, _, _ in worker.faults.started
+        if start_s >= since_s
+    }
+    assert not started_in & set(drained)
+    for domain in drained:
+        cluster.undrain(domain)
+    await cluster.advance(30.0)
+    assert cluster.state("long") is JobState.COMPLETED
+
+
 async def test_machine_missing_from_one_list_still_has_its_upkeep(cluster):
     """The list comes in pages, and a change between them may leave a machine out.
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,7 +10,7 @@
 
 from chiveledge.clock import SystemClock
 from chiveledge.metrics import Metrics
-from chiveledge.platform._store import WRITE_ID_CHARS, PlatformStore
+from chiveledge.platform._store import WRITE_ID_CHARS, PlatformStore, _decode_changes
 from chiveledge.services import (
     Check,
     Conflict,
@@ -120,6 +120,21 @@
     assert (later.rows, later.deleted) == ((), ())
 
 
+@pytest.mark.parametrize("set_last", [False, True])
+def test_last_change_of_a_row_that_the_feed_lists_twice_counts(set_last):
+    """A row that was set and deleted in one batch stayed, or one set again was lost."""
+    address = {"table": "op", "part": "", "key": "evacuate/a"}
+    value = base64.b64encode(b"{}").decode()
+    present = address | {"value": value, "ver": 5 if set_last else 4}
+    absent = address | {"deleted": True, "ver": 4 if set_last else 5}
+    other = address | {"key": "evacuate/b", "value": value, "ver": 4}
+    listed = [absent, other, present] if set_last else [present, other, absent]
+    changes = _decode_changes({"rows": listed, "ver": 5})
+    keys = {row.key for row in changes.rows}
+    assert keys == {"op/evacuate/b"} | ({"op/evacuate/a"} if set_last else set())
+    assert changes.deleted == (() if set_last else ("op/evacuate/a",))
+
+
 async def test_watch_reports_missing_history(table_and_fake):
     table, fake = table_and_fake
     await table.transact(write("jobs/a", "1"))
