A worker that starts again is cold again

Cause: how long a worker stays cold was read anew only if the number in its entry changed; a restart that gave the same number left it warm. Change: a later incarnation's number counts from its entry on. Result: the new test failed before and passes.

--- a/chiveledge/coordinator/_workers.py
+++ b/chiveledge/coordinator/_workers.py
@@ -178,6 +178,7 @@
         if entry.incarnation_ms in link.past_incarnations:
             # The row has not been replaced since the worker started again.
             return
+        has_restarted = entry.incarnation_ms != link.entry.incarnation_ms
         if entry.incarnation_ms > link.incarnation_ms:
             self._handle_restart(link, entry.incarnation_ms)
         if entry.draining and (
@@ -189,7 +190,7 @@
             )
         if entry.address != link.entry.address:
             link.client = self._context.make_worker(entry)
-        if entry.cold_left_s != link.entry.cold_left_s:
+        if has_restarted or entry.cold_left_s != link.entry.cold_left_s:
             link.cold_until_s = self._clock.monotonic() + entry.cold_left_s
         link.entry = entry
         link.listed = True
--- a/tests/coordinator/test_drains.py
+++ b/tests/coordinator/test_drains.py
@@ -405,6 +405,19 @@
     assert cluster.state("j1") is JobState.COMPLETED
 
 
+async def test_worker_that_starts_again_is_cold_again(make):
+    """Its entry says so with the same number as after its first start."""
+    cluster = make(workers=2, domains=("a",))
+    entry = cluster.workers["w0"].entry._replace(cold_left_s=5.0)
+    cluster.list_worker(entry)
+    await cluster.advance(8.0)
+    link = cluster.leader.coordinator.term.links["w0"]
+    assert link.cold_until_s < cluster.clock.monotonic()
+    cluster.list_worker(entry._replace(incarnation_ms=7000))
+    await cluster.advance(0.5)
+    assert link.cold_until_s > cluster.clock.monotonic()
+
+
 async def test_urgent_work_prefers_workers_that_are_not_cold(make):
     cluster = make(workers=2, domains=("a",))
     cold = cluster.workers["w0"].entry._replace(cold_left_s=5.0)
