Suspects in drained domains don't count as avoided workers

Cause: at most a third of the workers that may be used are avoided, the latest suspects first. Suspects in drained domains took these places, so that those elsewhere got runs again. Change: workers that get no runs in any case are left out.

--- a/chiveledge/placement/_suspicion.py
+++ b/chiveledge/placement/_suspicion.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from dataclasses import dataclass, field
 
 from chiveledge.types import JobId, WorkerName
@@ -120,16 +121,20 @@
             if now_s - began_s < TRUST_S and name not in self._workers
         }
 
-    def avoided(self, now_s: float, total: int) -> set[WorkerName]:
+    def avoided(
+        self, now_s: float, total: int, unused: Container[WorkerName] = ()
+    ) -> set[WorkerName]:
         """Return the workers to avoid now, at most `AVOIDED_SHARE` of `total`.
 
-        If there are more, those avoided most recently are returned.
+        If there are more, those avoided most recently are returned. Workers in `unused`
+        get no runs in any case and are left out.
         """
         rows = [
             (record.avoided_since_s, name)
             for name, record in self._workers.items()
             if record.avoided_since_s is not None
             and now_s < record.avoided_since_s + AVOID_S
+            and name not in unused
         ]
         limit = max(1, int(total * AVOIDED_SHARE))
         return {name for _, name in sorted(rows, reverse=True)[:limit]}
--- a/tests/coordinator/test_drains.py
+++ b/tests/coordinator/test_drains.py
@@ -418,6 +418,20 @@
     assert link.cold_until_s > cluster.clock.monotonic()
 
 
+async def test_suspects_in_a_drained_domain_leave_others_avoided(make):
+    cluster = make(workers=8)
+    await cluster.advance(1.0)
+    await drain(cluster, "a")
+    suspicion = cluster.leader.coordinator.term._workers._suspicion
+    for name in ("w1", "w0", "w2", "w4"):
+        await cluster.advance(0.05)
+        suspicion.record_stall(name, cluster.clock.monotonic())
+    await cluster.submit("j1", WHOLE._replace(count=4))
+    await cluster.advance(1.0)
+    assert len(cluster.starts("j1")) == 3
+    assert not cluster.workers["w1"].faults.started
+
+
 async def test_urgent_work_prefers_workers_that_are_not_cold(make):
     cluster = make(workers=2, domains=("a",))
     cold = cluster.workers["w0"].entry._replace(cold_left_s=5.0)
--- a/tests/placement/test_suspicion.py
+++ b/tests/placement/test_suspicion.py
@@ -63,6 +63,15 @@
     assert len(suspicion.avoided(0.0, 24)) == 8
 
 
+def test_workers_that_get_no_runs_do_not_count_as_avoided():
+    """Suspects in drained failure domains left those elsewhere in use."""
+    suspicion = WorkerSuspicion()
+    suspicion.record_stall("w0", 0.0)
+    for number in range(1, 4):
+        suspicion.record_stall(f"w{number}", 1.0)
+    assert suspicion.avoided(1.0, 3, {"w1", "w2", "w3"}) == {"w0"}
+
+
 def test_worker_is_trusted_for_some_time_after_healthy_start():
     suspicion = WorkerSuspicion()
     suspicion.record_progress("w1", 10.0)
