--- a/chiveledge/coordinator/_drain_monitor.py
+++ b/chiveledge/coordinator/_drain_monitor.py
@@ -38,7 +38,7 @@
         self._waiting_since_s: dict[str, float] = {}
 
     def check_age(self, now_s: float) -> None:
-        """Log when the drains become too old to start anything, and when they are read.
+        """Log when the drains are too old to start anything, and when no longer.
 
         Parameters
         ----------
@@ -69,7 +69,8 @@
         Parameters
         ----------
         demands : iterable of StepDemand
-            All steps with tasks to start.
+            The steps with tasks that may start now. A step that isn't among them, as
+            when its orders were declined and it rests, waits for no drain.
         now_s : float
             Monotonic time.
         """
--- a/chiveledge/drains.py
+++ b/chiveledge/drains.py
@@ -49,12 +49,14 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether no drain can be in force by now that is missing here."""
+        """Whether the drains were confirmed recently enough to be relied on."""
         return self.age_s <= self.max_age_s
 
     def may_start_in(self, domain: DomainName) -> bool:
         """Return whether new runs may start in a failure domain.
 
+        They may start nowhere while the drains are too old.
+
         Examples
         --------
         >>> known = KnownDrains({"a": Drain("a")}, age_s=1.0, max_age_s=3.0)
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -71,7 +71,8 @@
 DRAINS_AGE_SHARE = 0.7
 """Age up to which the drains are relied on, as a share of `drain_apply_s`.
 
-The rest is for an order on its way to a worker.
+The rest is for an order on its way to a worker, whose timeout it must exceed. Each
+attempt of a start checks the age again.
 """
 
 CONFIGURATION_WATCH_SHARE = 0.2
