--- a/benchmarks/emulator.py
+++ b/benchmarks/emulator.py
@@ -231,7 +231,8 @@
             for placement in placements:
                 earlier = reserved.get(placement.worker, Usage())
                 reserved[placement.worker] = earlier.plus(demand.step.usage)
-        slowdowns = self._speeds.find_slowdowns()
+        names = [f"w{number:04}" for number in range(self._site.workers)]
+        slowdowns = self._speeds.find_expected_slowdowns(names)
         workers = (
             self._make_worker_view(number, used, stopping, reserved, views, slowdowns)
             for number in range(self._site.workers)
--- a/chiveledge/coordinator/_fleet_view.py
+++ b/chiveledge/coordinator/_fleet_view.py
@@ -48,7 +48,7 @@
     now : set of str
         Workers that are much slower than usual at present.
     slowdowns : dict
-        How many times as long runs take on workers that are always slower.
+        How many times as long runs are expected to take on each worker.
     """
 
     now: set[WorkerName]
--- a/chiveledge/coordinator/_run_times.py
+++ b/chiveledge/coordinator/_run_times.py
@@ -1,10 +1,19 @@
-"""Estimates run times of tasks from completed runs of their queue."""
+"""Estimates run times of tasks from completed runs of their queue.
+
+Load pattern: declared times that are wrong by a factor, and a few jobs that take many
+times as long as the others of their queue. Order, waits, stalls and evacuation decide
+by the estimate, so one such job must not make all later ones look long. A value far
+above the average therefore counts only up to a limit, while shorter ones count in full.
+"""
 
 from __future__ import annotations
 
 import math
+from collections import OrderedDict
 from dataclasses import dataclass
+from typing import NamedTuple
 
+from chiveledge.types import QueueName
 from chiveledge.workload import JobRequest, Step
 
 NEWEST_SHARE = 0.2
@@ -18,25 +27,86 @@
 """Shortest run time that is distinguished, whether it was declared or observed."""
 
 
+MAX_RISE_DEVIATIONS = 2.0
+"""Number of deviations above the average up to which a value counts."""
+
+MIN_RISE_LIMIT = 0.5
+"""Smallest such limit of a logarithm, as few values show too small a deviation."""
+
+MAX_STEPS = 1000.0
+"""Limit of the counted weight, which then doesn't affect an average any more."""
+
+MAX_RESTORED_STEPS = 5.0
+"""Largest weight of a restored average, which new runs soon outweigh."""
+
+MAX_QUEUES = 1000
+"""Number of queues kept, those with the newest runs."""
+
+
+class LearntAverage(NamedTuple):
+    """What is known of a logarithm of times.
+
+    Attributes
+    ----------
+    mean, deviation : float
+        Its average and its mean absolute deviation.
+    steps : float
+        Number of steps that show it.
+    """
+
+    mean: float
+    deviation: float
+    steps: float
+
+
+class LearntRunTimes(NamedTuple):
+    """What is known of the run times of a queue.
+
+    Attributes
+    ----------
+    run_time : LearntAverage
+        Of the run times in seconds.
+    ratio : LearntAverage, optional
+        Of the ratios of run times to declared times; None if none were declared.
+    """
+
+    run_time: LearntAverage
+    ratio: LearntAverage | None
+
+
 @dataclass
 class _LogAverage:
     """Moving averages of a logarithm and of its absolute deviation."""
 
     mean: float = 0.0
     deviation: float = 0.0
-    has_value: bool = False
+    steps: float = 0.0
+
+    @classmethod
+    def restore(cls, known: LearntAverage) -> _LogAverage:
+        """Return an average of an earlier process."""
+        steps = min(known.steps, MAX_RESTORED_STEPS)
+        return cls(known.mean, known.deviation, steps)
 
     @property
     def precision(self) -> float:
         return 1 / (self.deviation**2 + MIN_VARIANCE)
 
     def update(self, value: float, weight: float) -> None:
-        if not self.has_value:
+        if not self.steps:
             self.mean = value
-            self.has_value = True
-        share = 1 - (1 - NEWEST_SHARE) ** weight
-        self.deviation += share * (abs(value - self.mean) - self.deviation)
-        self.mean += share * (value - self.mean)
+        # The first few steps count alike.
+        share = max(weight / (self.steps + weight), 1 - (1 - NEWEST_SHARE) ** weight)
+        change = value - self.mean
+        if self.steps >= 1:
+            limit = max(MAX_RISE_DEVIATIONS * self.deviation, MIN_RISE_LIMIT)
+            change = min(change, limit)
+        self.steps = min(self.steps + weight, MAX_STEPS)
+        self.deviation += share * (abs(change) - self.deviation)
+        self.mean += share * change
+
+    def describe(self) -> LearntAverage:
+        return LearntAverage(self.mean, self.deviation, self.steps)
 
 
 class RunTimeEstimator:
@@ -48,8 +118,8 @@
     """
 
     def __init__(self) -> None:
-        self._ratios: dict[str, _LogAverage] = {}
-        self._run_times: dict[str, _LogAverage] = {}
+        self._ratios: dict[QueueName, _LogAverage] = {}
+        self._run_times: OrderedDict[QueueName, _LogAverage] = OrderedDict()
 
     def update(self, request: JobRequest, step: Step, run_time_s: float) -> None:
         """Record the run time of a task that ran from start to completion.
@@ -62,12 +132,35 @@
         self._run_times.setdefault(request.queue, _LogAverage()).update(
             log_time, weight
         )
+        self._run_times.move_to_end(request.queue)
+        self._trim()
         if step.estimate_s > 0:
             log_ratio = log_time - _log_time(step.estimate_s)
             self._ratios.setdefault(request.queue, _LogAverage()).update(
                 log_ratio, weight
             )
 
+    def list_known(self) -> dict[QueueName, LearntRunTimes]:
+        """Return what is known of each queue, the one with the newest run last."""
+        known = {}
+        for queue, average in self._run_times.items():
+            ratio = self._ratios.get(queue)
+            known[queue] = LearntRunTimes(
+                average.describe(), ratio.describe() if ratio else None
+            )
+        return known
+
+    def restore(self, known: dict[QueueName, LearntRunTimes]) -> None:
+        """Add what an earlier process learnt of queues that are unknown here."""
+        for queue, learnt in known.items():
+            if queue in self._run_times:
+                continue
+            self._run_times[queue] = _LogAverage.restore(learnt.run_time)
+            self._run_times.move_to_end(queue, last=False)
+            if learnt.ratio is not None:
+                self._ratios[queue] = _LogAverage.restore(learnt.ratio)
+        self._trim()
+
     def expected_s(self, request: JobRequest, step: Step) -> float:
         """Return the expected run time of one task of a step."""
         average = self._run_times.get(request.queue)
@@ -100,6 +193,11 @@
                 remaining_s[earlier] = max(remaining_s[earlier], chain_s)
         return remaining_s
 
+    def _trim(self) -> None:
+        while len(self._run_times) > MAX_QUEUES:
+            queue, _ = self._run_times.popitem(last=False)
+            self._ratios.pop(queue, None)
+
 
 def _log_time(time_s: float) -> float:
     return math.log(max(time_s, MIN_RUN_TIME_S))
--- a/chiveledge/coordinator/_supervision.py
+++ b/chiveledge/coordinator/_supervision.py
@@ -33,6 +33,8 @@
         Sends stop orders.
     estimator : RunTimeEstimator
         Predicts run times.
+    learnt_speeds : LearntSpeeds
+        Updated with the progress of gangs.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         reconciler: Reconciler,
         orders: OrderDispatcher,
         estimator: RunTimeEstimator,
+        learnt_speeds: LearntSpeeds,
     ) -> None:
         self._clock = context.clock
         self._log = context.log
@@ -54,8 +57,8 @@
         self._orders = orders
         self._estimator = estimator
         self._speeds = WorkerSpeeds()
-        self._learnt_speeds = LearntSpeeds()
-        self._incarnations: dict[WorkerName, int] = {}
+        self._learnt_speeds = learnt_speeds
+        self._slowdowns: dict[WorkerName, float] = {}
         self._next_check_s = 0.0
 
     def check_runs(self, now_s: float) -> None:
@@ -68,14 +71,14 @@
         run_speeds = self._reconciler.list_run_speeds(self._links)
         for name in self._speeds.update(run_speeds, now_s):
             self._log.write("workers", "slow", worker=name)
-        self._forget_restarted_workers()
         self._learnt_speeds.update(list_member_rates(self._links))
+        self._slowdowns = self._find_slowdowns()
 
     def find_slow_workers(self, now_s: float) -> SlowWorkers:
         """Return the workers that are slow now, and those that are always slower."""
         return SlowWorkers(
             self._speeds.slow_workers(now_s, len(self._links)),
-            self._learnt_speeds.find_slowdowns(),
+            self._slowdowns,
         )
 
     def move_off_slow_workers(
@@ -97,13 +100,11 @@
                     for holder, member in members:
                         self._orders.stop(holder, member, f"{name} is slow")
 
-    def _forget_restarted_workers(self) -> None:
-        """Forget the speeds of workers that left or may be on another machine now."""
-        incarnations = {name: link.incarnation_ms for name, link in self._links.items()}
-        for name, incarnation_ms in self._incarnations.items():
-            if incarnations.get(name) != incarnation_ms:
-                self._learnt_speeds.forget_worker(name)
-        self._incarnations = incarnations
+    def _find_slowdowns(self) -> dict[WorkerName, float]:
+        """Return how many times as long runs are expected to take on each worker."""
+        keys = {name: link.speed_key for name, link in self._links.items()}
+        slowdowns = self._learnt_speeds.find_expected_slowdowns(keys.values())
+        return {name: slowdowns[key] for name, key in keys.items()}
 
     def _should_restart_elsewhere(
         self, tracked: TrackedRun, slow_left_s: float
@@ -123,6 +124,9 @@
     """Return the rates of the members of gangs on workers that are not disturbed."""
     rates = []
     for link in links.values():
+        if not link.is_described:
+            # Its entry may still name the machine of an earlier incarnation.
+            continue
         for tracked in link.runs.values():
             step = tracked.step
             if not step.gang or step.lasting or step.filler or tracked.stopping:
@@ -130,5 +134,5 @@
             rate = tracked.mean_percent_per_s
             if rate is not None:
                 gang = tracked.name.step_name, tracked.run.number
-                rates.append(MemberRate(tracked.key, link.name, gang, rate))
+                rates.append(MemberRate(tracked.key, link.speed_key, gang, rate))
     return rates
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -10,6 +10,7 @@
 
 from chiveledge.coordinator._advice import TicketCache
 from chiveledge.coordinator._context import TermContext
+from chiveledge.coordinator._learnt_figures import LearntFigureKeeper
 from chiveledge.coordinator._orders import OrderDispatcher
 from chiveledge.coordinator._planning import PlanningController
 from chiveledge.coordinator._progress_rows import (
@@ -34,7 +35,7 @@
     is_cancel_key,
 )
 from chiveledge.leadership import Leadership
-from chiveledge.placement import WorkerSuspicion
+from chiveledge.placement import LearntSpeeds, WorkerSuspicion
 from chiveledge.services import Row, parse_row_name
 from chiveledge.workload import (
     JobProgress,
@@ -103,6 +104,10 @@
         )
         suspicion = WorkerSuspicion()
         estimator = RunTimeEstimator()
+        learnt_speeds = LearntSpeeds()
+        self._learnt_figures = LearntFigureKeeper(
+            context, leadership, learnt_speeds, estimator, self.end
+        )
         self._progress_writer = ProgressWriter(
             context.table,
             leadership,
@@ -167,7 +172,13 @@
             self.links,
             self.jobs,
             FleetSupervisor(
-                context, self.links, self.jobs, reconciler, self._orders, estimator
+                context,
+                self.links,
+                self.jobs,
+                reconciler,
+                self._orders,
+                estimator,
+                learnt_speeds,
             ),
             self._orders,
             self._tickets,
@@ -225,6 +236,7 @@
 
     async def _lead(self) -> None:
         """Load the progress, workers and inbox, then run the loops of the term."""
+        self._spawn(self._learnt_figures.run())
         await self._load_progress()
         self._spawn(self._progress_writer.run())
         while not await self._worker_list.step():
--- a/chiveledge/coordinator/_worker_link.py
+++ b/chiveledge/coordinator/_worker_link.py
@@ -162,6 +162,15 @@
         """Machine of the worker, or its address if it names no machine."""
         return self.entry.machine or self.entry.address
 
+    @property
+    def speed_key(self) -> str:
+        """Name under which the speed of its runs is learnt.
+
+        The machine's, as it outlasts the worker. A worker that names none may be on
+        another machine after each restart.
+        """
+        return self.entry.machine or f"{self.entry.name}@{self.incarnation_ms}"
+
     @property
     def is_described(self) -> bool:
         """Whether the entry is that of the present incarnation.
--- a/chiveledge/placement/__init__.py
+++ b/chiveledge/placement/__init__.py
@@ -9,7 +9,11 @@
     WorkerView,
     charged_usage,
 )
-from chiveledge.placement._learnt_speed import LearntSpeeds, MemberRate
+from chiveledge.placement._learnt_speed import (
+    LearntSpeeds,
+    MachineSpeed,
+    MemberRate,
+)
 from chiveledge.placement._order import (
     APART_S,
     REPEATED_APART_S,
@@ -43,6 +47,7 @@
     "DeferredStart",
     "FleetView",
     "LearntSpeeds",
+    "MachineSpeed",
     "MemberRate",
     "Placement",
     "Plan",
--- a/chiveledge/types.py
+++ b/chiveledge/types.py
@@ -17,6 +17,7 @@
 MinionName: TypeAlias = str
 PresetName: TypeAlias = str
 KindName: TypeAlias = str
+QueueName: TypeAlias = str
 JobId: TypeAlias = str
 AttemptId: TypeAlias = str
 RequestId: TypeAlias = str
