--- a/chiveledge/coordinator/_learnt_figures.py
+++ b/chiveledge/coordinator/_learnt_figures.py
@@ -160,6 +160,7 @@
                     "learnt",
                     "stored",
                     machines=len(figures.speeds),
+                    slower=len(self._speeds.find_slowdowns()),
                     queues=len(figures.run_times),
                     rows=len(transaction.puts),
                     chars=sum(len(put.value) for put in transaction.puts),
