--- a/chiveledge/log_report/_report.py
+++ b/chiveledge/log_report/_report.py
@@ -4,7 +4,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from statistics import quantiles
+from statistics import median, quantiles
 from typing import NamedTuple
 
 from chiveledge.log_report._histories import DONE, JobHistory, Period, count_stops
@@ -13,6 +13,9 @@
 
 TENTHS = 10
 
+AFTER_TAKEOVER_S = 5.0
+"""How long after a takeover runs count as started by a leader that is new."""
+
 
 class Quantiles(NamedTuple):
     """The 10th, 50th and 90th percentile of a figure."""
@@ -50,6 +53,11 @@
         Core-seconds that these runs lost, by cause.
     estimate_ratio : Quantiles, optional
         Ratio of actual to expected run time of the runs that were done.
+    estimate_error : float, optional
+        Factor by which half of these run times were missed at most, either way.
+    takeover_estimate_error : float, optional
+        The same for the runs that a leader started in its first `AFTER_TAKEOVER_S`
+        after another one.
     """
 
     name: str
@@ -65,6 +73,8 @@
     ends_without_result: dict[str, int]
     lost_core_s: dict[TimeUse, float]
     estimate_ratio: Quantiles | None
+    estimate_error: float | None
+    takeover_estimate_error: float | None
 
 
 class Outage(NamedTuple):
@@ -162,6 +172,8 @@
     too_late = sum(took_s > ZERO_VALUE_FACTOR * limit_s for took_s, limit_s in times_s)
     refused = sum(_was_refused(job) for job in owed)
     failed = sum(job.failed for job in owed)
+    ratios = _list_estimate_ratios(jobs)
+    takeovers_s = [until_s for _, until_s in period.leaderless]
     return GroupSummary(
         name=name,
         jobs=len(owed),
@@ -175,7 +187,15 @@
         wait_s=find_quantiles(_list_waits(completed)),
         ends_without_result=_sum_ends(jobs),
         lost_core_s=_sum_losses(jobs),
-        estimate_ratio=find_quantiles(_list_estimate_ratios(jobs)),
+        estimate_ratio=find_quantiles([ratio for _, ratio in ratios]),
+        estimate_error=find_error([ratio for _, ratio in ratios]),
+        takeover_estimate_error=find_error(
+            [
+                ratio
+                for began_s, ratio in ratios
+                if any(0 <= began_s - t <= AFTER_TAKEOVER_S for t in takeovers_s)
+            ]
+        ),
     )
 
 
@@ -219,8 +239,11 @@
     return dict(total)
 
 
-def _list_estimate_ratios(jobs: Iterable[JobHistory]) -> list[float]:
-    """Return actual divided by expected run time of runs done without a stop."""
+def _list_estimate_ratios(jobs: Iterable[JobHistory]) -> list[tuple[float, float]]:
+    """Return actual divided by expected run time of runs done without a stop.
+
+    Each comes after the Unix time at which its run began.
+    """
     ratios = []
     for job in jobs:
         expected_s = {
@@ -232,10 +255,17 @@
             index = int(run.task.rpartition(".")[2])
             estimate_s = expected_s.get((run.step, index), 0.0)
             if run.how == DONE and estimate_s > 0:
-                ratios.append((run.ended_s - run.began_s) / estimate_s)
+                ratio = (run.ended_s - run.began_s) / estimate_s
+                ratios.append((run.began_s, ratio))
     return ratios
 
 
+def find_error(ratios: list[float]) -> float | None:
+    """Return the median factor by which ratios differ from 1, None without any."""
+    factors = [max(ratio, 1 / ratio) for ratio in ratios if ratio > 0]
+    return median(factors) if factors else None
+
+
 def find_quantiles(values: list[float]) -> Quantiles | None:
     """Return the quantiles of values, or None for fewer than two."""
     if len(values) < 2:
--- a/chiveledge/log_report/_text.py
+++ b/chiveledge/log_report/_text.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from chiveledge.log_report._report import GroupSummary, Quantiles, Report
+from chiveledge.log_report._report import (
+    AFTER_TAKEOVER_S,
+    GroupSummary,
+    Quantiles,
+    Report,
+)
 from chiveledge.log_report._time_split import TimeUse
 
 MIN_SHOWN_S = 0.005
@@ -60,6 +65,14 @@
     lines.append(
         f"  actual over expected run time: {_describe(group.estimate_ratio, '')}"
     )
+    errors = (group.estimate_error, group.takeover_estimate_error)
+    all_runs, after_takeovers = (
+        "unknown" if error is None else f"{error:.2f}" for error in errors
+    )
+    lines.append(
+        f"  half of the run times missed by a factor of at most: {all_runs}; of runs "
+        f"that began up to {AFTER_TAKEOVER_S:.0f} s after a takeover: {after_takeovers}"
+    )
     for how, count in sorted(group.ends_without_result.items()):
         lines.append(f"  runs {how}: {count}")
     for use, lost in sorted(group.lost_core_s.items()):
--- a/tests/log_report/test_log_report.py
+++ b/tests/log_report/test_log_report.py
@@ -126,6 +126,28 @@
     assert split[TimeUse.ADMISSION] == pytest.approx(0.5)
 
 
+def test_error_of_run_times_is_told_apart_after_a_takeover():
+    """One that took over knew less; half of all runs must not hide its errors."""
+    lines = [make_line(-1.0, "coordinator", "loaded", node="n1")]
+    lines += hand_in(0.0, 0.0, 0.0)
+    for run, (began_s, ran_s) in enumerate([(0.0, 2.2), (1.0, 2.2), (2.0, 1.8)]):
+        lines += [place(began_s, tasks=(run,))]
+        lines += [end(began_s + ran_s, ran_s, task=f"j1.0.0.{run}")]
+    lines += [
+        make_line(10.0, "coordinator", "loaded", node="n2"),
+        place(11.0, tasks=(7,)),
+        end(12.0, 1.0, task="j1.0.0.7"),
+        place(16.0, tasks=(8,)),
+        end(18.2, 2.2, task="j1.0.0.8"),
+    ]
+    report = make_report(read_histories(lines))
+    (group,) = report.kinds
+    assert group.estimate_error == pytest.approx(1.1, rel=0.02)
+    assert group.takeover_estimate_error == pytest.approx(2.0)
+    text = "\n".join(describe_report(report))
+    assert "at most: 1.10; of runs that began up to 5 s after a takeover: 2.00" in text
+
+
 def test_steps_are_followed_back_to_the_first():
     lines = [
         *hand_in(0.0, 0.0, 0.0, after=[[], [0]]),
