--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -237,10 +237,9 @@
     async def _lead(self) -> None:
         """Load the progress, workers and inbox, then run the loops of the term."""
         self._spawn(self._learnt_figures.run())
-        await self._load_progress()
+        await asyncio.gather(self._load_progress(), self._load_workers())
         self._spawn(self._progress_writer.run())
-        while not await self._worker_list.step():
-            await self._clock.sleep(POLL_RETRY_S)
+        # Jobs are admitted with their progress, onto workers that are known.
         while not await self._inbox.step():
             await self._clock.sleep(POLL_RETRY_S)
         self._workers.start_polling()
@@ -270,6 +269,10 @@
                 case Err(_):
                     await self._clock.sleep(POLL_RETRY_S)
 
+    async def _load_workers(self) -> None:
+        while not await self._worker_list.step():
+            await self._clock.sleep(POLL_RETRY_S)
+
     def _apply_inbox_changes(
         self, rows: Iterable[Row], deleted: Iterable[str], is_snapshot: bool
     ) -> None:
