--- a/chiveledge/platform/_store.py
+++ b/chiveledge/platform/_store.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import base64
 import binascii
 from collections.abc import Callable
@@ -139,12 +138,8 @@
             case Err(error):
                 return Err(error)
         rows = list(first.rows)
-        # A new leader waits for this, so the parts are read at once.
-        found_parts = await asyncio.gather(
-            *(self._read_part(prefix, part) for part in parts)
-        )
-        for found_part in found_parts:
-            match found_part:
+        for part in parts:
+            match await self._read_part(prefix, part):
                 case Ok(found):
                     rows += found.rows
                 case Err(error):
