--- a/chiveledge/scheduler/_attempt_outcomes.py
+++ b/chiveledge/scheduler/_attempt_outcomes.py
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True)
 class NeverStarted:
-    """The attempt ended before any member ran."""
+    """The attempt ended before all of its members ran."""
 
     reason: str
 
--- a/chiveledge/scheduler/_attempt_runner.py
+++ b/chiveledge/scheduler/_attempt_runner.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
+from enum import Enum, auto
 from typing import Protocol
 
 from result import Err, Ok, Result
@@ -21,6 +22,7 @@
     Reclaimed,
     StartRejected,
 )
+from chiveledge.scheduler._drain_follower import DrainFollower
 from chiveledge.scheduler._lost_attempts import LossSign
 from chiveledge.scheduler._planner import PlannedStart
 from chiveledge.scheduler._worker_session import WorkerSession
@@ -52,6 +54,15 @@
         """Commit the outcome of an attempt."""
 
 
+class _StartAnswer(Enum):
+    """Outcome of the orders to start the members on one worker."""
+
+    STARTED = auto()
+    FAILED = auto()
+    WITHHELD = auto()
+    """The worker's failure domain was drained before the next order."""
+
+
 class AttemptRunner:
     """Runs the members of one attempt, either all or none.
 
@@ -63,6 +74,8 @@
         Placement of the members.
     sessions : mapping of str to WorkerSession
         Sessions with the region's workers, by name.
+    drains : DrainFollower
+        Drains of failure domains, looked at before each order to start.
     leadership : Leadership
         Its lease must be valid before each call to a worker and each commit.
     committer : AttemptCommitter
@@ -80,6 +93,7 @@
         job: Job,
         attempt: Attempt,
         sessions: Mapping[WorkerName, WorkerSession],
+        drains: DrainFollower,
         leadership: Leadership,
         committer: AttemptCommitter,
         clock: Clock,
@@ -89,6 +103,7 @@
         self.job = job
         self.attempt = attempt
         self._sessions = sessions
+        self._drains = drains
         self._leadership = leadership
         self._committer = committer
         self._clock = clock
@@ -153,10 +168,17 @@
     async def _reserve_and_start(self) -> AttemptOutcome | None:
         if self._requested_outcome is not None:
             return self._requested_outcome
+        await self._wait_until_starts_allowed()
+        withheld = self._find_withheld(self.attempt.workers)
+        if withheld is not None:
+            return withheld
         reason = await self._reserve_all()
         if reason:
             return NeverStarted(reason)
-        await self._wait_for_valid_lease()
+        await self._wait_until_starts_allowed()
+        withheld = self._find_withheld(self.attempt.workers)
+        if withheld is not None:
+            return withheld
         match await self._committer.commit_start(self.job, self.attempt):
             case Ok(job):
                 self.job = job
@@ -202,32 +224,62 @@
 
     async def _start_members(self) -> AttemptOutcome | None:
         deadline_s = self._clock.monotonic() + START_TIMEOUT_S
-        results = await asyncio.gather(
-            *(self._start_on(worker, deadline_s) for worker in self.attempt.workers)
+        await self._wait_until_starts_allowed()
+        workers = self._list_workers_to_start()
+        withheld = self._find_withheld(workers)
+        if withheld is not None:
+            return withheld
+        answers = await asyncio.gather(
+            *(self._start_on(worker, deadline_s) for worker in workers)
         )
-        not_started = tuple(
-            worker
-            for worker, started in zip(self.attempt.workers, results, strict=True)
-            if not started
-        )
-        if not_started:
-            return MembersLost(not_started)
+        by_worker = dict(zip(workers, answers, strict=True))
+        refused = [w for w, a in by_worker.items() if a is _StartAnswer.WITHHELD]
+        if refused:
+            return self._withhold(refused)
+        failed = tuple(w for w, a in by_worker.items() if a is _StartAnswer.FAILED)
+        if failed:
+            return MembersLost(failed)
         self._started_s = self._clock.monotonic()
         self._record_event("gang_started")
         return None
 
-    async def _start_on(self, worker: WorkerName, deadline_s: float) -> bool:
+    async def _start_on(self, worker: WorkerName, deadline_s: float) -> _StartAnswer:
         session = self._session(worker)
         while self._clock.monotonic() < deadline_s:
-            await self._wait_for_valid_lease()
+            await self._wait_until_starts_allowed()
+            if self._list_drained([worker]):
+                return _StartAnswer.WITHHELD
             match await session.start(self.attempt_id):
                 case Ok(_):
-                    return True
+                    return _StartAnswer.STARTED
                 case Err(Conflict()):
-                    return False
+                    return _StartAnswer.FAILED
                 case Err(_):
                     await self._clock.sleep(RETRY_S)
-        return False
+        return _StartAnswer.FAILED
+
+    def _list_workers_to_start(self) -> tuple[WorkerName, ...]:
+        """Return the workers, without those that reported all members as started."""
+        waiting = {
+            member.worker
+            for index, member in enumerate(self.attempt.members)
+            if self._member_state(index) in (None, TaskState.RESERVED)
+        }
+        return tuple(w for w in self.attempt.workers if w in waiting)
+
+    def _list_drained(self, workers: Iterable[WorkerName]) -> list[WorkerName]:
+        known = self._drains.known
+        return [w for w in workers if not known.may_start_in(self._session(w).domain)]
+
+    def _find_withheld(self, workers: Iterable[WorkerName]) -> NeverStarted | None:
+        """Return the outcome of an attempt that a drain withholds, else None."""
+        drained = self._list_drained(workers)
+        return self._withhold(drained) if drained else None
+
+    def _withhold(self, drained: Sequence[WorkerName]) -> NeverStarted:
+        domains = {self._session(worker).domain for worker in drained}
+        self._drains.record_withheld(self.attempt_id, domains)
+        return NeverStarted(f"drained failure domains: {', '.join(sorted(domains))}")
 
     async def _monitor(self) -> AttemptOutcome:
         """Wait until the attempt must end, and return its outcome."""
@@ -343,6 +395,11 @@
         while not self._leadership.valid:
             await self._clock.sleep(RETRY_S)
 
+    async def _wait_until_starts_allowed(self) -> None:
+        """Wait while the leader's lease is not valid or the drains are not known."""
+        while not (self._leadership.valid and self._drains.known.is_current):
+            await self._clock.sleep(RETRY_S)
+
     @property
     def _member_count(self) -> int:
         return len(self.attempt.members)
--- a/chiveledge/scheduler/_region.py
+++ b/chiveledge/scheduler/_region.py
@@ -11,6 +11,7 @@
 from chiveledge.cells import GuaranteeRisk, WorkerSize
 from chiveledge.clock import Clock, run_with_timeout
 from chiveledge.configuration import Document
+from chiveledge.drains import KnownDrains
 from chiveledge.events import Timeline
 from chiveledge.jobs import Attempt, Job, JobState, job_key
 from chiveledge.leadership import Leadership
@@ -18,6 +19,7 @@
 from chiveledge.metrics import Metrics
 from chiveledge.scheduler._attempt_outcomes import Cancelled, Reclaimed
 from chiveledge.scheduler._attempt_runner import AttemptRunner
+from chiveledge.scheduler._drain_follower import DrainFollower
 from chiveledge.scheduler._failure_tracker import FailureTracker
 from chiveledge.scheduler._job_repository import JobRepository
 from chiveledge.scheduler._planner import PlannedStart, Planner
@@ -37,7 +39,7 @@
     Worker,
 )
 from chiveledge.settings import TimingSettings
-from chiveledge.types import AttemptId, JobId, RegionName, WorkerName
+from chiveledge.types import AttemptId, DomainName, JobId, RegionName, WorkerName
 
 STORE_RETRY_S = 0.3
 CLEANUP_INTERVAL_S = 60.0
@@ -55,6 +57,7 @@
     size: WorkerSize
     url: str
     leaving: bool
+    domain: DomainName = ""
 
 
 class RegionContext(NamedTuple):
@@ -103,6 +106,13 @@
         self._repository = JobRepository(
             writes, context.objects, leadership, self._failure_tracker, context.clock
         )
+        self._drains = DrainFollower(
+            context.table,
+            context.clock,
+            context.metrics,
+            context.region,
+            max_age_s=context.timing.drains_stale_s,
+        )
         self._sessions: dict[WorkerName, WorkerSession] = {}
         self._listed_workers = tuple(workers)
         self._planner = Planner(
@@ -136,6 +146,40 @@
         """Guaranteed cells that do not fit into the healthy workers."""
         return self._guarantees_at_risk
 
+    @property
+    def has_loaded(self) -> bool:
+        """Whether the drains and the jobs of the region have been read."""
+        return self._loaded
+
+    @property
+    def drains(self) -> KnownDrains:
+        """Drains of failure domains as this leader knows them."""
+        return self._drains.known
+
+    def explain_waiting(self, job: Job) -> str:
+        """Return a message for a job's owner that says why the job waits."""
+        drains = self._drains.known
+        if not drains.is_current:
+            return f"nothing starts: drains were last read {drains.age_s:.0f} s ago"
+        reason = self._planner.explain_waiting(job)
+        drained = self._list_drained_sessions()
+        if not drained:
+            return reason
+        domains = ", ".join(sorted({session.domain for session in drained}))
+        return (
+            f"{reason}; nothing starts on the {len(drained)} workers of the drained "
+            f"failure domains {domains}"
+        )
+
+    def count_running_by_domain(self) -> dict[DomainName, int]:
+        """Return the number of attempts with members in each drained domain."""
+        running = {domain: 0 for domain in self._drains.known.drains}
+        for runner in self._runners.values():
+            domains = {self._sessions[w].domain for w in runner.attempt.workers}
+            for domain in domains & running.keys():
+                running[domain] += 1
+        return running
+
     def notify_new_job(self) -> None:
         """Read the inbox now rather than at the next poll."""
         self._wake_inbox.set()
@@ -164,7 +208,12 @@
             await self._load()
             elapsed_s = self._context.clock.monotonic() - started_s
             self._context.metrics.observe("rebuild_s", elapsed_s)
-            rest = (self._inbox_loop(), self._placement_loop(), self._cleanup_loop())
+            rest = (
+                self._inbox_loop(),
+                self._placement_loop(),
+                self._drain_loop(),
+                self._cleanup_loop(),
+            )
             tasks += [asyncio.create_task(loop) for loop in rest]
             while self._leadership.epoch:
                 ended = asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -197,7 +246,11 @@
                 await self._leadership.renew()
 
     async def _load(self) -> None:
-        """Read all job rows of the region, and adopt the running attempts."""
+        """Read all job rows of the region, and adopt the running attempts.
+
+        An adopted attempt may have members to start, so the drains are read first.
+        """
+        await self._read_first_drains()
         jobs = self._repository.load(await self._scan_jobs())
         for worker in self._listed_workers:
             self._ensure_session(worker)
@@ -209,6 +262,19 @@
         self._update_guarantees_at_risk()
         log.info("Loaded the region.", region=self._context.region, jobs=len(jobs))
 
+    async def _read_first_drains(self) -> None:
+        await self._drains.refresh()
+        while not self._drains.was_read:
+            await self._context.clock.sleep(STORE_RETRY_S)
+            await self._drains.refresh()
+
+    async def _drain_loop(self) -> None:
+        while True:
+            await self._context.clock.sleep(self._context.timing.drains_poll_s)
+            if await self._drains.refresh():
+                self._update_availability()
+                self._wake_placement.set()
+
     async def _scan_jobs(self) -> list[Row]:
         prefix = f"job/{self._context.region}/"
         while True:
@@ -242,6 +308,7 @@
             job,
             attempt,
             self._sessions,
+            self._drains,
             self._leadership,
             self._repository,
             self._context.clock,
@@ -354,7 +421,7 @@
 
     async def _placement_loop(self) -> None:
         while True:
-            if self._leadership.valid:
+            if self._leadership.valid and self._drains.known.is_current:
                 self._place_waiting()
             await self._wait_for(self._wake_placement, PLACEMENT_INTERVAL_S)
 
@@ -421,6 +488,7 @@
             self._sessions[session.name] = session
             self._spawn(session.run())
         session.leaving = worker.leaving
+        session.domain = worker.domain
 
     def _make_session(self, worker: ListedWorker) -> WorkerSession:
         return WorkerSession(
@@ -493,6 +561,9 @@
             if session.lost or session.leaving
         }
         unavailable |= self._failure_tracker.list_quarantined(now_s)
+        # As on leaving workers, gangs go on there, and guarantees are reclaimed on
+        # what is left.
+        unavailable |= {session.name for session in self._list_drained_sessions()}
         unreported = {
             session.name
             for session in self._sessions.values()
@@ -509,6 +580,11 @@
         self._update_guarantees_at_risk()
         self._wake_placement.set()
 
+    def _list_drained_sessions(self) -> list[WorkerSession]:
+        """Return the sessions with workers in drained failure domains."""
+        drains = self._drains.known.drains
+        return [s for s in self._sessions.values() if s.domain in drains]
+
     def _update_guarantees_at_risk(self) -> None:
         at_risk = tuple(self._planner.list_guarantees_at_risk())
         if at_risk == self._guarantees_at_risk:
--- a/chiveledge/scheduler/_scheduler.py
+++ b/chiveledge/scheduler/_scheduler.py
@@ -201,6 +201,7 @@
             ),
             entry.url,
             entry.state is HostState.LEAVING,
+            entry.domain,
         )
         for entry in entries
         if entry.role is HostRole.WORKER and entry.region == region
--- a/chiveledge/scheduler/_worker_session.py
+++ b/chiveledge/scheduler/_worker_session.py
@@ -24,7 +24,7 @@
 )
 from chiveledge.services.worker import SYNC_TIMEOUT_MARGIN_S
 from chiveledge.settings import TimingSettings
-from chiveledge.types import AttemptId, RegionName
+from chiveledge.types import AttemptId, DomainName, RegionName
 
 T = TypeVar("T")
 
@@ -62,6 +62,13 @@
         Length of task leases and period of renewals.
     on_change : callable
         Called with the session after each report, and when the worker is lost.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether the host list says that the worker leaves.
+    domain : str
+        The worker's failure domain; empty if it was never listed.
     """
 
     def __init__(
@@ -76,6 +83,7 @@
     ) -> None:
         self.size = size
         self.leaving = False
+        self.domain: DomainName = ""
         self._worker = worker
         self._region = region
         self._leadership = leadership
--- a/chiveledge/settings.py
+++ b/chiveledge/settings.py
@@ -92,6 +92,8 @@
     worker_sync_s: float = Field(default=2.0, gt=0)
     checkpoint_s: float = Field(default=2.0, gt=0)
     inbox_poll_s: float = Field(default=1.0, gt=0)
+    drains_poll_s: float = Field(default=1.0, gt=0)
+    drains_stale_s: float = Field(default=4.0, gt=0)
     drain_s: float = Field(default=30.0, gt=0)
 
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -22,6 +22,7 @@
 
 REGION = "gyeonggi"
 STEP_S = 0.05
+DOMAINS = ("a", "b")
 
 
 def make_document(
@@ -92,7 +93,7 @@
 
 
 class Region:
-    """A region in one process: a table, workers and any number of leaders.
+    """A region in one process: a table, workers in two domains, any number of leaders.
 
     Parameters
     ----------
@@ -142,6 +143,10 @@
         self.table.commit(Transaction(f"submit-{key}", puts=puts))
         return job_id
 
+    def domain_of(self, worker: str) -> str:
+        """Return a worker's failure domain, one of two by turns."""
+        return DOMAINS[int(worker[1:]) % len(DOMAINS)]
+
     def job(self, job_id: str) -> Job:
         """Return a job as stored in its row."""
         return decode_job(self.table.rows[f"job/{REGION}/{job_id}"].value)
@@ -180,7 +185,10 @@
             self.timing,
             lambda url: wrap(self.workers[url]),
         )
-        listed = [ListedWorker(size, size.name, False) for size in self.sizes]
+        listed = [
+            ListedWorker(size, size.name, False, self.domain_of(size.name))
+            for size in self.sizes
+        ]
         while True:
             leadership = Leadership(
                 REGION, name, table, self.clock, self.timeline, self.timing
