--- a/chiveledge/administration/_commands.py
+++ b/chiveledge/administration/_commands.py
@@ -1,4 +1,4 @@
-"""HTTP handlers of the state-changing commands: configuration, preset and drain."""
+"""HTTP handlers of the state-changing commands: configuration, preset and drains."""
 
 from __future__ import annotations
 
@@ -22,15 +22,29 @@
     describe_change,
     parse_document,
 )
+from chiveledge.drain_store import (
+    DrainChange,
+    DrainCommitted,
+    DrainOutcome,
+    DrainRefused,
+    DrainUnknown,
+    change_drain,
+    find_domain_problem,
+)
+from chiveledge.events import Timeline
 from chiveledge.http_errors import make_refusal, make_unknown
+from chiveledge.logs import PartLogger
 from chiveledge.membership import Membership
 from chiveledge.outcomes import Reason
-from chiveledge.services import TableService
+from chiveledge.services import HostRole, TableService
+from chiveledge.types import DomainName
 
 CONFLICT_STATUS = 409
 UNPROCESSABLE_STATUS = 422
 PRECONDITION_REQUIRED_STATUS = 428
 
+log = PartLogger("administration")
+
 
 class OperatorCommands:
     """HTTP handlers of the operators' commands.
@@ -38,13 +52,15 @@
     Parameters
     ----------
     table : TableService
-        Store to which configuration changes are committed.
+        Store to which changes of the configuration and of drains are committed.
     configuration : ConfigurationReplica
         This process's copy of the document in force.
     membership : Membership
         Hosts of the deployment; without their list no document is checked.
     clock : Clock
         Source of time for the timeout of a commit.
+    timeline : Timeline
+        Receives the changes of drains.
     publish : callable
         Broadcasts an accepted document to all peers.
     find_unsatisfiable_guarantees : callable
@@ -60,6 +76,7 @@
         configuration: ConfigurationReplica,
         membership: Membership,
         clock: Clock,
+        timeline: Timeline,
         publish: Callable[[VersionedDocument], None],
         find_unsatisfiable_guarantees: Callable[[Document], list[str]],
         drain: Callable[[], None],
@@ -68,6 +85,7 @@
         self._configuration = configuration
         self._membership = membership
         self._clock = clock
+        self._timeline = timeline
         self._publish = publish
         self._find_unsatisfiable_guarantees = find_unsatisfiable_guarantees
         self._drain = drain
@@ -77,6 +95,8 @@
         app.router.add_put("/v1/admin/configuration", self.put_configuration)
         app.router.add_put("/v1/admin/preset/{preset}", self.put_preset)
         app.router.add_post("/v1/admin/drain", self.drain)
+        app.router.add_put("/v1/admin/drains/{domain}", self.put_drain)
+        app.router.add_delete("/v1/admin/drains/{domain}", self.delete_drain)
 
     async def put_configuration(self, request: web.Request) -> web.Response:
         """Replace the whole document by the one in the request body."""
@@ -109,6 +129,72 @@
         self._drain()
         return web.json_response({"draining": True}, status=202)
 
+    async def put_drain(self, request: web.Request) -> web.Response:
+        """Drain a failure domain: no more gangs start there."""
+        return await self._change_drain(request, drained=True)
+
+    async def delete_drain(self, request: web.Request) -> web.Response:
+        """Give a drained failure domain back."""
+        return await self._change_drain(request, drained=False)
+
+    async def _change_drain(
+        self, request: web.Request, *, drained: bool
+    ) -> web.Response:
+        domain = request.match_info["domain"]
+        problem = find_domain_problem(domain)
+        if problem:
+            return make_refusal(Reason.BAD_INPUT, problem)
+        change = DrainChange(domain, drained, _read_operator(request))
+        outcome = await change_drain(
+            self._table, self._clock, change, write_id=uuid.uuid4().hex
+        )
+        log.info(
+            "Change of a drain.",
+            domain=domain,
+            drained=drained,
+            author=change.author,
+            outcome=repr(outcome),
+        )
+        return self._respond_to_drain(change, outcome)
+
+    def _respond_to_drain(
+        self, change: DrainChange, outcome: DrainOutcome
+    ) -> web.Response:
+        match outcome:
+            case DrainCommitted(drain, changed):
+                if changed:
+                    name = "domain_drained" if change.drained else "domain_given_back"
+                    self._timeline.add(
+                        "administration", name, change.domain, detail=change.author
+                    )
+                body = {
+                    "domain": change.domain,
+                    "drained": change.drained,
+                    "changed": changed,
+                    "author": drain.author,
+                    "since_ms": drain.since_ms,
+                }
+                return web.json_response(body | self._count_workers(change.domain))
+            case DrainRefused(reason):
+                return make_refusal(Reason.STORE_UNAVAILABLE, reason, retry_after_s=1)
+            case DrainUnknown(write_id):
+                detail = (
+                    f"the change may have been committed (write {write_id}); check "
+                    "with 'chiveledge drains', or send it again"
+                )
+                return make_unknown(Reason.STORE_UNAVAILABLE, detail)
+        raise AssertionError(f"unknown outcome {outcome!r}")
+
+    def _count_workers(self, domain: DomainName) -> dict[str, object]:
+        """Return the number of a domain's workers, with a note if it has none."""
+        workers = self._membership.find_by_role(HostRole.WORKER)
+        count = sum(worker.domain == domain for worker in workers)
+        if count:
+            return {"workers": count}
+        known = ", ".join(sorted({worker.domain for worker in workers})) or "none"
+        note = f"no listed worker is in {domain!r}; domains with workers: {known}"
+        return {"workers": 0, "note": note}
+
     async def _change(self, request: web.Request, document: Document) -> web.Response:
         match _parse_expected_revision(request):
             case Ok(expected):
@@ -135,7 +221,7 @@
             self._clock,
             expected=expected,
             document=document,
-            author=request.headers.get("Chiveledge-Operator", "operator"),
+            author=_read_operator(request),
             write_id=uuid.uuid4().hex,
         )
         return self._respond(outcome)
@@ -172,6 +258,10 @@
         raise AssertionError(f"unknown outcome {outcome!r}")
 
 
+def _read_operator(request: web.Request) -> str:
+    return request.headers.get("Chiveledge-Operator", "operator")
+
+
 def _parse_expected_revision(request: web.Request) -> Result[int, web.Response]:
     text = request.headers.get("If-Match", "").strip('"')
     if text.isdecimal():
--- a/chiveledge/administration/_queries.py
+++ b/chiveledge/administration/_queries.py
@@ -1,12 +1,15 @@
-"""HTTP handlers of the read-only queries: state, jobs, timeline and metrics."""
+"""HTTP handlers of the read-only queries: state, jobs, drains, timeline, metrics."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
 from aiohttp import web
+from result import Err, Ok
 
 from chiveledge.configuration import ConfigurationReplica
+from chiveledge.drain_store import read_drains
+from chiveledge.drains import Drain
 from chiveledge.events import Timeline
 from chiveledge.gateway import GatewayServer
 from chiveledge.http_errors import make_refusal
@@ -15,6 +18,7 @@
 from chiveledge.metrics import Metrics
 from chiveledge.outcomes import Reason
 from chiveledge.scheduler import Scheduler
+from chiveledge.services import HostRole, TableService
 from chiveledge.settings import ProcessSettings
 
 UNAVAILABLE_STATUS = 503
@@ -27,6 +31,8 @@
     ----------
     settings : ProcessSettings
         Settings of the process.
+    table : TableService
+        Store of the drains.
     configuration : ConfigurationReplica
         This process's copy of the document in force.
     membership : Membership
@@ -46,6 +52,7 @@
     def __init__(
         self,
         settings: ProcessSettings,
+        table: TableService,
         configuration: ConfigurationReplica,
         membership: Membership,
         timeline: Timeline,
@@ -55,6 +62,7 @@
         is_ready: Callable[[], bool],
     ) -> None:
         self._settings = settings
+        self._table = table
         self._configuration = configuration
         self._membership = membership
         self._timeline = timeline
@@ -70,6 +78,7 @@
         app.router.add_get("/v1/admin/configuration", self.show_configuration)
         app.router.add_get("/v1/admin/status", self.show_status)
         app.router.add_get("/v1/admin/explain/{job_id}", self.explain_job)
+        app.router.add_get("/v1/admin/drains", self.show_drains)
         app.router.add_get("/v1/admin/timeline", self.show_timeline)
         app.router.add_get("/v1/admin/metrics", self.show_metrics)
 
@@ -136,13 +145,25 @@
             job = leader.jobs.get(job_id)
             if job is not None:
                 is_queued = job.state is JobState.QUEUED
-                why = leader.planner.explain_waiting(job) if is_queued else job.reason
+                why = leader.explain_waiting(job) if is_queued else job.reason
                 return web.json_response(
                     {"job_id": job_id, "state": str(job.state), "why": why}
                 )
         detail = f"this process does not lead the region of job {job_id!r}"
         return make_refusal(Reason.BAD_INPUT, detail, status=404)
 
+    async def show_drains(self, _: web.Request) -> web.Response:
+        """Return the drains in the store, and what this process's leaders know."""
+        match await read_drains(self._table):
+            case Ok(drains):
+                rows = [self._describe_drain(drain) for drain in drains.values()]
+                leaders = [self._describe_known(r) for r in self._list_led_regions()]
+                return web.json_response({"drains": rows, "leaders": leaders})
+            case Err(error):
+                detail = f"the table service is not available: {error}"
+                return make_refusal(Reason.STORE_UNAVAILABLE, detail, retry_after_s=1)
+        raise AssertionError("unreachable")
+
     async def show_timeline(self, request: web.Request) -> web.Response:
         """Return this process's retained events, filtered by subject and sequence."""
         after = request.query.get("after", "0")
@@ -161,6 +182,21 @@
     def _list_led_regions(self) -> list[str]:
         return list(self._scheduler.leaders) if self._scheduler else []
 
+    def _describe_drain(self, drain: Drain) -> dict[str, object]:
+        workers = self._membership.find_by_role(HostRole.WORKER)
+        count = sum(worker.domain == drain.domain for worker in workers)
+        return drain._asdict() | {"workers": count}
+
+    def _describe_known(self, region: str) -> dict[str, object]:
+        leader = self._scheduler.leaders[region]
+        known = leader.drains
+        return {
+            "region": region,
+            "age_s": round(known.age_s, 3) if leader.has_loaded else None,
+            "starts": leader.has_loaded and known.is_current,
+            "running": leader.count_running_by_domain(),
+        }
+
     def _describe_region(self, region: str) -> dict[str, object]:
         leader = self._scheduler.leaders[region]
         jobs = leader.jobs.values()
--- a/chiveledge/cli/_commands.py
+++ b/chiveledge/cli/_commands.py
@@ -6,6 +6,7 @@
 import sys
 import uuid
 from pathlib import Path
+from urllib.parse import quote
 
 from absl import logging
 from result import Err, Ok
@@ -20,6 +21,7 @@
     print_first_reply,
 )
 from chiveledge.configuration import parse_document
+from chiveledge.drain_store import find_domain_problem
 from chiveledge.process import run_process
 from chiveledge.settings import load_settings
 
@@ -216,3 +218,51 @@
     """
     call = Call("POST", "/v1/admin/drain", make_operator_headers(token))
     return print_first_reply(url, call, as_json=json)
+
+
+def drain_domain(
+    domain: str,
+    *,
+    operator: str = "operator",
+    url: str = "",
+    token: str = "",
+    json: bool = False,
+) -> int:
+    """Take a failure domain out: no more gangs start there, running ones go on.
+
+    :param domain: name of the failure domain
+    :param operator: your name, recorded as the author
+    :param url: URLs of processes, separated by commas
+    :param token: operator token
+    :param json: print the reply as JSON
+    """
+    call = _make_drain_call("PUT", domain, operator, token)
+    return print_first_reply(url, call, as_json=json)
+
+
+def undrain_domain(
+    domain: str,
+    *,
+    operator: str = "operator",
+    url: str = "",
+    token: str = "",
+    json: bool = False,
+) -> int:
+    """Give a drained failure domain back.
+
+    :param domain: name of the failure domain
+    :param operator: your name, recorded as the author
+    :param url: URLs of processes, separated by commas
+    :param token: operator token
+    :param json: print the reply as JSON
+    """
+    call = _make_drain_call("DELETE", domain, operator, token)
+    return print_first_reply(url, call, as_json=json)
+
+
+def _make_drain_call(method: str, domain: str, operator: str, token: str) -> Call:
+    problem = find_domain_problem(domain)
+    if problem:
+        exit_bad_input(problem)
+    headers = make_operator_headers(token) | {"Chiveledge-Operator": operator}
+    return Call(method, f"/v1/admin/drains/{quote(domain, safe='')}", headers)
--- a/chiveledge/cli/_main.py
+++ b/chiveledge/cli/_main.py
@@ -13,14 +13,17 @@
 from chiveledge.cli._commands import (
     cancel,
     drain,
+    drain_domain,
     preset,
     request,
     run,
     set_configuration,
     submit,
+    undrain_domain,
 )
 from chiveledge.cli._queries import (
     configuration,
+    drains,
     explain,
     hosts,
     metrics,
@@ -39,6 +42,8 @@
     "preset": preset,
     "set-configuration": set_configuration,
     "drain": drain,
+    "drain-domain": drain_domain,
+    "undrain-domain": undrain_domain,
 }
 QUERIES = {
     "status": status,
@@ -46,6 +51,7 @@
     "explain": explain,
     "hosts": hosts,
     "configuration": configuration,
+    "drains": drains,
     "timeline": timeline,
     "trace": trace,
     "report": report,
--- a/chiveledge/cli/_queries.py
+++ b/chiveledge/cli/_queries.py
@@ -5,6 +5,7 @@
 import fileinput
 import json as json_codec
 import sys
+from datetime import UTC, datetime
 from pathlib import Path
 
 from chiveledge.cli._client import (
@@ -29,6 +30,8 @@
 )
 from chiveledge.log_trace import describe_trace, trace_job
 
+MS_PER_S = 1000
+
 
 def status(
     job_id: str,
@@ -174,6 +177,34 @@
     return EXIT_SUCCESS if all(reply.succeeded for reply in replies) else EXIT_FAILURE
 
 
+def drains(*, url: str = "", token: str = "", json: bool = False) -> int:
+    """Show drained failure domains: by whom, since when, and what still runs there.
+
+    Asks all processes, as only a region's leader knows what runs there.
+
+    :param url: URLs of processes, separated by commas
+    :param token: operator token
+    :param json: print the reply as JSON
+    """
+    call = Call("GET", "/v1/admin/drains", make_operator_headers(token))
+    replies = call_all(read_urls(url), call)
+    answers = [reply for reply in replies if reply.succeeded]
+    if not answers:
+        return print_reply(replies[0], as_json=json)
+    leaders = [leader for reply in answers for leader in reply.body["leaders"]]
+    rows = answers[0].body["drains"]
+    if json:
+        print(json_codec.dumps({"drains": rows, "leaders": leaders}))
+        return EXIT_SUCCESS
+    print(f"{'domain':<20} {'by':<16} {'since':<20} {'workers':<8} running")
+    for row in rows:
+        print(_format_drain(row, leaders))
+    for leader in leaders:
+        if not leader["starts"]:
+            print(f"{leader['region']}: nothing starts, the drains are not known yet")
+    return EXIT_SUCCESS
+
+
 def timeline(
     *, subject: str = "", url: str = "", token: str = "", json: bool = False
 ) -> int:
@@ -232,3 +263,20 @@
         f"{body['process']:<28} {ready:<6} {body['revision']:<9} "
         f"{body['preset']:<12} {', '.join(led)}"
     )
+
+
+def _format_drain(row: dict[str, object], leaders: list[dict]) -> str:
+    counts = [leader["running"].get(row["domain"]) for leader in leaders]
+    known = [count for count in counts if count is not None]
+    running = str(sum(known)) if known else "not known"
+    return (
+        f"{row['domain']:<20} {row['author'] or '?':<16} "
+        f"{_format_time(row['since_ms']):<20} {row['workers']:<8} {running}"
+    )
+
+
+def _format_time(time_ms: int) -> str:
+    if not time_ms:
+        return "?"
+    time = datetime.fromtimestamp(time_ms / MS_PER_S, tz=UTC)
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ")
--- a/chiveledge/process.py
+++ b/chiveledge/process.py
@@ -170,12 +170,14 @@
             self._configuration,
             self._membership,
             self._clock,
+            self._timeline,
             self._push_configuration,
             self._find_unsatisfiable_guarantees,
             self.drain,
         )
         self._queries = OperatorQueries(
             settings,
+            table,
             self._configuration,
             self._membership,
             self._timeline,
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -104,3 +104,19 @@
     code = run("hosts", "--url", "http://127.0.0.1:1", "--token", "t")
     assert code == 1
     assert "not reached" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize("command", ["drain-domain", "undrain-domain"])
+@pytest.mark.parametrize("name", ["", " a", "x" * 101, ".."])
+def test_domain_with_an_impossible_name_is_refused_before_any_call(
+    capsys, command, name
+):
+    code = run(command, name, "--url", "http://127.0.0.1:1", "--token", "t")
+    assert code == 2
+    assert "domain: got" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("argv", [("drain-domain", "a"), ("drains",)])
+def test_drains_of_unreachable_processes_exit_with_failure(capsys, argv):
+    assert run(*argv, "--url", "http://127.0.0.1:1", "--token", "t") == 1
+    assert "http://127.0.0.1:1" in capsys.readouterr().err
