--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,7 @@
 from soak.callers import Caller
 from soak.checks import InvariantChecker
 from soak.disturbances import Disturber
+from soak.domains import DomainDrainer
 from soak.drains import DrainInjector
 from soak.faults import FaultInjector, draw_fault
 from soak.proxy import LinkProxy
@@ -40,8 +41,10 @@
                 await deployment.launch(name)
             disturber = Disturber(deployment, names, random.Random(f"odd {seed}"))
             drains = DrainInjector(deployment, links, random.Random(f"drain {seed}"))
+            domains = DomainDrainer(deployment, random.Random(f"domain {seed}"))
+            disturbers = (disturber, drains, domains)
             violations = await _run_faults(
-                deployment, links, names, rng, seconds, callers, disturber, drains
+                deployment, links, names, rng, seconds, callers, disturbers
             )
             _print_job_logs(deployment, names, violations)
             return violations
@@ -69,8 +72,7 @@
     rng: random.Random,
     seconds: float,
     callers: int,
-    disturber: Disturber,
-    drains: DrainInjector,
+    disturbers: tuple[Disturber, DrainInjector, DomainDrainer],
 ) -> list[str]:
     """Inject faults for `seconds` while callers submit jobs; return the violations."""
     for name in names:
@@ -80,7 +82,7 @@
         Caller(deployment, names, random.Random(rng.random()), number)
         for number in range(callers)
     ]
-    active = (disturber, drains, *active_callers)
+    active = (*disturbers, *active_callers)
     tasks = [asyncio.create_task(x.run()) for x in active]
     injector = FaultInjector(deployment, links)
     faults = []
@@ -95,7 +97,7 @@
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-    jobs = [job for caller in (disturber, *active_callers) for job in caller.jobs]
+    jobs = [job for caller in (disturbers[0], *active_callers) for job in caller.jobs]
     await checker.check_jobs(jobs, names[0])
     checker.check_processes()
     accepted = sum(job.accepted for job in jobs)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from soak.callers import UNKNOWN_JOB_STATUS, JobRecord
-from standins.deployment import Deployment
+from standins.deployment import DRAIN_BOUND_S, Deployment
 
 CHECK_PERIOD_S = 0.02
 COMPLETION_TIMEOUT_S = 60.0
@@ -48,6 +48,8 @@
         self._record(
             f"started after done: {text}" for text in record.started_after_done
         )
+        in_drained = record.list_starts_in_drained(DRAIN_BOUND_S)
+        self._record(f"started in a drained domain: {text}" for text in in_drained)
 
     def check_processes(self) -> None:
         """Check that no process ended by itself; the others were started again."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 
 from soak.proxy import LinkMode, LinkProxy
 from standins.deployment import Deployment
+from standins.run_record import Span
 
 MAX_FAULT_S = 4.0
 MIN_FAULT_S = 0.3
@@ -143,9 +144,12 @@
         process = self._deployment.processes[node]
         match fault:
             case Pause(duration_s=duration_s):
+                clock = self._deployment.clock
+                since_s = clock.monotonic()
                 process.send_signal(signal.SIGSTOP)
                 await asyncio.sleep(duration_s)
                 process.send_signal(signal.SIGCONT)
+                self._deployment.record.pauses.append(Span(since_s, clock.monotonic()))
             case Kill(duration_s=duration_s):
                 await self._deployment.kill(node)
                 await asyncio.sleep(duration_s)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -30,6 +30,10 @@
 WORKER_RESTART_S = 0.3
 """Time from the crash of a worker until it serves again."""
 
+WORKER_DOMAINS = {"i-0": "z", "i-1": "y"}
+DRAIN_BOUND_S = 3.0
+"""Time after a drain from which no run may begin in the failure domain."""
+
 WORKER_CAPACITY = Usage(8000, 8000, 4)
 CALLER = {"Host": "h.example", "Authorization": "Bearer k1"}
 
@@ -126,8 +130,8 @@
         """Start the stand-ins and write the first configuration."""
         runner, self._address = await serve(self.store.make_app())
         self._runners.append(runner)
-        for number in range(2):
-            await self._add_worker(f"i-{number}")
+        for name in WORKER_DOMAINS:
+            await self._add_worker(name)
         self.store.write("op/config", CONFIGURATION)
 
     async def _add_worker(self, name: str) -> None:
@@ -135,7 +139,7 @@
             name,
             "pool",
             "",
-            "z",
+            WORKER_DOMAINS[name],
             "r1",
             frozenset({"a", "r1"}),
             WORKER_CAPACITY,
@@ -145,6 +149,7 @@
             entry, self.clock, self._find_task, self.workers, self.record
         )
         self.workers.append(worker)
+        self.record.domains[name] = entry.domain
         runner, address = await serve(make_worker_app(worker))
         self._runners.append(runner)
         self._worker_runners[name] = runner
@@ -184,6 +189,16 @@
             row["remaining_ms"] = leaves_ms
         self.store.write(f"servers/{name}", row)
 
+    def drain(self, domain: str, fields: object) -> None:
+        """Request as the operator that nothing more starts in a failure domain."""
+        self.store.write(f"op/evacuate/{domain}", fields)
+        self.record.start_drain(domain, self.clock.monotonic())
+
+    def give_back(self, domain: str) -> None:
+        """Take the request to drain a failure domain back."""
+        self.record.end_drain(domain, self.clock.monotonic())
+        self.store.remove(f"op/evacuate/{domain}")
+
     def url(self, name: str) -> str:
         """Return the base URL at which a process accepts callers' requests."""
         return f"http://127.0.0.1:{self._ports[name]}"
@@ -205,7 +220,7 @@
             "listen": {"front": f"127.0.0.1:{port}"},
             "port_range": [find_free_port(), find_free_port()],
             "platform": {"address": self._store_addresses[name], "form": "table"},
-            "bounds": {"grace_s": 4},
+            "bounds": {"grace_s": 4, "evac_ms": int(DRAIN_BOUND_S * 1000)},
         }
         path = self._folder / f"{name}.json"
         path.write_text(json.dumps(settings))
--- a/standins/run_record.py
+++ b/standins/run_record.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from chiveledge.services.task_worker import StartOrder
-from chiveledge.types import WorkerName
+from chiveledge.types import DomainName, WorkerName
 from chiveledge.workload import RunEnd
 
 SHRINK_GRACE_S = 5.5
@@ -17,6 +17,17 @@
 the time to be in touch and the interval of a worker's writes to the platform."""
 
 
+class Span(NamedTuple):
+    """A span of monotonic time, in seconds; it may last still."""
+
+    start_s: float
+    end_s: float = float("inf")
+
+    def cut(self, start_s: float, end_s: float) -> float:
+        """Return the time that it shares with another span."""
+        return max(min(self.end_s, end_s) - max(self.start_s, start_s), 0.0)
+
+
 class Overload(NamedTuple):
     """A start that brought a worker over its capacity.
 
@@ -110,6 +121,12 @@
     crashes : dict
         For each task that crashes its worker, the times at which a worker crashed with
         it, by its own fault or by that of another such task.
+    domains : dict
+        Failure domain of each worker.
+    drains : dict
+        For each failure domain, when it was drained.
+    pauses : list of Span
+        When processes were suspended.
     """
 
     runs: dict[str, list[RecordedRun]] = field(
@@ -117,6 +134,43 @@
     )
     crashes: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     overloads: list[Overload] = field(default_factory=list)
+    domains: dict[WorkerName, DomainName] = field(default_factory=dict)
+    drains: dict[DomainName, list[Span]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    pauses: list[Span] = field(default_factory=list)
+
+    def start_drain(self, domain: DomainName, now_s: float) -> None:
+        """Record that an operator drains a failure domain, unless it is drained."""
+        spans = self.drains[domain]
+        if not spans or spans[-1].end_s < now_s:
+            spans.append(Span(now_s))
+
+    def end_drain(self, domain: DomainName, now_s: float) -> None:
+        """Record that an operator gives a failure domain back."""
+        spans = self.drains[domain]
+        if spans and spans[-1].end_s > now_s:
+            spans[-1] = spans[-1]._replace(end_s=now_s)
+
+    def list_starts_in_drained(self, bound_s: float) -> list[str]:
+        """Return descriptions of starts in domains drained for longer than a bound.
+
+        Starts that were carried out late don't count, nor does the time in which a
+        process was suspended: what it had decided before it sends afterwards.
+        """
+        return [
+            f"{run.task}: {run} in {domain}, drained at {span.start_s:.3f}"
+            for runs in self.runs.values()
+            for run in runs
+            if not run.is_late and (domain := self.domains.get(run.worker))
+            for span in self.drains.get(domain, ())
+            if span.start_s < run.started_s < span.end_s
+            and self._active_s(span.start_s, run.started_s) > bound_s
+        ]
+
+    def _active_s(self, start_s: float, end_s: float) -> float:
+        """Return the length of a time, at least, in which no process was suspended."""
+        return end_s - start_s - sum(p.cut(start_s, end_s) for p in self.pauses)
 
     @property
     def starts_over_capacity(self) -> list[Overload]:
