--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -22,7 +22,7 @@
 )
 from benchmarks.load import Site
 from chiveledge.coordinator import RunTimeEstimator
-from chiveledge.placement import FleetView, StepDemand, _packing, _preemption
+from chiveledge.placement import FleetView, StepDemand, _packing, _plan, _preemption
 from chiveledge.placement._order import Timeliness
 
 ALL_RULES = "all rules"
@@ -54,7 +54,7 @@
 
 def spread_tasks() -> None:
     """Place tasks on the emptiest workers first."""
-    _packing._best_fit_key = lambda worker, free, usage, *, urgent: (
+    _packing._best_fit_key = lambda worker, free, usage, demand: (
         tuple(-amount for amount in free),
         worker.name,
     )
@@ -75,6 +75,11 @@
     FleetView.is_late_after_stop = lambda _self, _worker, _demand: False
 
 
+def order_by_due_time() -> None:
+    """Let workspaces not take turns."""
+    _plan.may_compete = lambda _: False
+
+
 SWITCHES: dict[str, Callable[[], None]] = {
     "timeliness order": ignore_timeliness,
     "waiting for ending runs": ignore_ending_runs,
@@ -84,6 +89,7 @@
     "waiting for a rack": spread_gangs_at_once,
     "estimates from past runs": trust_declared_times,
     "speeds in preemption": stop_on_any_worker,
+    "turns of workspaces": order_by_due_time,
 }
 VARIANTS = {
     ALL_RULES: Variant(ALL_RULES),
--- a/benchmarks/credit.py
+++ b/benchmarks/credit.py
@@ -26,11 +26,14 @@
         Share of each kind.
     total, net : float
         Share over all kinds, and the same less the price of lost work.
+    worst_workspace : float
+        Share of the workspace that earned the smallest one.
     """
 
     by_kind: dict[str, float]
     total: float
     net: float
+    worst_workspace: float
 
 
 def sum_credit(jobs: list[Job], lost_core_s: float) -> CreditShares:
@@ -38,17 +41,25 @@
     mean_work = _average_work(jobs)
     earned: dict[str, float] = {}
     offered: dict[str, float] = {}
+    by_workspace: dict[str, tuple[float, float]] = {}
     for job in jobs:
         name = job.kind.name
         weight = min(_weigh(job, mean_work[name]), MAX_WEIGHT)
         offered[name] = offered.get(name, 0.0) + weight * job.kind.credit
-        earned[name] = earned.get(name, 0.0) + weight * _credit(job)
+        credit = weight * _credit(job)
+        earned[name] = earned.get(name, 0.0) + credit
+        before = by_workspace.get(job.workspace, (0.0, 0.0))
+        by_workspace[job.workspace] = (
+            before[0] + credit,
+            before[1] + weight * job.kind.credit,
+        )
     total = sum(offered.values())
     net = sum(earned.values()) - LOST_CORE_S_PRICE * lost_core_s
     return CreditShares(
         {name: earned[name] / offered[name] for name in offered},
         sum(earned.values()) / total,
         net / total,
+        min(got / possible for got, possible in by_workspace.values()),
     )
 
 
--- a/benchmarks/emulator.py
+++ b/benchmarks/emulator.py
@@ -80,8 +80,8 @@
     Attributes
     ----------
     credits : dict
-        Earned share of the possible credit by kind, over all kinds as "all", and less
-        the price of lost work as "net".
+        Earned share of the possible credit by kind, over all kinds as "all", less the
+        price of lost work as "net", and of the worst-served workspace as "worst".
     wasted_share : float
         Core-seconds lost by stopped runs, as a share of the fleet's core-seconds.
     stops : int
@@ -186,7 +186,7 @@
             expected = self._arrivals.forecast(span_s, self._now_s)
             count = count_reserved(expected, self._site.capacity, self._site.workers)
             fleet.reserve_for_urgent(SERVICE, count)
-        plan = make_plan(fleet, self._list_demands())
+        plan = make_plan(fleet, self._list_demands(), self._sum_usage())
         for start in plan.starts:
             self._start(start.demand, start.placements)
         for deferred in plan.deferred_starts:
@@ -197,6 +197,17 @@
                 if not run.stopping and deferred.groups & set(_list_groups(run)):
                     self._stop(run)
 
+    def _sum_usage(self) -> dict[tuple[str, str], Usage]:
+        in_use: dict[tuple[str, str], Usage] = {}
+        for run in self._runs:
+            if not run.stopping:
+                key = SERVICE, run.job.workspace
+                usage = in_use.get(key, Usage())
+                for _ in run.indices:
+                    usage = usage.plus(run.job.step.usage)
+                in_use[key] = usage
+        return in_use
+
     def _make_fleet_view(self) -> FleetView:
         used: dict[str, Usage] = {}
         stopping: dict[str, Usage] = {}
@@ -303,6 +314,7 @@
                 remaining_s=expected_s,
                 run_s=expected_s,
                 waited_s=age_s,
+                workspace=job.workspace,
             )
 
     def _start_pending(self) -> None:
@@ -386,7 +398,12 @@
         )
         capacity = self._site.capacity.core_equivalents * self._site.workers
         return EmulationResult(
-            shares.by_kind | {"all": shares.total, "net": shares.net},
+            shares.by_kind
+            | {
+                "all": shares.total,
+                "net": shares.net,
+                "worst": shares.worst_workspace,
+            },
             self._wasted_core_s / (capacity * ARRIVALS_S),
             self._stops,
             waits[len(waits) // 2] if waits else 0.0,
--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -88,10 +88,10 @@
 
 
 def make_bursts(site: Site) -> tuple[Burst, ...]:
-    """Return a burst of urgent jobs and a later one of batch jobs."""
+    """Return a burst of urgent jobs and a later one of one workspace's batch jobs."""
     urgent = next(kind for kind in site.kinds if kind.priority == 0)
     batch = next(kind for kind in site.kinds if kind.priority == 2)
-    return (Burst(urgent.name, 4.0, 6.0, 2.2), Burst(batch.name, 9.0, 4.0, 2.4))
+    return (Burst(urgent.name, 4.0, 6.0, 2.2), Burst(batch.name, 9.0, 4.0, 2.4, 1))
 
 
 VARIANTS = (
@@ -169,7 +169,7 @@
     row = {
         f"p{kind.priority}": result.credits.get(kind.name, 1.0) for kind in site.kinds
     }
-    row |= {"all": result.credits["all"], "net": result.credits["net"]}
+    row |= {key: result.credits[key] for key in ("all", "net", "worst")}
     return row | {"stops": result.stops, "wasted": result.wasted_share}
 
 
@@ -178,7 +178,7 @@
 ) -> str:
     """Return a line with means and paired differences with 95 % intervals."""
     parts = [f"{name:12}"]
-    for key in ("net", "all", "p0", "p1", "p2"):
+    for key in ("net", "all", "worst", "p0", "p1", "p2"):
         values = [row[key] for row in rows]
         differences = [
             row[key] - other[key] for row, other in zip(rows, base, strict=True)
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -12,6 +12,9 @@
 ARRIVALS_S = 34.0
 """Time during which jobs arrive."""
 
+WORKSPACE_SKEW = 1.2
+"""The n-th workspace hands in jobs in proportion to n to the power of minus this."""
+
 
 class JobKind(NamedTuple):
     """Distribution from which the jobs of one kind are drawn.
@@ -80,6 +83,8 @@
         Factors by which runs take longer; the workers have them in turn.
     group : str
         Name under which results are averaged; set for random sites.
+    workspaces : int
+        Number of workspaces that hand jobs in.
     """
 
     name: str
@@ -90,6 +95,7 @@
     kinds: tuple[JobKind, ...]
     slowdowns: tuple[float, ...] = (1.0,)
     group: str = ""
+    workspaces: int = 10
 
     def find_slowdown(self, worker: str) -> float:
         """Return the factor of a worker by its name."""
@@ -97,12 +103,16 @@
 
 
 class Burst(NamedTuple):
-    """A period in which jobs of a kind arrive `factor` times as often."""
+    """A period in which jobs of a kind arrive `factor` times as often.
+
+    With `workspace`, the number of one, all jobs of the kind are its then.
+    """
 
     kind: str
     start_s: float
     duration_s: float
     factor: float
+    workspace: int | None = None
 
 
 @dataclass
@@ -119,6 +129,7 @@
     running: set[int] = field(default_factory=set)
     started_s: float | None = None
     finished_s: float | None = None
+    workspace: str = ""
     work: float = field(init=False)
 
     def __post_init__(self) -> None:
@@ -126,7 +137,9 @@
 
     @property
     def request(self) -> JobRequest:
-        return JobRequest(self.name, self.kind.name, "team", "", (self.step,), 0)
+        return JobRequest(
+            self.name, self.kind.name, self.workspace, "", (self.step,), 0
+        )
 
 
 def draw_jobs(site: Site, bursts: tuple[Burst, ...], rng: random.Random) -> list[Job]:
@@ -147,9 +160,26 @@
     jobs.sort(key=lambda job: job.arrival_s)
     for number, job in enumerate(jobs):
         job.name = f"{number:016x}"
+    _assign_workspaces(site, bursts, jobs, rng.random())
     return jobs
 
 
+def _assign_workspaces(
+    site: Site, bursts: tuple[Burst, ...], jobs: list[Job], seed: float
+) -> None:
+    """Draw the workspace of each job; few hand in most of them."""
+    rng = random.Random(seed)
+    numbers = range(1, site.workspaces + 1)
+    weights = [number**-WORKSPACE_SKEW for number in numbers]
+    for job in jobs:
+        number = rng.choices(numbers, weights)[0]
+        for burst in bursts:
+            inside = burst.start_s <= job.arrival_s < burst.start_s + burst.duration_s
+            if burst.workspace and burst.kind == job.kind.name and inside:
+                number = burst.workspace
+        job.workspace = f"workspace-{number}"
+
+
 def _draw_job(site: Site, kind: JobKind, at_s: float, rng: random.Random) -> Job:
     count = min(kind.max_tasks, max(1, round(rng.expovariate(1 / kind.mean_tasks))))
     run_s = rng.gauss(kind.mean_run_s, kind.mean_run_s * kind.run_spread)
--- a/chiveledge/coordinator/_demands.py
+++ b/chiveledge/coordinator/_demands.py
@@ -157,6 +157,7 @@
                         failed_on=_find_failed_on(progress) if careful else EMPTY,
                         apart_s=apart_s,
                         needs_advice=policy.needs_advice,
+                        workspace=job.request.workspace,
                     )
 
 
--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -18,18 +18,21 @@
 from chiveledge.coordinator._tracked_run import TrackedRun
 from chiveledge.coordinator._worker_link import WorkerLink
 from chiveledge.coordinator._worker_loss import CrashRecorder
+from chiveledge.coordinator._workspace_usage import sum_usage
 from chiveledge.leadership import Leadership
 from chiveledge.placement import (
     URGENT_PRIORITY,
     DeferredStart,
     FleetView,
     Placement,
+    Start,
     StepDemand,
     UrgentArrivals,
     WorkerSuspicion,
     charged_usage,
     count_reserved,
     make_plan,
+    may_compete,
     sort_demands,
 )
 from chiveledge.workload import JobProgress, OpenRun, TaskName
@@ -161,14 +164,32 @@
             if self._may_start(demand.service)
             and not self._orders.is_resting(demand.step_name, now_s)
         ]
-        plan = make_plan(fleet, self._apply_advice(fleet, ready))
+        in_use = sum_usage(self._links, self._jobs) if may_compete(ready) else {}
+        plan = make_plan(fleet, self._apply_advice(fleet, ready), in_use)
         for start in plan.starts:
             self._start_runs(start.demand, start.placements)
+            if start.share is not None:
+                self._record_turn(start)
         for deferred in plan.deferred_starts:
             self._stop_for_deferred_start(deferred, now_s)
         if slow.now:
             self._supervisor.move_off_slow_workers(fleet, slow.now, now_s)
 
+    def _record_turn(self, start: Start) -> None:
+        """Log whose turn it was, and count the turns."""
+        self._context.metrics.count("turns_of_competing_workspaces")
+        self._log.write(
+            "coordinator",
+            "turn",
+            id=start.demand.job_id,
+            step=start.demand.step_name,
+            workspace=start.demand.workspace,
+            share=round(start.share, 3),
+            priority=start.demand.priority,
+            timeliness=start.demand.timeliness.name,
+            waited_s=round(start.demand.waited_s, 3),
+        )
+
     def _may_start(self, service: str) -> bool:
         """Return whether the capacity of a service's workers is known or guarded."""
         if self._list_age_s() <= MAX_LIST_AGE_S:
--- a/chiveledge/placement/__init__.py
+++ b/chiveledge/placement/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from chiveledge.placement._evacuation import should_evacuate
+from chiveledge.placement._fairness import UsageByWorkspace, may_compete, order_fairly
 from chiveledge.placement._fleet import (
     FleetView,
     RunView,
@@ -19,7 +20,7 @@
     sort_demands,
 )
 from chiveledge.placement._packing import Placement, place_step
-from chiveledge.placement._plan import DeferredStart, Plan, make_plan
+from chiveledge.placement._plan import DeferredStart, Plan, Start, make_plan
 from chiveledge.placement._preemption import choose_victims
 from chiveledge.placement._reserve import UrgentArrivals, count_reserved
 from chiveledge.placement._speed import (
@@ -48,9 +49,11 @@
     "Plan",
     "RunSpeed",
     "RunView",
+    "Start",
     "StepDemand",
     "Straggler",
     "UrgentArrivals",
+    "UsageByWorkspace",
     "WorkerSpeeds",
     "WorkerSuspicion",
     "WorkerView",
@@ -63,6 +66,8 @@
     "find_guaranteed_jobs",
     "find_stall_timeout_s",
     "make_plan",
+    "may_compete",
+    "order_fairly",
     "place_step",
     "should_evacuate",
     "should_restart",
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -234,6 +234,14 @@
         """Return the workers of a service on which new runs may start."""
         return self._accepting[service]
 
+    def sum_capacities(self) -> dict[str, Usage]:
+        """Return the capacity of the workers of each service that accept runs."""
+        capacities = {}
+        for service, workers in self._accepting.items():
+            amounts = zip(*(worker.capacity for worker in workers), strict=True)
+            capacities[service] = Usage(*map(sum, amounts))
+        return capacities
+
     def has_capacity(self, service: str, step: Step, *, urgent: bool) -> bool:
         """Return whether a task of a step fits on any worker now.
 
--- a/chiveledge/placement/_order.py
+++ b/chiveledge/placement/_order.py
@@ -81,6 +81,8 @@
         an earlier one; 0 without such a suspicion.
     needs_advice : bool
         Whether only the advice service knows which workers may run the tasks.
+    workspace : str
+        Workspace of the job.
     """
 
     job_id: str
@@ -102,6 +104,7 @@
     failed_on: frozenset[WorkerName] = frozenset()
     apart_s: float = 0.0
     needs_advice: bool = False
+    workspace: WorkspaceName = ""
 
     @property
     def starts_apart(self) -> bool:
@@ -156,18 +159,23 @@
     return sorted(demands, key=_rank)
 
 
-def _rank(demand: StepDemand) -> tuple[bool, int, bool, Timeliness, float, str]:
+def find_class(demand: StepDemand) -> tuple[bool, int, bool, Timeliness]:
+    """Return what comes before the due time in the order of demands."""
     return (
         not demand.guaranteed,
         demand.priority,
         # Empty workers are rarer than room beside others.
         not demand.starts_apart,
         demand.timeliness,
-        demand.due_s,
-        demand.step_name,
     )
 
 
+def _rank(
+    demand: StepDemand,
+) -> tuple[tuple[bool, int, bool, Timeliness], float, str]:
+    return find_class(demand), demand.due_s, demand.step_name
+
+
 def find_guaranteed_jobs(
     jobs: Iterable[JobProgress],
     guarantees: dict[WorkspaceName, Accelerators],
--- a/chiveledge/placement/_plan.py
+++ b/chiveledge/placement/_plan.py
@@ -5,22 +5,34 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from chiveledge.placement._fairness import (
+    UsageByWorkspace,
+    may_compete,
+    order_fairly,
+)
 from chiveledge.placement._fleet import FleetView
 from chiveledge.placement._order import (
     APART_TIMEOUT_IF_FREE_S,
     REPEATED_APART_S,
     StepDemand,
-    sort_demands,
 )
 from chiveledge.placement._packing import Placement, place_step
 from chiveledge.placement._preemption import choose_victims
 
 
 class Start(NamedTuple):
-    """Tasks of a step that start now."""
+    """Tasks of a step that start now.
+
+    Attributes
+    ----------
+    share : float, optional
+        Dominant share of the workspace when it got its turn; None if no other one
+        competed with it.
+    """
 
     demand: StepDemand
     placements: list[Placement]
+    share: float | None = None
 
 
 class DeferredStart(NamedTuple):
@@ -49,8 +61,15 @@
     deferred_starts: list[DeferredStart]
 
 
-def make_plan(fleet: FleetView, demands: Iterable[StepDemand]) -> Plan:
-    """Place the demands in order of `sort_demands`.
+NOTHING_IN_USE: UsageByWorkspace = {}
+
+
+def make_plan(
+    fleet: FleetView,
+    demands: Iterable[StepDemand],
+    in_use: UsageByWorkspace = NOTHING_IN_USE,
+) -> Plan:
+    """Place the demands in the order of `order_fairly`.
 
     Parameters
     ----------
@@ -58,12 +77,16 @@
         Workers; capacity is allocated from it.
     demands : iterable of StepDemand
         Waiting tasks, in any order.
+    in_use : mapping, optional
+        Capacity that the open runs of each workspace take.
     """
     plan = Plan([], [])
-    for demand in sort_demands(_release(fleet, demand) for demand in demands):
+    released = [_release(fleet, demand) for demand in demands]
+    capacities = fleet.sum_capacities() if may_compete(released) else {}
+    for demand, share in order_fairly(released, in_use, capacities):
         placements = place_step(fleet, demand)
         if placements:
-            plan.starts.append(Start(demand, placements))
+            plan.starts.append(Start(demand, placements, share))
         placed = {placement.index for placement in placements}
         rest = tuple(index for index in demand.indices if index not in placed)
         if rest and demand.urgent and demand.may_stop_runs:
--- a/tests/benchmarks/test_loads.py
+++ b/tests/benchmarks/test_loads.py
@@ -9,6 +9,7 @@
 
 from benchmarks.emulator import Emulator, Variant
 from benchmarks.load import Job, JobKind, Site
+from chiveledge.placement import _plan
 from chiveledge.workload import Step, Usage
 
 CAPACITY = Usage(32000, 64000, 8)
@@ -70,3 +71,38 @@
     result, jobs = play([first, *batch, gang], slowdowns=(1.2, 1.0, 1.0, 1.0))
     assert is_in_time(jobs["gang"])
     assert result.stops == 0
+
+
+SINGLE = Usage(1000, 1000, 1)
+
+
+def make_batch(name, workspace, arrival_s):
+    step = Step(count=8, usage=SINGLE, estimate_s=2.0)
+    return Job(BATCH, step, name, arrival_s, 2.0, [2.0] * 8, workspace=workspace)
+
+
+def play_burst():
+    """Play 80 jobs of a workspace, each the size of a worker, then 4 of another."""
+    burst = [make_batch(f"l{n:02}", "large", 0.0) for n in range(80)]
+    small = [make_batch(f"s{n}", "small", 0.5) for n in range(4)]
+    _, jobs = play([*burst, *small])
+    return jobs
+
+
+def test_burst_of_a_large_workspace_does_not_delay_small_ones():
+    """A small workspace's jobs waited for the whole burst that came before them.
+
+    Of the burst no more jobs come late than the small workspace has.
+    """
+    jobs = play_burst()
+    waits_s = [jobs[f"s{n}"].finished_s - 0.5 for n in range(4)]
+    assert max(waits_s) < 5.0
+    in_time = sum(is_in_time(jobs[f"l{n:02}"]) for n in range(80))
+    assert in_time >= 72 - 4
+
+
+def test_without_turns_the_small_workspace_waits_for_the_whole_burst(monkeypatch):
+    """Shows that the load above is one that turns answer."""
+    monkeypatch.setattr(_plan, "may_compete", lambda _: False)
+    jobs = play_burst()
+    assert min(jobs[f"s{n}"].finished_s for n in range(4)) > 15.0
--- a/tests/coordinator/cluster.py
+++ b/tests/coordinator/cluster.py
@@ -357,6 +357,7 @@
         step: Step,
         *,
         queue: str = "standard",
+        workspace: str = "cafes",
         work_s: float = 1.0,
         fails: bool = False,
         node: int = 0,
@@ -385,7 +386,7 @@
         request = JobRequest(
             job_id,
             queue,
-            "cafes",
+            workspace,
             "payload",
             (step,),
             int(self.clock.now().timestamp() * 1000),
