--- /dev/null
+++ b/tests/http_limits/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of `chiveledge.http_limits`."""
+
+from __future__ import annotations
