One budget of a process for what clients send, on every listener

Cause: aiohttp keeps what arrives (unread chunks at up to 100 bytes each, a head line without end, bodies that stop short) without a bound over connections, and every listener accepted without end.

Change: chiveledge/http_limits. `ReadBudget` decides, without a network, which connections are closed: bytes are charged before they are parsed, by connection and in all, from the host's memory (`limits.memory_mb`, `limits.max_fds`); the incomplete request with the largest bytes times age goes first, small requests never; idle connections go first when connections run out; heads have a limit of bytes (empty lines count) and of time, bodies one of time without progress. Each listener has its own share. Bodies are read piece by piece into one buffer and refused with 408 at the request's deadline. The links between processes use the same budget, in pieces too. Log `serving/closed`, one line a second for each listener and reason; metrics client_*.

tests/platform/test_settings.py: the limits have two more fields; asserted with and without them.

--- a/chiveledge/gateway/_admission.py
+++ b/chiveledge/gateway/_admission.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
-import asyncio
 import hmac
 import uuid
 
 from aiohttp import web
 from result import Err, Ok, Result
 
+from chiveledge.clock import SystemClock
 from chiveledge.configuration import ConfigurationReplica, hash_token
 from chiveledge.gateway._dispatch import RequestEnvelope
 from chiveledge.http_errors import make_refusal
+from chiveledge.http_limits import BodyTooLarge, BodyTooLate
+from chiveledge.http_limits import read_body as read_limited_body
 from chiveledge.outcomes import Reason
 from chiveledge.types import WorkspaceName
 
@@ -68,15 +70,17 @@
 
 async def read_body(request: web.Request) -> Result[bytes, web.Response]:
     """Return the body, or a refusal if it is too large or arrives too slowly."""
-    try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
-            return Ok(await request.read())
-    except TimeoutError:
-        detail = f"the body took longer than {BODY_TIMEOUT_S:g} s; send it faster"
-        return Err(make_refusal(Reason.BAD_INPUT, detail, status=408))
-    except web.HTTPRequestEntityTooLarge:
-        detail = f"the body is larger than {request.client_max_size} bytes"
-        return Err(make_refusal(Reason.BAD_INPUT, detail, status=413))
+    limit = request.client_max_size
+    match await read_limited_body(request, limit, SystemClock(), BODY_TIMEOUT_S):
+        case Ok(body):
+            return Ok(body)
+        case Err(BodyTooLate(timeout_s)):
+            detail = f"the body took longer than {timeout_s:g} s; send it faster"
+            return Err(make_refusal(Reason.BAD_INPUT, detail, status=408))
+        case Err(BodyTooLarge()):
+            detail = f"the body is larger than {limit} bytes"
+            return Err(make_refusal(Reason.BAD_INPUT, detail, status=413))
+    raise AssertionError("unreachable")
 
 
 async def check_request(
--- /dev/null
+++ b/chiveledge/http_limits/_budget.py
@@ -0,0 +1,417 @@
+"""Decides which connections are closed so that clients can't exhaust the process.
+
+Load pattern: thousands of connections that send heads or bodies without end, or stop
+just short of the end and stay open, beside ordinary callers.
+
+What was read and not yet answered counts by connection. A request of up to
+`SMALL_BYTES` is paid for with its connection and never closed for others; larger ones
+share a limit. Over that limit, the incomplete request with the largest product of bytes
+and age is closed, so that a client that stands still goes before one that arrives.
+"""
+
+from __future__ import annotations
+
+import resource
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+SMALL_BYTES = 8192
+"""Cost of a request, with its head, that is never closed for the sake of others."""
+
+CONNECTION_BYTES = 16_384
+"""Memory of a connection with its parser and task, and the response not yet sent."""
+
+CONNECTION_MEMORY_SHARE = 0.25
+"""Share of the memory for connections with a small request each."""
+
+LARGE_MEMORY_SHARE = 0.125
+"""Share of the memory for requests over `SMALL_BYTES`. Those that are closed but not
+gone yet, since their handlers run, may use as much again."""
+
+DESCRIPTOR_SHARE = 0.5
+"""Share of the descriptors for clients; the rest is for the process's own calls."""
+
+FILE_DESCRIPTORS = 200
+"""Descriptors that hosts reserve for files."""
+
+LARGEST_REQUEST_SHARE = 0.75
+"""Share of a listener's large bytes that one connection may hold."""
+
+BODY_STALL_S = 10.0
+"""Time without a byte after which an incomplete body is given up."""
+
+BODY_COST = 2
+"""Cost of a byte of a body that a handler took: it is copied once more while it is
+decoded, stored or forwarded."""
+
+BYTES_PER_MB = 1 << 20
+MIN_AGE_S = 0.1
+"""Age of a new request when candidates are compared by bytes times age."""
+
+
+class Reason(StrEnum):
+    """Why a connection is closed."""
+
+    HEAD_TOO_LARGE = "head_too_large"
+    HEAD_TOO_SLOW = "head_too_slow"
+    BODY_STALLED = "body_stalled"
+    CONNECTION_BYTES = "connection_bytes"
+    TOTAL_BYTES = "total_bytes"
+    CONNECTIONS = "connections"
+
+
+class HostResources(NamedTuple):
+    """Limits of the host on the process.
+
+    Attributes
+    ----------
+    memory_mb : float
+        Memory, in MB.
+    max_fds : int
+        Number of descriptors.
+    """
+
+    memory_mb: float
+    max_fds: int
+
+    @property
+    def large_bytes(self) -> int:
+        """Bytes for requests over `SMALL_BYTES`, in all."""
+        return int(self.memory_mb * BYTES_PER_MB * LARGE_MEMORY_SHARE)
+
+    @property
+    def connections(self) -> int:
+        """Number of connections, in all."""
+        memory = self.memory_mb * BYTES_PER_MB * CONNECTION_MEMORY_SHARE
+        by_memory = int(memory / (CONNECTION_BYTES + SMALL_BYTES))
+        allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        sockets = min(self.max_fds, allowed) - FILE_DESCRIPTORS
+        return max(1, min(by_memory, int(sockets * DESCRIPTOR_SHARE)))
+
+
+class RequestLimits(NamedTuple):
+    """Limits on one request, which no ordinary client meets.
+
+    Attributes
+    ----------
+    head_bytes : int
+        Bytes of request line, headers and the empty lines before them.
+    head_s : float
+        Time in which a head must arrive, in seconds.
+    """
+
+    head_bytes: int = 32_768
+    head_s: float = 10.0
+
+
+class Closing(NamedTuple):
+    """A connection to close.
+
+    Attributes
+    ----------
+    account : Account
+        What the connection holds.
+    reason : Reason
+        Why it is closed.
+    held_bytes : int
+        Cost of what it holds, in bytes.
+    age_s : float
+        Time since its request began, or since its last request ended, in seconds.
+    """
+
+    account: Account
+    reason: Reason
+    held_bytes: int
+    age_s: float
+
+
+class Account:
+    """What one connection holds.
+
+    Parameters
+    ----------
+    connection : object
+        The connection, for whoever closes it.
+    now_s : float
+        Time at which it was opened.
+
+    Attributes
+    ----------
+    held_bytes : int
+        Cost of what was read and not yet answered.
+    head_bytes : int
+        Bytes of an incomplete head.
+    is_idle : bool
+        Whether all that was read is answered.
+    is_incomplete : bool
+        Whether a request has arrived in part.
+    is_closing : bool
+        Whether the connection is to be closed.
+    since_s : float
+        When the request began, or when the connection became idle.
+    progress_s : float
+        When the last bytes arrived.
+    """
+
+    __slots__ = (
+        "_body_bytes",
+        "_recent_bytes",
+        "connection",
+        "head_bytes",
+        "held_bytes",
+        "is_closing",
+        "is_idle",
+        "is_incomplete",
+        "progress_s",
+        "since_s",
+    )
+
+    def __init__(self, connection: object, now_s: float) -> None:
+        self.connection: Any = connection
+        self.held_bytes = 0
+        self.head_bytes = 0
+        self.is_idle = True
+        self.is_incomplete = False
+        self.is_closing = False
+        self.since_s = now_s
+        self.progress_s = now_s
+        self._body_bytes = 0
+        self._recent_bytes = 0
+
+
+class ListenerBudget:
+    """Connections of one listener, and what they hold.
+
+    The methods return the connections to close, which may include the one that they
+    are called for. The caller closes them, and calls `remove` when they are gone.
+
+    Parameters
+    ----------
+    connections : int
+        Maximum number of connections.
+    large_bytes : int
+        Maximum cost of all requests over `SMALL_BYTES`.
+    limits : callable
+        Returns the limits on one request.
+    """
+
+    def __init__(
+        self, connections: int, large_bytes: int, limits: Callable[[], RequestLimits]
+    ) -> None:
+        self._max_connections = max(1, connections)
+        self._max_large_bytes = large_bytes
+        self._max_held_bytes = int(large_bytes * LARGEST_REQUEST_SHARE)
+        self._limits = limits
+        self._accounts: dict[int, Account] = {}
+        self._large_bytes = 0
+        self._closing_bytes = 0
+        self._closing = 0
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections, without those to be closed."""
+        return len(self._accounts) - self._closing
+
+    @property
+    def held_bytes(self) -> int:
+        """Cost of all that is held, those to be closed included."""
+        return sum(account.held_bytes for account in self._accounts.values())
+
+    def open(self, connection: object, now_s: float) -> tuple[Account, list[Closing]]:
+        """Add a connection; return its account and the connections to close."""
+        account = Account(connection, now_s)
+        closings = []
+        if self.connections >= self._max_connections:
+            last = self._choose_connection() or account
+            self._accounts[id(account)] = account
+            self._close(closings, last, Reason.CONNECTIONS, now_s)
+        self._accounts[id(account)] = account
+        return account, closings
+
+    def receive(self, account: Account, cost: int, now_s: float) -> list[Closing]:
+        """Charge a connection for bytes before they are kept.
+
+        Bytes of a connection that is to be closed after this call must not be kept.
+        """
+        if account.is_idle:
+            account.is_idle = False
+            account.since_s = now_s
+        account.progress_s = now_s
+        account._recent_bytes += cost
+        held = account.held_bytes + cost
+        self._set_held(account, held)
+        if held <= SMALL_BYTES:
+            return []
+        closings: list[Closing] = []
+        if held > self._max_held_bytes:
+            self._close(closings, account, Reason.CONNECTION_BYTES, now_s)
+            return closings
+        while self._large_bytes > self._max_large_bytes and not account.is_closing:
+            largest = self._choose_request(now_s) or account
+            self._close(closings, largest, Reason.TOTAL_BYTES, now_s)
+        if self._closing_bytes > self._max_large_bytes and not account.is_closing:
+            self._close(closings, account, Reason.TOTAL_BYTES, now_s)
+        return closings
+
+    def record_head(self, account: Account, size: int, now_s: float) -> list[Closing]:
+        """Record bytes of a head that is not complete."""
+        account.is_incomplete = True
+        account.head_bytes += size
+        closings: list[Closing] = []
+        if account.head_bytes > self._limits().head_bytes:
+            self._close(closings, account, Reason.HEAD_TOO_LARGE, now_s)
+        return closings
+
+    def record_request(self, account: Account, *, is_complete: bool) -> None:
+        """Record that a head is complete, and whether its body is."""
+        account.head_bytes = 0
+        account.is_incomplete = not is_complete
+
+    def record_merged(self, account: Account, size: int) -> None:
+        """Record that a handler took all that had arrived of a body as `size` bytes.
+
+        From now on, the request costs what the handler keeps.
+        """
+        account._body_bytes += BODY_COST * size
+        account._recent_bytes = SMALL_BYTES + account._body_bytes
+        self._set_held(account, account._recent_bytes)
+
+    def finish(self, account: Account, now_s: float, *, is_idle: bool) -> None:
+        """Record that a request was answered.
+
+        Parameters
+        ----------
+        account : Account
+            Connection of the request.
+        now_s : float
+            Time of the answer.
+        is_idle : bool
+            Whether no other request of the connection has arrived, even in part.
+        """
+        kept = 0 if is_idle else min(account.held_bytes, account._recent_bytes)
+        self._set_held(account, kept)
+        account._recent_bytes = 0
+        account._body_bytes = 0
+        account.since_s = now_s
+        if is_idle:
+            account.is_idle = True
+            account.is_incomplete = False
+
+    def remove(self, account: Account) -> None:
+        """Remove a connection that is gone, with all that it held."""
+        if self._accounts.pop(id(account), None) is None:
+            return
+        self._set_held(account, 0)
+        if account.is_closing:
+            self._closing -= 1
+
+    def expire(self, now_s: float) -> list[Closing]:
+        """Return the connections whose head or body has been incomplete too long."""
+        closings: list[Closing] = []
+        head_s = self._limits().head_s
+        for account in self._accounts.values():
+            if account.is_closing or not account.is_incomplete:
+                continue
+            if account.head_bytes and now_s - account.since_s > head_s:
+                self._close(closings, account, Reason.HEAD_TOO_SLOW, now_s)
+            elif now_s - account.progress_s > BODY_STALL_S:
+                self._close(closings, account, Reason.BODY_STALLED, now_s)
+        return closings
+
+    def _set_held(self, account: Account, held: int) -> None:
+        large = held if held > SMALL_BYTES else 0
+        if account.held_bytes > SMALL_BYTES:
+            large -= account.held_bytes
+        if account.is_closing:
+            self._closing_bytes += large
+        else:
+            self._large_bytes += large
+        account.held_bytes = held
+
+    def _close(
+        self, closings: list[Closing], account: Account, reason: Reason, now_s: float
+    ) -> None:
+        held, age_s = account.held_bytes, now_s - account.since_s
+        self._set_held(account, 0)
+        account.is_closing = True
+        self._closing += 1
+        self._set_held(account, held)
+        closings.append(Closing(account, reason, held, age_s))
+
+    def _choose_request(self, now_s: float) -> Account | None:
+        """Return the incomplete request with the most bytes times age, if any."""
+        candidates = [
+            account
+            for account in self._accounts.values()
+            if account.held_bytes > SMALL_BYTES
+            and account.is_incomplete
+            and not account.is_closing
+        ]
+        return max(
+            candidates,
+            key=lambda a: a.held_bytes * (now_s - a.since_s + MIN_AGE_S),
+            default=None,
+        )
+
+    def _choose_connection(self) -> Account | None:
+        """Return the connection idle longest, else the oldest incomplete request."""
+        candidates = [
+            account
+            for account in self._accounts.values()
+            if (account.is_idle or account.is_incomplete) and not account.is_closing
+        ]
+        return min(candidates, key=lambda a: (not a.is_idle, a.since_s), default=None)
+
+
+class ReadBudget:
+    """What a process may hold of requests that are not answered, by listener.
+
+    Each listener has a fixed share, so that clients of one take nothing from another.
+
+    Parameters
+    ----------
+    resources : HostResources
+        Limits of the host.
+    """
+
+    def __init__(self, resources: HostResources) -> None:
+        self._resources = resources
+        self._listeners: dict[str, ListenerBudget] = {}
+
+    @property
+    def listeners(self) -> dict[str, ListenerBudget]:
+        """Budgets of the listeners by name."""
+        return self._listeners
+
+    @property
+    def connections(self) -> int:
+        """Number of connections of all listeners."""
+        return sum(part.connections for part in self._listeners.values())
+
+    @property
+    def held_bytes(self) -> int:
+        """Cost of all that is held."""
+        return sum(part.held_bytes for part in self._listeners.values())
+
+    def add_listener(
+        self, name: str, share: float, limits: Callable[[], RequestLimits]
+    ) -> ListenerBudget:
+        """Return the budget of a new listener.
+
+        Parameters
+        ----------
+        name : str
+            Name in logs.
+        share : float
+            Its share of the budget, from 0 to 1.
+        limits : callable
+            Returns the limits on one request.
+        """
+        part = ListenerBudget(
+            int(self._resources.connections * share),
+            int(self._resources.large_bytes * share),
+            limits,
+        )
+        self._listeners[name] = part
+        return part
--- a/chiveledge/metrics.py
+++ b/chiveledge/metrics.py
@@ -45,6 +45,10 @@
         """Add an amount to a counter."""
         self._counters[name] += amount
 
+    def set(self, name: str, value: int) -> None:
+        """Set a counter that shows a present state, such as open connections."""
+        self._counters[name] = value
+
     def value(self, name: str) -> int:
         """Return the value of a counter."""
         return self._counters[name]
--- a/chiveledge/peers/_network.py
+++ b/chiveledge/peers/_network.py
@@ -11,6 +11,7 @@
 from result import Err, Ok
 
 from chiveledge.clock import Clock
+from chiveledge.http_limits import Account, Listener
 from chiveledge.logs import PartLogger
 from chiveledge.metrics import Metrics
 from chiveledge.peers._codec import (
@@ -26,6 +27,9 @@
 
 LENGTH_BYTES = 4
 MAX_MESSAGE_BYTES = 4 << 20
+READ_BYTES = 16_384
+"""Largest read, so that few bytes are kept before they are charged."""
+
 MAX_PENDING_NOTICES = 64
 RECONNECT_S = 0.3
 CONNECT_TIMEOUT_S = 1.0
@@ -62,6 +66,19 @@
         return report
 
 
+class _Link:
+    """Incoming connection, as `Listener` closes it."""
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        self._writer = writer
+
+    def abort(self) -> None:
+        self._writer.transport.abort()
+
+    def close_idle(self) -> None:
+        self._writer.close()
+
+
 class PeerNetwork:
     """Sends reports and notices to all peers and emits the messages they send.
 
@@ -79,6 +96,8 @@
         Time between two reports.
     make_report : callable
         Returns a report of this process's current state.
+    listener : Listener
+        Limits what incoming connections hold.
     """
 
     def __init__(
@@ -90,6 +109,7 @@
         *,
         report_s: float,
         make_report: Callable[[], PeerReport],
+        listener: Listener,
     ) -> None:
         self._name = name
         self._endpoint = endpoint
@@ -97,6 +117,7 @@
         self._metrics = metrics
         self._report_s = report_s
         self._make_report = make_report
+        self._listener = listener
         self._outboxes: dict[ProcessName, _Outbox] = {}
         self._tasks: dict[ProcessName, asyncio.Task[None]] = {}
         self._messages: Subject[PeerEnvelope] = Subject()
@@ -134,7 +155,10 @@
     async def run(self) -> None:
         """Listen for peers and send reports until cancelled."""
         server = await asyncio.start_server(
-            self._receive_messages, self._endpoint.address, self._endpoint.port
+            self._receive_messages,
+            self._endpoint.address,
+            self._endpoint.port,
+            limit=READ_BYTES,
         )
         try:
             while True:
@@ -188,14 +212,19 @@
     ) -> None:
         task = asyncio.current_task()
         self._incoming[task] = writer
+        # Not documented, but read by asyncio's transports before each read.
+        writer.transport.max_size = READ_BYTES
+        account = self._listener.open(_Link(writer))
         try:
-            while True:
-                header = await reader.readexactly(LENGTH_BYTES)
-                size = int.from_bytes(header, "big")
+            while not account.is_closing:
+                size = await self._read_length(reader, account)
                 if size > MAX_MESSAGE_BYTES:
                     log.warning("A peer sent a message that is too large.", bytes=size)
                     return
-                packed = await reader.readexactly(size)
+                packed = await self._read_message(reader, account, size)
+                if packed is None:
+                    return
+                self._listener.finish(account, is_idle=True)
                 self._metrics.count("peer_bytes", LENGTH_BYTES + size)
                 match decode_message(packed):
                     case Ok(envelope):
@@ -207,4 +236,27 @@
             return
         finally:
             del self._incoming[task]
+            self._listener.budget.remove(account)
             writer.close()
+
+    async def _read_length(self, reader: asyncio.StreamReader, account: Account) -> int:
+        """Return the length of the next message, in bytes."""
+        start = await reader.readexactly(1)
+        self._listener.receive(account, LENGTH_BYTES)
+        self._listener.budget.record_request(account, is_complete=False)
+        rest = await reader.readexactly(LENGTH_BYTES - 1)
+        return int.from_bytes(start + rest, "big")
+
+    async def _read_message(
+        self, reader: asyncio.StreamReader, account: Account, size: int
+    ) -> bytes | None:
+        """Return a message, or None if its connection is closed for its bytes."""
+        packed = bytearray()
+        while len(packed) < size:
+            piece = await reader.read(min(size - len(packed), READ_BYTES))
+            if not piece:
+                raise asyncio.IncompleteReadError(bytes(packed), size)
+            if not self._listener.receive(account, len(piece)):
+                return None
+            packed += piece
+        return bytes(packed)
--- a/chiveledge/platform/_api.py
+++ b/chiveledge/platform/_api.py
@@ -12,6 +12,7 @@
 
 from chiveledge.clock import Clock
 from chiveledge.decision_log import DecisionLog
+from chiveledge.http_limits import BodyTooLarge, BodyTooLate, read_body
 from chiveledge.intake import (
     RELAYED_HEADER,
     REVISION_HEADER,
@@ -136,6 +137,8 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             # The caller has disconnected and gets no response.
             response = web.Response(status=400)
+        except web.RequestPayloadError:
+            response = _make_error(400, "the body can't be read")
         except web.HTTPException as error:
             response = _make_error(error.status, error.reason)
         finally:
@@ -224,8 +227,8 @@
         processed, and a GET request, which has no effect.
         """
         body = await self._read_body(request)
-        if body is None:
-            return self._make_too_large()
+        if isinstance(body, ErrorResponse):
+            return body
         headers = {
             name: request.headers[name]
             for name in FORWARDED_HEADERS
@@ -254,25 +257,28 @@
                 return None
         raise AssertionError("unreachable")
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes | None:
-        """Return a request's body, or None if it exceeds the configured limit."""
+    async def _read_body(self, request: web.BaseRequest) -> bytes | ErrorResponse:
+        """Return a request's body, or a refusal if it is too large or too late."""
         limit = self._catalogue().limits.body_bytes
-        if (request.content_length or 0) > limit:
-            return None
-        body = await request.read()
-        return body if len(body) <= limit else None
-
-    def _make_too_large(self) -> web.Response:
-        limit = self._catalogue().limits.body_bytes
-        return _make_error(413, f"send at most {limit} bytes")
+        timeout_s = _get_timeout_s(request)
+        match await read_body(request, limit, self._clock, timeout_s):
+            case Ok(body):
+                return body
+            case Err(BodyTooLarge()):
+                return _make_error(413, f"send at most {limit} bytes")
+            case Err(BodyTooLate()):
+                response = _make_error(408, "the body was not complete in time")
+                response.force_close()
+                return response
+        raise AssertionError("unreachable")
 
     async def _submit(
         self, request: web.BaseRequest, queue: Queue, workspace: str, job_id: str
     ) -> web.Response:
         started_s = self._clock.monotonic()
         body = await self._read_body(request)
-        if body is None:
-            return self._make_too_large()
+        if isinstance(body, ErrorResponse):
+            return body
         if self._has_stale_configuration:
             return self._make_unavailable("the configuration may be stale")
         accepted_ms = int(self._clock.now().timestamp() * 1000)
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -16,6 +16,7 @@
 from chiveledge.coordinator import Coordinator, CoordinatorTiming, TermContext
 from chiveledge.decision_log import JsonLog
 from chiveledge.events import Timeline
+from chiveledge.http_limits import ClientServers, HostResources, RequestLimits
 from chiveledge.intake import (
     JOB_STATUS_PREFIX,
     JobStatusCache,
@@ -149,11 +150,16 @@
             self._log,
             self._metrics,
         )
+        servers = self._make_servers()
+        limiting = asyncio.create_task(servers.run())
         runners = [
-            await listen(handler.handle, self._settings.api),
-            await listen(handler.handle, self._settings.peers),
-            await listen(self._handle_readiness, self._settings.ready),
-            await listen(self._handle_metrics, self._settings.metrics),
+            await listen(handle, endpoint, servers, name, self._get_request_limits)
+            for name, handle, endpoint in (
+                ("api", handler.handle, self._settings.api),
+                ("peers", handler.handle, self._settings.peers),
+                ("ready", self._handle_readiness, self._settings.ready),
+                ("metrics", self._handle_metrics, self._settings.metrics),
+            )
         ]
         rank = await self._load_first_configuration()
         if rank is not None:
@@ -161,6 +167,7 @@
         for runner in runners:
             if runner is not None:
                 await runner.cleanup()
+        limiting.cancel()
         for pool in self._pools:
             await pool.close()
         self._log.write("node", "stop")
@@ -192,6 +199,19 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _make_servers(self) -> ClientServers:
+        limits = self._settings.limits
+        resources = HostResources(limits.memory_mb, limits.max_fds)
+        return ClientServers(resources, self._clock, self._log, self._metrics)
+
+    def _get_request_limits(self) -> RequestLimits:
+        """Return limits that no client within the configured ones meets."""
+        configured, default = self._operator_rows.catalogue.limits, RequestLimits()
+        return RequestLimits(
+            max(default.head_bytes, 2 * configured.header_bytes),
+            max(default.head_s, 2 * configured.header_s),
+        )
+
     def _make_store(self) -> PlatformStore:
         url = f"http://{self._settings.store}"
         caller, watcher = self._make_caller(url, 32), self._make_caller(url, 32)
--- a/chiveledge/platform/_serving.py
+++ b/chiveledge/platform/_serving.py
@@ -6,12 +6,12 @@
 
 from aiohttp import web
 
+from chiveledge.http_limits import ClientServers, LimitedServer, RequestLimits
 from chiveledge.metrics import Metrics
 from chiveledge.platform._settings import Endpoint
 
-KEEP_ALIVE_S = 75.0
-BACKLOG = 512
-"""Maximum number of connections waiting to be accepted, for bursts after an outage."""
+LISTENER_SHARES = {"api": 12 / 16, "peers": 2 / 16, "ready": 1 / 16, "metrics": 1 / 16}
+"""Share of each listener in what clients may make the process hold."""
 
 
 def render_metrics(metrics: Metrics) -> str:
@@ -28,7 +28,10 @@
 async def listen(
     handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     endpoint: Endpoint | None,
-) -> web.ServerRunner | None:
+    servers: ClientServers,
+    name: str,
+    limits: Callable[[], RequestLimits],
+) -> LimitedServer | None:
     """Start an HTTP server on an endpoint.
 
     Parameters
@@ -37,20 +40,26 @@
         Handles one request.
     endpoint : Endpoint or None
         Address and port; None starts no server.
+    servers : ClientServers
+        All listeners of the process.
+    name : str
+        Name of the listener, of `LISTENER_SHARES`.
+    limits : callable
+        Returns the limits on one request.
 
     Returns
     -------
-    aiohttp.web.ServerRunner or None
-        Runner that the caller cleans up at the end.
+    LimitedServer or None
+        Server that the caller cleans up at the end.
     """
     if endpoint is None:
         return None
-    runner = web.ServerRunner(
-        web.Server(handle, access_log=None, keepalive_timeout=KEEP_ALIVE_S),
-        shutdown_timeout=0.5,
+    runner = web.ServerRunner(web.Server(handle), shutdown_timeout=0.5)
+    return await servers.serve(
+        runner,
+        endpoint.address,
+        endpoint.port,
+        name,
+        LISTENER_SHARES[name],
+        limits,
     )
-    await runner.setup()
-    await web.TCPSite(
-        runner, endpoint.address, endpoint.port, reuse_address=True, backlog=BACKLOG
-    ).start()
-    return runner
--- a/chiveledge/platform/_settings.py
+++ b/chiveledge/platform/_settings.py
@@ -78,10 +78,16 @@
         Available processor time, in full cores.
     link_mbps : float
         Bandwidth of the host's link, in Mbit/s.
+    memory_mb : float
+        Memory of the process, in MB.
+    max_fds : int
+        Number of its descriptors.
     """
 
     cores: float = 1.0
     link_mbps: float = 1000.0
+    memory_mb: float = 256.0
+    max_fds: int = 4096
 
 
 class NodeSettings(NamedTuple):
@@ -217,6 +223,8 @@
     return HostLimits(
         cores=share * speed,
         link_mbps=_get_number(fields, "link_mbps", default.link_mbps, "limits"),
+        memory_mb=_get_number(fields, "memory_mb", default.memory_mb, "limits"),
+        max_fds=int(_get_number(fields, "max_fds", default.max_fds, "limits")),
     )
 
 
--- a/chiveledge/process.py
+++ b/chiveledge/process.py
@@ -23,6 +23,7 @@
 )
 from chiveledge.events import Timeline
 from chiveledge.gateway import GatewayServer
+from chiveledge.http_limits import ClientServers, HostResources, LimitedServer
 from chiveledge.logs import PartLogger
 from chiveledge.membership import Membership
 from chiveledge.metrics import Metrics
@@ -51,6 +52,12 @@
 """Time for the load balancer to notice that this process is no longer ready."""
 
 DRAIN_POLL_S = 0.05
+HTTP_SHARE = 0.75
+"""Share of callers and operators in what clients may make the process hold."""
+
+LINK_SHARE = 0.25
+"""The same for connections of other processes."""
+
 MAX_CONNECTIONS = 256
 
 log = PartLogger("process")
@@ -95,7 +102,7 @@
         connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS)
         async with aiohttp.ClientSession(connector=connector) as session:
             self._create_components(session)
-            runner = await self._listen()
+            server = await self._listen()
             tasks = [
                 asyncio.create_task(coroutine) for coroutine in self._list_coroutines()
             ]
@@ -112,7 +119,7 @@
                 for task in [*tasks, drained]:
                     task.cancel()
                 await asyncio.gather(*tasks, drained, return_exceptions=True)
-                await runner.cleanup()
+                await server.cleanup()
                 if self._gateway is not None:
                     await self._gateway.close()
         log.info("Stopped.", process=self._settings.name)
@@ -120,6 +127,7 @@
     def _create_components(self, session: aiohttp.ClientSession) -> None:
         settings = self._settings
         timing = settings.timing
+        self._servers = self._make_servers()
 
         def make_caller(url: str) -> HttpCaller:
             return HttpCaller(
@@ -154,6 +162,7 @@
             self._metrics,
             report_s=timing.peer_report_s,
             make_report=self._make_report,
+            listener=self._servers.add_listener("links", LINK_SHARE),
         )
         common = (table, objects, self._configuration, self._membership)
         instruments = (self._clock, self._timeline, self._metrics)
@@ -187,7 +196,12 @@
         self._peers.messages.subscribe(self._handle_message)
         self._membership.stream.subscribe(self._update_peers)
 
-    async def _listen(self) -> web.AppRunner:
+    def _make_servers(self) -> ClientServers:
+        limits = self._settings.limits
+        resources = HostResources(limits.memory_mb, limits.max_fds)
+        return ClientServers(resources, self._clock, _ServingLog(), self._metrics)
+
+    async def _listen(self) -> LimitedServer:
         app = web.Application(
             middlewares=[make_token_check(self._settings.operator_token)],
             client_max_size=self._settings.limits.body_bytes,
@@ -197,16 +211,15 @@
         if self._gateway is not None:
             self._gateway.add_routes(app)
         app.on_response_prepare.append(self._close_when_draining)
-        runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
-        await runner.setup()
+        runner = web.AppRunner(app, shutdown_timeout=1.0)
         endpoint = self._settings.http
-        await web.TCPSite(
-            runner, endpoint.address, endpoint.port, reuse_address=True
-        ).start()
-        return runner
+        return await self._servers.serve(
+            runner, endpoint.address, endpoint.port, "http", HTTP_SHARE
+        )
 
     def _list_coroutines(self) -> list:
         coroutines = [
+            self._servers.run(),
             self._configuration.run(),
             self._membership.run(),
             self._peers.run(),
@@ -294,6 +307,14 @@
         ]
 
 
+class _ServingLog:
+    """Writes the lines of `ClientServers` to the log of the process."""
+
+    def write(self, part: str, event: str, **fields: object) -> None:
+        """Write one line."""
+        PartLogger(part).warning("Closed connections of clients.", **fields)
+
+
 def _raise_task_error(tasks: list[asyncio.Task]) -> None:
     """Raise the error of a task that ended; these tasks run as long as the process."""
     for task in tasks:
--- a/chiveledge/settings.py
+++ b/chiveledge/settings.py
@@ -96,13 +96,15 @@
 
 
 class LimitSettings(StrictModel):
-    """Limits of one gateway on requests, connections and minion slots."""
+    """Limits of one process on memory, requests, connections and minion slots."""
 
     body_bytes: int = Field(default=1 << 20, gt=0)
     queued_requests: int = Field(default=512, gt=0)
     gateways_at_most: int = Field(default=9, gt=0)
     connections_per_minion: int = Field(default=64, gt=0)
     slots_per_minion: int = Field(default=8, gt=0)
+    memory_mb: int = Field(default=256, gt=0)
+    max_fds: int = Field(default=4096, gt=0)
 
 
 class ProcessSettings(StrictModel):
--- a/tests/http_limits/test_hostile_clients.py
+++ b/tests/http_limits/test_hostile_clients.py
@@ -17,7 +17,6 @@
 import pytest
 
 from chiveledge.services import HostEntry, HostRole
-from chiveledge.settings import LimitSettings
 from standins.deployment import CALLER, Deployment, find_free_port
 from standins.faults import serve_app
 from standins.hosts import MemoryHosts, make_hosts_app
@@ -256,6 +255,56 @@
         await check_crowd(listener, [], IDLE_CONNECTIONS, {200})
 
 
+ORDINARY_CONNECTIONS = 60
+SLOW_PIECES = 20
+SLOW_PAUSE_S = 0.02
+
+
+def make_largest_requests(listener: Listener) -> dict[str, list[bytes]]:
+    """Return requests at the limits of the pages, as they are sent."""
+    body = listener.body + b" " * (BODY_BYTES - len(listener.body))
+    length = b"Content-Length: %d\r\n\r\n" % BODY_BYTES
+    chunked = b"Transfer-Encoding: chunked\r\n\r\n"
+    chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body) + b"0\r\n\r\n"
+    heads = [listener.head.replace(b"a1 ", b"c%d " % n) for n in range(4)]
+    field = b"X-More: " + b"x" * (16_384 - len(heads[3]) - 50) + b"\r\n"
+    return {
+        "at once": [heads[0] + length + body],
+        "slowly": [heads[1] + length, *split(body, BODY_BYTES // SLOW_PIECES)],
+        "in small chunks": [heads[2] + chunked, *split(chunks, PIECE_BYTES)],
+        "with a long head": [heads[3] + field + length, body],
+    }
+
+
+async def send_one(listener: Listener, pieces: list[bytes], pause_s: float) -> bytes:
+    """Send a request in pieces; return the first line of the response."""
+    reader, writer = await asyncio.open_connection(*listener.address)
+    for piece in pieces:
+        writer.write(piece)
+        await writer.drain()
+        await asyncio.sleep(pause_s)
+    line = await reader.readline()
+    writer.close()
+    return line
+
+
+@pytest.mark.parametrize("name", ["front", "peers"])
+async def test_largest_legal_requests_are_served_beside_ordinary_connections(
+    platform, name
+):
+    """Limits that turn away who stays inside the pages' limits break the pages."""
+    listener = platform.find_listener(name)
+    crowd = Crowd(platform.find_listener("front").address)
+    request = b"GET /q/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n\r\n"
+    await crowd.send(ORDINARY_CONNECTIONS, [request])
+    requests = make_largest_requests(listener)
+    for pieces in requests.values():
+        pause_s = SLOW_PAUSE_S if pieces is requests["slowly"] else 0.0
+        line = await send_one(listener, pieces, pause_s)
+        assert line.startswith(b"HTTP/1.1 200")
+    await crowd.close()
+
+
 class OwnProcess:
     """A process of the product with its own interface, and its stand-ins."""
 
@@ -311,7 +360,6 @@
         await self._configure()
 
     def _make_settings(self, urls: dict[str, str]) -> dict[str, object]:
-        known = {name: LIMITS[name] for name in LIMITS if name in _OWN_FIELDS}
         return {
             "host": "h1",
             "process": "main",
@@ -323,7 +371,7 @@
             "platform": urls,
             "operator_token": OPERATOR_TOKEN,
             "regions": [REGION],
-            "limits": {"body_bytes": BODY_BYTES, **known},
+            "limits": {"body_bytes": BODY_BYTES, **LIMITS},
         }
 
     async def _configure(self) -> None:
@@ -355,9 +403,6 @@
             await runner.cleanup()
 
 
-_OWN_FIELDS = LimitSettings.model_fields
-
-
 @pytest.fixture
 async def own(tmp_path):
     process = OwnProcess(tmp_path)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -42,7 +42,10 @@
     assert settings.limits.cores == 1.0
     limits = {"limits": {"cpu_share": 0.537, "cores": 2, "link_mbps": 5}}
     settings = load(tmp_path, GOOD | limits).unwrap()
-    assert settings.limits == (1.074, 5.0)
+    assert settings.limits == (1.074, 5.0, 256.0, 4096)
+    limits["limits"] |= {"memory_mb": 300, "max_fds": 4100}
+    settings = load(tmp_path, GOOD | limits).unwrap()
+    assert settings.limits == (1.074, 5.0, 300.0, 4100)
 
 
 @pytest.mark.parametrize(
