--- a/chiveledge/metrics.py
+++ b/chiveledge/metrics.py
@@ -46,7 +46,7 @@
         self._counters[name] += amount
 
     def set(self, name: str, value: int) -> None:
-        """Set a counter that shows a present state, such as open connections."""
+        """Set a counter to the present value of what it counts."""
         self._counters[name] = value
 
     def value(self, name: str) -> int:
--- a/tests/http_limits/test_hostile_clients.py
+++ b/tests/http_limits/test_hostile_clients.py
@@ -17,11 +17,12 @@
 import pytest
 
 from chiveledge.services import HostEntry, HostRole
-from standins.deployment import CALLER, Deployment, find_free_port
+from standins.deployment import CALLER, Deployment
 from standins.faults import serve_app
 from standins.hosts import MemoryHosts, make_hosts_app
 from standins.minion import MemoryMinion, make_minion_app
 from standins.objects import MemoryObjects, make_objects_app
+from standins.ports import find_free_port
 from standins.table import MemoryTable, make_table_app
 from tests.http_limits.crowd import PIECE_BYTES, Crowd, Usage, split
 from tests.support import REGION, make_document
