--- a/chiveledge/log_report/_report.py
+++ b/chiveledge/log_report/_report.py
@@ -58,6 +58,10 @@
     takeover_estimate_error : float, optional
         The same for the runs that a leader started in its first `AFTER_TAKEOVER_S`
         after another one.
+    drain_waits : int
+        Jobs that waited for the drain of a failure domain.
+    drain_wait_s : float
+        Seconds that all their steps waited for it.
     """
 
     name: str
@@ -75,6 +79,8 @@
     estimate_ratio: Quantiles | None
     estimate_error: float | None
     takeover_estimate_error: float | None
+    drain_waits: int
+    drain_wait_s: float
 
 
 class Outage(NamedTuple):
@@ -196,6 +202,8 @@
                 if any(0 <= began_s - t <= AFTER_TAKEOVER_S for t in takeovers_s)
             ]
         ),
+        drain_waits=sum(job.drain_wait_s > 0 for job in jobs),
+        drain_wait_s=sum(job.drain_wait_s for job in jobs),
     )
 
 
--- a/chiveledge/log_report/_text.py
+++ b/chiveledge/log_report/_text.py
@@ -73,6 +73,11 @@
         f"  half of the run times missed by a factor of at most: {all_runs}; of runs "
         f"that began up to {AFTER_TAKEOVER_S:.0f} s after a takeover: {after_takeovers}"
     )
+    if group.drain_waits:
+        lines.append(
+            f"  jobs that waited for a drained failure domain: {group.drain_waits}, "
+            f"for {group.drain_wait_s:.1f} s in all"
+        )
     for how, count in sorted(group.ends_without_result.items()):
         lines.append(f"  runs {how}: {count}")
     for use, lost in sorted(group.lost_core_s.items()):
