--- a/tests/benchmarks/test_loads.py
+++ b/tests/benchmarks/test_loads.py
@@ -106,3 +106,17 @@
     monkeypatch.setattr(_plan, "may_compete", lambda _: False)
     jobs = play_burst()
     assert min(jobs[f"s{n}"].finished_s for n in range(4)) > 15.0
+
+
+def test_urgent_gang_stops_whole_workers_of_singles_and_no_more():
+    """A fleet full of single accelerators, and gangs that need whole workers.
+
+    Stops spread over the fleet would end more work than the gang's own size.
+    """
+    singles = [make_batch(f"s{n}", "team", 0.0) for n in range(8)]
+    for job in singles:
+        job.run_s, job.remaining_s = 20.0, [20.0] * 8
+    gangs = [make_gang(f"g{n}", 4.0, count=2) for n in range(2)]
+    result, jobs = play([*singles, *gangs])
+    assert all(is_in_time(jobs[gang.name]) for gang in gangs)
+    assert result.stops == 4 * CAPACITY.accelerators
--- a/tests/placement/test_fairness.py
+++ b/tests/placement/test_fairness.py
@@ -110,3 +110,9 @@
 
 def test_without_workers_nothing_is_placed_and_nothing_fails():
     assert make_plan(make_fleet(), make_burst()).starts == []
+
+
+def test_service_whose_workers_all_left_fails_nothing():
+    fleet = make_fleet(make_worker("w1", accepting=False))
+    assert not fleet.accepting("pool")
+    assert make_plan(fleet, make_burst()).starts == []
