--- a/chiveledge/platform/_settings.py
+++ b/chiveledge/platform/_settings.py
@@ -248,7 +248,11 @@
 
 
 def _get_drain_apply_s(fields: Mapping[str, Any]) -> float | None:
-    return _get_number(fields, "evac_ms", 0) / 1000 or None
+    """Return the bound on applying drains; None if there is none."""
+    apply_ms = _get_number(fields, "evac_ms", 0)
+    if apply_ms < 0:
+        raise _FieldError("bounds.evac_ms", f"set 0 or more, got {apply_ms:g}")
+    return apply_ms / 1000 or None
 
 
 def _check_object(value: object, field: str) -> Mapping[str, Any]:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -59,6 +59,7 @@
         ({"listen": {"front": "1.2.3.4"}}, "listen.front"),
         ({"orders": "heartbeat"}, "orders"),
         ({"bounds": {"stop_ms": "long"}}, "bounds.stop_ms"),
+        ({"bounds": {"evac_ms": -1}}, "bounds.evac_ms"),
         ({"limits": {"cores": "two"}}, "limits.cores"),
         ({"limits": {"cores": 10**400}}, "limits.cores"),
         ({"port_range": ["a", "b"]}, "port_range"),
