--- a/chiveledge/coordinator/_fleet_view.py
+++ b/chiveledge/coordinator/_fleet_view.py
@@ -50,7 +50,7 @@
     now : set of str
         Workers that are much slower than usual at present.
     slowdowns : dict
-        How many times as long runs take on workers that are always slower.
+        How many times as long runs are expected to take on each worker.
     """
 
     now: set[WorkerName]
@@ -123,8 +123,10 @@
         drains = self._drains()
         self._now_s = now_s
         self._protected = find_protected_tasks(links, self._jobs)
-        usable = [link for link in links if drains.may_start_in(link.entry.domain)]
-        avoided = suspicion.avoided(now_s, len(usable))
+        unused = {
+            link.name for link in links if not drains.may_start_in(link.entry.domain)
+        }
+        avoided = suspicion.avoided(now_s, len(links) - len(unused), unused)
         probing = suspicion.probing(now_s)
         suspected = suspicion.suspected()
         trusted = suspicion.trusted(now_s)
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -10,6 +10,7 @@
 
 from chiveledge.coordinator._advice import TicketCache
 from chiveledge.coordinator._context import TermContext
+from chiveledge.coordinator._learnt_figures import LearntFigureKeeper
 from chiveledge.coordinator._orders import OrderDispatcher
 from chiveledge.coordinator._planning import PlanningController
 from chiveledge.coordinator._progress_rows import (
@@ -34,7 +35,7 @@
     is_cancel_key,
 )
 from chiveledge.leadership import Leadership
-from chiveledge.placement import WorkerSuspicion
+from chiveledge.placement import LearntSpeeds, WorkerSuspicion
 from chiveledge.services import Row, parse_row_name
 from chiveledge.workload import (
     JobProgress,
@@ -103,6 +104,10 @@
         )
         suspicion = WorkerSuspicion()
         estimator = RunTimeEstimator()
+        learnt_speeds = LearntSpeeds()
+        self._learnt_figures = LearntFigureKeeper(
+            context, leadership, learnt_speeds, estimator, self.end
+        )
         self._progress_writer = ProgressWriter(
             context.table,
             leadership,
@@ -167,7 +172,13 @@
             self.links,
             self.jobs,
             FleetSupervisor(
-                context, self.links, self.jobs, reconciler, self._orders, estimator
+                context,
+                self.links,
+                self.jobs,
+                reconciler,
+                self._orders,
+                estimator,
+                learnt_speeds,
             ),
             self._orders,
             self._tickets,
@@ -225,10 +236,10 @@
 
     async def _lead(self) -> None:
         """Load the progress, workers and inbox, then run the loops of the term."""
-        await self._load_progress()
+        self._spawn(self._learnt_figures.run())
+        await asyncio.gather(self._load_progress(), self._load_workers())
         self._spawn(self._progress_writer.run())
-        while not await self._worker_list.step():
-            await self._clock.sleep(POLL_RETRY_S)
+        # Jobs are admitted with their progress, onto workers that are known.
         while not await self._inbox.step():
             await self._clock.sleep(POLL_RETRY_S)
         self._workers.start_polling()
@@ -258,6 +269,10 @@
                 case Err(_):
                     await self._clock.sleep(POLL_RETRY_S)
 
+    async def _load_workers(self) -> None:
+        while not await self._worker_list.step():
+            await self._clock.sleep(POLL_RETRY_S)
+
     def _apply_inbox_changes(
         self, rows: Iterable[Row], deleted: Iterable[str], is_snapshot: bool
     ) -> None:
