--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -172,7 +172,7 @@
         ]
         rank = await self._load_first_configuration()
         if rank is not None:
-            await self._serve(store, rank, handler)
+            await self._serve(store, rank, handler, limiting)
         for runner in runners:
             if runner is not None:
                 await runner.cleanup()
@@ -182,11 +182,20 @@
         self._log.write("node", "stop")
 
     async def _serve(
-        self, store: PlatformStore, rank: int, handler: ApiHandler
+        self,
+        store: PlatformStore,
+        rank: int,
+        handler: ApiHandler,
+        limiting: asyncio.Task[None],
     ) -> None:
-        """Follow the tables and compete to lead until the process drains."""
+        """Follow the tables and compete to lead until the process drains.
+
+        The process ends if one of its tasks does, among them `limiting`, which closes
+        connections that stand still.
+        """
         coordinator = self._make_coordinator(store, rank)
         tasks = [
+            limiting,
             asyncio.create_task(self._configuration_follower.run()),
             asyncio.create_task(self._status_follower.run()),
             asyncio.create_task(self._watch_settings()),
