Hostile clients: the ordinary request waits until the store's stand-in answers again

Seen: test_idle_connections at the peers' listener got 503 "the store does not answer", once, in a full run at load 13 on 7 cores. Cause, traced: the stand-in shares the event loop of the test. With the loop held up for 2.5 s, the request right after it gets 503 and one 2 s later 200. Change: before its one ordinary request the test waits until the stand-in has answered three calls, for 30 s at most. Crowd, bounds and the expected status stay.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -9,6 +9,7 @@
 import asyncio
 import base64
 import json
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from result import Err, Ok, Result
@@ -57,9 +58,15 @@
     """The platform's store on top of a `MemoryTable`.
 
     The protocol has no write IDs: clients store them within the values.
+
+    Attributes
+    ----------
+    answered : int
+        Number of calls that were answered.
     """
 
     def __init__(self, clock: Clock) -> None:
+        self.answered = 0
         self.table = MemoryTable(clock)
         self.table.max_entries = MAX_TRANSACTION_ROWS
         self.table.max_value_chars = 2 * ROW_BYTES
@@ -77,13 +84,25 @@
 
     def make_app(self) -> web.Application:
         """Return the HTTP application."""
-        app = web.Application(client_max_size=2 << 20)
+        app = web.Application(
+            client_max_size=2 << 20, middlewares=[self._count_answered]
+        )
         app.router.add_post("/rows-tx", self._transact)
         app.router.add_get("/rows-get", self._get)
         app.router.add_get("/rows-parts", self._parts)
         app.router.add_get("/rows-feed", self._feed)
         return app
 
+    @web.middleware
+    async def _count_answered(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        response = await handler(request)
+        self.answered += 1
+        return response
+
     async def _transact(self, request: web.Request) -> web.Response:
         body = await request.json()
         checks = tuple(
--- a/tests/http_limits/test_hostile_clients.py
+++ b/tests/http_limits/test_hostile_clients.py
@@ -22,9 +22,10 @@
 from standins.hosts import MemoryHosts, make_hosts_app
 from standins.minion import MemoryMinion, make_minion_app
 from standins.objects import MemoryObjects, make_objects_app
+from standins.platform import StoreStandIn
 from standins.ports import find_free_port
 from standins.table import MemoryTable, make_table_app
-from tests.http_limits.crowd import PIECE_BYTES, Crowd, Usage, split
+from tests.http_limits.crowd import PIECE_BYTES, SAMPLE_S, Crowd, Usage, split
 from tests.support import REGION, make_document
 
 MEMORY_MB = 96
@@ -40,6 +41,7 @@
 SMALL_CHUNKS = 20_000
 EMPTY_LINES = 1_000_000
 HEADER_LINES = 1_500
+STORE_ANSWERS = 3
 OPERATOR_TOKEN = "operator-token"
 TIMEOUT_S = 30.0
 
@@ -66,6 +68,8 @@
         Request line and headers of a request with a body, without the empty line.
     method, path, headers, body
         An ordinary request.
+    store : StoreStandIn, optional
+        Store that the process needs for that request.
     """
 
     pid: int
@@ -75,6 +79,7 @@
     path: str
     headers: dict[str, str]
     body: bytes | None
+    store: StoreStandIn | None = None
 
 
 def make_head(path: str, headers: dict[str, str]) -> bytes:
@@ -154,6 +159,18 @@
             return response.status
 
 
+async def wait_for_store(store: StoreStandIn) -> None:
+    """Wait until the stand-in answers again.
+
+    It shares the event loop of the test, so a crowd that connects on a busy machine
+    delays its answers, and the process refuses submissions until it gets one.
+    """
+    enough = store.answered + STORE_ANSWERS
+    deadline_s = asyncio.get_running_loop().time() + TIMEOUT_S
+    while store.answered < enough and asyncio.get_running_loop().time() < deadline_s:
+        await asyncio.sleep(SAMPLE_S)
+
+
 async def check_crowd(
     listener: Listener, pieces: list[bytes], connections: int, served: set[int]
 ) -> None:
@@ -164,6 +181,8 @@
     try:
         await crowd.send(connections, pieces)
         await usage.sample_until_steady()
+        if listener.store is not None:
+            await wait_for_store(listener.store)
         status = await call(listener)
         usage.sample()
     finally:
@@ -198,7 +217,8 @@
             headers |= {"X-Relayed-By": "n2", "X-Revision": "1"}
             head = make_head("/q/00000000000000a1", headers)
         path = "/q/00000000000000b1"
-        return Listener(pid, address, head, "POST", path, headers, body)
+        store = self.deployment.store
+        return Listener(pid, address, head, "POST", path, headers, body, store)
 
 
 @pytest.fixture
