Time a pipelined head from its own start, and let a head count beside its body

Cause: the age of a head was that of the request before it on the connection, so a pipelined head in two reads was closed at once, with the answer of a request of 10 s. A body that a handler took replaced the cost of its head by 8 KiB. Change: an account keeps when its incomplete head began, and the cost of its head. The random sequence of calls also loses connections, and ends with all of them removed.

--- a/chiveledge/http_limits/_budget.py
+++ b/chiveledge/http_limits/_budget.py
@@ -142,6 +142,8 @@
         Cost of what was read and not yet answered.
     head_bytes : int
         Bytes of an incomplete head.
+    head_since_s : float
+        When the incomplete head began.
     is_idle : bool
         Whether all that was read is answered.
     is_incomplete : bool
@@ -156,9 +158,11 @@
 
     __slots__ = (
         "_body_bytes",
+        "_head_cost",
         "_recent_bytes",
         "connection",
         "head_bytes",
+        "head_since_s",
         "held_bytes",
         "is_closing",
         "is_idle",
@@ -171,12 +175,14 @@
         self.connection: Any = connection
         self.held_bytes = 0
         self.head_bytes = 0
+        self.head_since_s = now_s
         self.is_idle = True
         self.is_incomplete = False
         self.is_closing = False
         self.since_s = now_s
         self.progress_s = now_s
         self._body_bytes = 0
+        self._head_cost = SMALL_BYTES
         self._recent_bytes = 0
 
 
@@ -257,24 +263,41 @@
     def record_head(self, account: Account, size: int, now_s: float) -> list[Closing]:
         """Record bytes of a head that is not complete."""
         account.is_incomplete = True
+        if not account.head_bytes:
+            account.head_since_s = now_s
         account.head_bytes += size
         closings: list[Closing] = []
         if account.head_bytes > self._limits().head_bytes:
             self._close(closings, account, Reason.HEAD_TOO_LARGE, now_s)
         return closings
 
-    def record_request(self, account: Account, *, is_complete: bool) -> None:
-        """Record that a head is complete, and whether its body is."""
+    def record_request(
+        self, account: Account, *, is_complete: bool, head_cost: int | None = None
+    ) -> None:
+        """Record that a head is complete, and whether its body is.
+
+        Parameters
+        ----------
+        account : Account
+            Connection of the request.
+        is_complete : bool
+            Whether the body is complete.
+        head_cost : int, optional
+            Cost of the head, which is kept until the answer; None if it was recorded
+            before.
+        """
         account.head_bytes = 0
         account.is_incomplete = not is_complete
+        if head_cost is not None:
+            account._head_cost = max(SMALL_BYTES, head_cost)
 
     def record_merged(self, account: Account, size: int) -> None:
         """Record that a handler took all that had arrived of a body as `size` bytes.
 
-        From now on, the request costs what the handler keeps.
+        From now on, the request costs its head and what the handler keeps.
         """
         account._body_bytes += BODY_COST * size
-        account._recent_bytes = SMALL_BYTES + account._body_bytes
+        account._recent_bytes = account._head_cost + account._body_bytes
         self._set_held(account, account._recent_bytes)
 
     def finish(self, account: Account, now_s: float, *, is_idle: bool) -> None:
@@ -297,6 +320,7 @@
         if is_idle:
             account.is_idle = True
             account.is_incomplete = False
+            account._head_cost = SMALL_BYTES
 
     def lose(self, account: Account) -> None:
         """Record that a connection is lost, while its handler may still run."""
@@ -321,7 +345,7 @@
         for account in self._accounts.values():
             if account.is_closing or not account.is_incomplete:
                 continue
-            if account.head_bytes and now_s - account.since_s > head_s:
+            if account.head_bytes and now_s - account.head_since_s > head_s:
                 self._close(closings, account, Reason.HEAD_TOO_SLOW, now_s)
             elif now_s - account.progress_s > BODY_STALL_S:
                 self._close(closings, account, Reason.BODY_STALLED, now_s)
--- a/tests/http_limits/test_budget.py
+++ b/tests/http_limits/test_budget.py
@@ -160,6 +160,21 @@
     assert budget.connections == 1
 
 
+def test_head_is_timed_from_its_own_start():
+    """A pipelined head in two parts was closed for the age of the request before it."""
+    budget = make_budget()
+    account, _ = budget.open("a", 0.0)
+    budget.receive(account, 10, 0.0)
+    budget.record_request(account, is_complete=True)
+    head_s = RequestLimits().head_s
+    budget.receive(account, 10, head_s)
+    budget.record_head(account, 10, head_s)
+    assert budget.expire(head_s + 1.0) == []
+    budget.receive(account, 10, head_s + 2.0)
+    closings = budget.expire(2 * head_s + 1.0)
+    assert names(closings) == [("a", Reason.HEAD_TOO_SLOW)]
+
+
 def test_merged_body_costs_what_the_handler_keeps():
     budget = make_budget()
     account, _ = start_request(budget, "a", 6 * LARGE, 0.0)
@@ -220,7 +235,7 @@
     for step in range(2000):
         now_s = step / 10
         account = rng.choice(accounts) if accounts else None
-        match rng.randrange(7 if account else 1):
+        match rng.randrange(8 if account else 1):
             case 0:
                 accounts.append(budget.open(step, now_s)[0])
             case 1 | 2 if not account.is_closing:
@@ -235,6 +250,8 @@
                 accounts.remove(account)
             case 6:
                 budget.expire(now_s)
+            case 7 if rng.random() < 0.2:
+                budget.lose(account)
         kept = [a for a in budget._accounts.values() if a.held_bytes > SMALL_BYTES]
         live = sum(a.held_bytes for a in kept if not a.is_closing)
         closing = sum(a.held_bytes for a in kept if a.is_closing)
@@ -243,3 +260,7 @@
             not a.is_closing for a in budget._accounts.values()
         )
         assert budget.connections <= 30
+    for account in accounts:
+        budget.remove(account)
+    sums = (budget._large_bytes, budget._closing_bytes, budget._closing)
+    assert (sums, budget._accounts) == ((0, 0, 0), {})
