Close what malformed bodies, upgrades and dropped bodies left uncounted or open

Cause, each seen in a trial on loopback: - A chunked body whose next chunk has no length left its handler waiting until the deadline that the client names, on a connection that counted as a complete request: 60 s later it was still there, and nothing would have closed it. - After a request for an upgrade, what followed was parsed without being counted, and handled on a connection that was taken for idle. - A head of 30 kB counted 8,194 bytes once one byte of its body was taken. - After a response of 413, what was read and dropped counted: 4 MB of 18.75, also while aiohttp waits (up to 10 s) after the client has gone. - A malformed compressed body wrote one or two tracebacks to the log. Change: the error ends the body, an answered upgrade its connection; heads count by their fields; dropped bytes count for one read; malformed bodies are only counted. Result: the new tests failed before, but the one of a complete request before malformed bytes, which guards the change.

--- a/chiveledge/http_limits/_handler.py
+++ b/chiveledge/http_limits/_handler.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
+from aiohttp.http import RawRequestMessage
 from aiohttp.http_exceptions import HttpProcessingError
 
 if TYPE_CHECKING:
@@ -53,6 +54,7 @@
     __slots__ = (
         "_account",
         "_costs_lines",
+        "_has_upgrade",
         "_listener",
         "_open_requests",
         "_payload",
@@ -66,6 +68,7 @@
         self._account: Any = None
         self._payload: Any = None
         self._costs_lines = True
+        self._has_upgrade = False
         self._open_requests = 0
         self._seen_requests = 0
         self._socket_transport: Any = None
@@ -110,6 +113,9 @@
         self, request: web.BaseRequest, resp: Any, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
         """Write the response; afterwards its request costs nothing."""
+        if self._has_upgrade and self._open_requests <= 1:
+            # Nothing is upgraded here. What came after would be parsed uncounted.
+            resp.force_close()
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
@@ -124,13 +130,21 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         """Answer a malformed request without a traceback in the log for each."""
-        if status != BAD_REQUEST or not isinstance(exc, HttpProcessingError):
+        if status == BAD_REQUEST and isinstance(exc, HttpProcessingError):
+            self._listener.count_bad_request()
+        elif not isinstance(exc, web.RequestPayloadError):
             return super().handle_error(request, status, exc, message)
-        self._listener.count_bad_request()
         response = web.Response(status=BAD_REQUEST, text="malformed request")
         response.force_close()
         return response
 
+    def log_exception(self, *args: Any, **options: Any) -> None:
+        """Log an error; a malformed body, whose rest can't be read, is only counted."""
+        if isinstance(options.get("exc_info"), web.RequestPayloadError):
+            self._listener.count_bad_request()
+        else:
+            super().log_exception(*args, **options)
+
     def abort(self) -> None:
         """Close the connection at once; what it was to be sent is dropped."""
         self._socket_transport.abort()
@@ -146,27 +160,42 @@
             self._open_requests += self._request_count - self._seen_requests
             self._seen_requests = self._request_count
             self._record_newest()
-            budget.record_request(self._account, is_complete=self._payload is None)
         elif self._payload is not None and self._payload.is_eof():
             self._end_body()
             budget.record_request(self._account, is_complete=True)
             if self._open_requests <= 0:
                 # The request was answered before its body was complete.
                 self._finish()
+        elif self._payload is not None and self._open_requests <= 0:
+            # The rest of a body whose request was answered is read and dropped.
+            self._finish()
         elif self._payload is None and size:
             self._listener.record_head(self._account, size)
 
     def _record_newest(self) -> None:
         message, payload = self._messages[-1]
-        if payload.is_eof():
-            self._end_body()
+        if not isinstance(message, RawRequestMessage):
+            self._record_malformed()
             return
-        self._payload = payload
-        # A malformed request is no message, and its body is not read.
-        self._costs_lines = getattr(message, "chunked", False)
-        if getattr(message, "compression", None):
+        self._end_body()
+        self._has_upgrade = message.upgrade
+        if not payload.is_eof():
+            self._payload = payload
+            self._costs_lines = message.chunked
+        is_complete = self._payload is None
+        self._listener.budget.record_request(
+            self._account, is_complete=is_complete, head_cost=_get_head_cost(message)
+        )
+        if message.compression and not is_complete:
             self._listener.receive(self._account, COMPRESSED_COST)
 
+    def _record_malformed(self) -> None:
+        """End a body that goes on malformed; else its handler would wait for more."""
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(web.RequestPayloadError("malformed body"))
+        self._end_body()
+        self._listener.budget.record_request(self._account, is_complete=True)
+
     def _end_body(self) -> None:
         self._payload = None
         self._costs_lines = True
@@ -178,3 +207,9 @@
         has_more = self._open_requests > 0 or self._account.head_bytes
         has_body = self._payload is not None and not self._payload.is_eof()
         self._listener.finish(self._account, is_idle=not has_more and not has_body)
+
+
+def _get_head_cost(message: RawRequestMessage) -> int:
+    """Return the cost of a head, in bytes."""
+    fields = sum(len(name) + len(value) for name, value in message.raw_headers)
+    return len(message.path) + fields + LINE_COST * len(message.raw_headers)
--- a/tests/http_limits/test_servers.py
+++ b/tests/http_limits/test_servers.py
@@ -215,3 +215,77 @@
     finally:
         gc.enable()
     assert streams == []
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        (b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", b"zz\r\n"),
+        (b"Content-Encoding: gzip\r\nContent-Length: 10\r\n\r\n01234", b"56789"),
+    ],
+)
+async def test_body_that_goes_on_malformed_is_refused_at_once(server, caplog, parts):
+    """A chunk without a length left its handler waiting until the deadline that the
+    client named, and the connection counted as a complete request: never closed."""
+    reader, writer = await server.connect()
+    writer.write(b"POST / HTTP/1.1\r\nHost: a\r\n" + parts[0])
+    await server.settle()
+    writer.write(parts[1])
+    assert await read_status(reader) == 400
+    await server.settle()
+    assert server.servers.budget.connections == 0
+    assert server.metrics.value("client_bad_requests") == 1
+    assert not caplog.records
+    assert server.bodies == []
+    writer.close()
+
+
+async def test_complete_request_is_answered_before_malformed_bytes_behind_it(server):
+    """The error of what followed must not end a body that is complete."""
+    reader, writer = await server.connect()
+    writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\na")
+    await server.settle()
+    writer.write(b"bcnonsense\r\n\r\n")
+    assert await read_status(reader) == 200
+    assert await reader.readexactly(2) == b"ok"
+    assert await read_status(reader) == 400
+    assert server.bodies == [b"abc"]
+    writer.close()
+
+
+async def test_connection_is_closed_after_a_request_for_an_upgrade(server):
+    """What came after it was parsed uncounted, and handled on a connection that was
+    taken for idle."""
+    reader, writer = await server.connect()
+    upgrade = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: websocket"
+    writer.write(upgrade + b"\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 14_000)
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200")
+    assert b"connection: close" in head.lower()
+    assert await reader.read() == b"ok"
+    await server.settle()
+    assert server.servers.budget.connections == 0
+    writer.close()
+
+
+async def test_head_counts_while_the_body_is_merged(server):
+    """Heads of 30 kB with a body of one byte counted as small requests."""
+    _, writer = await server.connect()
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 30_000
+    writer.write(head + b"\r\nContent-Length: 2\r\n\r\nx")
+    await server.settle()
+    assert server.held_bytes > 30_000
+    writer.close()
+
+
+async def test_body_that_is_read_and_dropped_counts_nothing(server):
+    """After a response of 413, a client could fill the budget with what isn't kept."""
+    reader, writer = await server.connect()
+    writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000000\r\n\r\n")
+    assert await read_status(reader) == 413
+    for _ in range(20):
+        writer.write(b"x" * 50_000)
+        await writer.drain()
+        await server.settle()
+    assert server.held_bytes < 100_000
+    writer.close()
