Let the kernel close a client that takes nothing of its responses for 30 s

Cause: a client that sends small requests and never reads is held for ever: its requests are complete, so nothing closed it, and a closed connection waited to be flushed. Change: TCP_USER_TIMEOUT on connections of clients; the kernel sees an empty window.

--- a/chiveledge/http_limits/_handler.py
+++ b/chiveledge/http_limits/_handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
@@ -21,6 +22,9 @@
 WRITE_BUFFER_BYTES = 16_384
 """Bytes of responses that a client may leave unread before its requests wait."""
 
+UNREAD_S = 30.0
+"""Time in which a client must take some of a response that waits for it."""
+
 LINE_COST = 64
 """Cost of a line end in a head or a chunked body, beyond its bytes.
 
@@ -79,6 +83,11 @@
         transport.max_size = READ_BYTES
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._socket_transport = transport
+        if hasattr(socket, "TCP_USER_TIMEOUT"):
+            # The kernel knows whether a client takes anything; this process doesn't.
+            transport.get_extra_info("socket").setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(UNREAD_S * 1000)
+            )
         super().connection_made(transport)
         self._account = self._listener.open(self)
 
--- a/tests/http_limits/test_servers.py
+++ b/tests/http_limits/test_servers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import socket
 
 import aiohttp
 import pytest
@@ -18,6 +19,7 @@
     ClientServers,
     HostResources,
     RequestLimits,
+    _handler,
     read_body,
 )
 from chiveledge.metrics import Metrics
@@ -289,3 +291,25 @@
         await server.settle()
     assert server.held_bytes < 100_000
     writer.close()
+
+
+async def test_client_that_never_reads_its_responses_is_closed(server, monkeypatch):
+    """Its requests are complete, so that no limit closed it: as many clients as there
+    may be connections shut out all others for good."""
+    monkeypatch.setattr(_handler, "UNREAD_S", 0.3)
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+    client.connect(("127.0.0.1", server.port))
+    client.setblocking(False)
+    request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+    async with asyncio.timeout(30.0):
+        with pytest.raises(ConnectionError):
+            while True:
+                try:
+                    client.send(request * 100)
+                except BlockingIOError:
+                    pass
+                await asyncio.sleep(0.002)
+        await server.settle()
+    assert server.servers.budget.connections == 0
+    client.close()
