Count each pipelined request until it is answered

Cause: after each response, only the bytes since the response before it counted. With three requests sent at once, the third (100,000 bytes in a trial of the budget) counted nothing while it was handled. Change: an account remembers where each unanswered request began among its bytes, and keeps the cost from the oldest one on.

--- a/chiveledge/http_limits/_budget.py
+++ b/chiveledge/http_limits/_budget.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import resource
+from collections import deque
 from collections.abc import Callable
 from enum import StrEnum
 from typing import Any, NamedTuple
@@ -159,7 +160,10 @@
     __slots__ = (
         "_body_bytes",
         "_head_cost",
-        "_recent_bytes",
+        "_head_start",
+        "_read_start",
+        "_received",
+        "_starts",
         "connection",
         "head_bytes",
         "head_since_s",
@@ -183,7 +187,12 @@
         self.progress_s = now_s
         self._body_bytes = 0
         self._head_cost = SMALL_BYTES
-        self._recent_bytes = 0
+        # Cost of all reads, also before the last one and before the incomplete head.
+        self._received = 0
+        self._read_start = 0
+        self._head_start = 0
+        # The same before each request that isn't answered, oldest first.
+        self._starts: deque[int] = deque()
 
 
 class ListenerBudget:
@@ -244,7 +253,8 @@
             account.is_idle = False
             account.since_s = now_s
         account.progress_s = now_s
-        account._recent_bytes += cost
+        account._read_start = account._received
+        account._received += cost
         held = account.held_bytes + cost
         self._set_held(account, held)
         if held <= SMALL_BYTES:
@@ -265,6 +275,7 @@
         account.is_incomplete = True
         if not account.head_bytes:
             account.head_since_s = now_s
+            account._head_start = account._read_start
         account.head_bytes += size
         closings: list[Closing] = []
         if account.head_bytes > self._limits().head_bytes:
@@ -272,9 +283,14 @@
         return closings
 
     def record_request(
-        self, account: Account, *, is_complete: bool, head_cost: int | None = None
+        self,
+        account: Account,
+        *,
+        is_complete: bool,
+        head_cost: int | None = None,
+        count: int = 1,
     ) -> None:
-        """Record that a head is complete, and whether its body is.
+        """Record that heads are complete, and whether the last one's body is.
 
         Parameters
         ----------
@@ -285,10 +301,14 @@
         head_cost : int, optional
             Cost of the head, which is kept until the answer; None if it was recorded
             before.
+        count : int
+            Number of heads that the last read completed.
         """
+        start = account._head_start if account.head_bytes else account._read_start
         account.head_bytes = 0
         account.is_incomplete = not is_complete
         if head_cost is not None:
+            account._starts.extend([start] * count)
             account._head_cost = max(SMALL_BYTES, head_cost)
 
     def record_merged(self, account: Account, size: int) -> None:
@@ -297,8 +317,7 @@
         From now on, the request costs its head and what the handler keeps.
         """
         account._body_bytes += BODY_COST * size
-        account._recent_bytes = account._head_cost + account._body_bytes
-        self._set_held(account, account._recent_bytes)
+        self._set_held(account, account._head_cost + account._body_bytes)
 
     def finish(self, account: Account, now_s: float, *, is_idle: bool) -> None:
         """Record that a request was answered.
@@ -312,15 +331,17 @@
         is_idle : bool
             Whether no other request of the connection has arrived, even in part.
         """
-        kept = 0 if is_idle else min(account.held_bytes, account._recent_bytes)
-        self._set_held(account, kept)
-        account._recent_bytes = 0
+        if account._starts:
+            account._starts.popleft()
+        kept = 0 if is_idle else self._get_unanswered(account)
+        self._set_held(account, min(account.held_bytes, kept))
         account._body_bytes = 0
         account.since_s = now_s
         if is_idle:
             account.is_idle = True
             account.is_incomplete = False
             account._head_cost = SMALL_BYTES
+            account._starts.clear()
 
     def lose(self, account: Account) -> None:
         """Record that a connection is lost, while its handler may still run."""
@@ -351,6 +372,13 @@
                 self._close(closings, account, Reason.BODY_STALLED, now_s)
         return closings
 
+    def _get_unanswered(self, account: Account) -> int:
+        """Return the cost of what came since the oldest request not answered began."""
+        if account._starts:
+            return account._received - account._starts[0]
+        start = account._head_start if account.head_bytes else account._read_start
+        return account._received - start
+
     def _set_held(self, account: Account, held: int) -> None:
         if id(account) not in self._accounts:
             # Its handler runs on after the connection was removed.
--- a/chiveledge/http_limits/_handler.py
+++ b/chiveledge/http_limits/_handler.py
@@ -166,9 +166,10 @@
         """Record how far the newest request has arrived."""
         budget = self._listener.budget
         if self._request_count != self._seen_requests and self._messages:
-            self._open_requests += self._request_count - self._seen_requests
+            count = self._request_count - self._seen_requests
+            self._open_requests += count
             self._seen_requests = self._request_count
-            self._record_newest()
+            self._record_newest(count)
         elif self._payload is not None and self._payload.is_eof():
             self._end_body()
             budget.record_request(self._account, is_complete=True)
@@ -181,7 +182,7 @@
         elif self._payload is None and size:
             self._listener.record_head(self._account, size)
 
-    def _record_newest(self) -> None:
+    def _record_newest(self, count: int) -> None:
         message, payload = self._messages[-1]
         if not isinstance(message, RawRequestMessage):
             self._record_malformed()
@@ -193,7 +194,10 @@
             self._costs_lines = message.chunked
         is_complete = self._payload is None
         self._listener.budget.record_request(
-            self._account, is_complete=is_complete, head_cost=_get_head_cost(message)
+            self._account,
+            is_complete=is_complete,
+            head_cost=_get_head_cost(message),
+            count=count,
         )
         if message.compression and not is_complete:
             self._listener.receive(self._account, COMPRESSED_COST)
--- a/tests/http_limits/test_budget.py
+++ b/tests/http_limits/test_budget.py
@@ -194,6 +194,28 @@
     assert budget.held_bytes == 0
 
 
+def test_pipelined_requests_count_until_each_is_answered():
+    """The third one counted nothing once the first two were answered."""
+    budget = make_budget()
+    account, _ = budget.open("a", 0.0)
+    for cost in (10, 20, LARGE):
+        budget.receive(account, cost, 0.0)
+        budget.record_request(account, is_complete=True, head_cost=10)
+    held = []
+    for is_idle in (False, False, True):
+        budget.finish(account, 1.0, is_idle=is_idle)
+        held.append(account.held_bytes)
+    assert held == [LARGE + 20, LARGE, 0]
+    budget.receive(account, 50, 2.0)
+    budget.record_request(account, is_complete=True, head_cost=10, count=2)
+    budget.receive(account, 7, 2.0)
+    budget.record_head(account, 7, 2.0)
+    budget.finish(account, 2.0, is_idle=False)
+    assert account.held_bytes == 57
+    budget.finish(account, 2.0, is_idle=False)
+    assert account.held_bytes == 7
+
+
 def test_connection_that_is_gone_counts_nothing_whatever_its_handler_does():
     """Its bytes would never be given back, and shut others out for good."""
     budget = make_budget()
@@ -240,7 +262,9 @@
                 accounts.append(budget.open(step, now_s)[0])
             case 1 | 2 if not account.is_closing:
                 budget.receive(account, rng.randrange(2 * LARGE), now_s)
-                budget.record_request(account, is_complete=rng.random() < 0.5)
+                cost = rng.choice((None, LARGE // 10))
+                is_complete = rng.random() < 0.5
+                budget.record_request(account, is_complete=is_complete, head_cost=cost)
             case 3 if not account.is_closing:
                 budget.record_merged(account, rng.randrange(LARGE))
             case 4:
