--- a/tests/http_limits/test_budget.py
+++ b/tests/http_limits/test_budget.py
@@ -160,6 +160,21 @@
     assert budget.connections == 1
 
 
+def test_head_is_timed_from_its_own_start():
+    """A pipelined head in two parts was closed for the age of the request before it."""
+    budget = make_budget()
+    account, _ = budget.open("a", 0.0)
+    budget.receive(account, 10, 0.0)
+    budget.record_request(account, is_complete=True)
+    head_s = RequestLimits().head_s
+    budget.receive(account, 10, head_s)
+    budget.record_head(account, 10, head_s)
+    assert budget.expire(head_s + 1.0) == []
+    budget.receive(account, 10, head_s + 2.0)
+    closings = budget.expire(2 * head_s + 1.0)
+    assert names(closings) == [("a", Reason.HEAD_TOO_SLOW)]
+
+
 def test_merged_body_costs_what_the_handler_keeps():
     budget = make_budget()
     account, _ = start_request(budget, "a", 6 * LARGE, 0.0)
@@ -179,6 +194,28 @@
     assert budget.held_bytes == 0
 
 
+def test_pipelined_requests_count_until_each_is_answered():
+    """The third one counted nothing once the first two were answered."""
+    budget = make_budget()
+    account, _ = budget.open("a", 0.0)
+    for cost in (10, 20, LARGE):
+        budget.receive(account, cost, 0.0)
+        budget.record_request(account, is_complete=True, head_cost=10)
+    held = []
+    for is_idle in (False, False, True):
+        budget.finish(account, 1.0, is_idle=is_idle)
+        held.append(account.held_bytes)
+    assert held == [LARGE + 20, LARGE, 0]
+    budget.receive(account, 50, 2.0)
+    budget.record_request(account, is_complete=True, head_cost=10, count=2)
+    budget.receive(account, 7, 2.0)
+    budget.record_head(account, 7, 2.0)
+    budget.finish(account, 2.0, is_idle=False)
+    assert account.held_bytes == 57
+    budget.finish(account, 2.0, is_idle=False)
+    assert account.held_bytes == 7
+
+
 def test_connection_that_is_gone_counts_nothing_whatever_its_handler_does():
     """Its bytes would never be given back, and shut others out for good."""
     budget = make_budget()
@@ -220,12 +257,14 @@
     for step in range(2000):
         now_s = step / 10
         account = rng.choice(accounts) if accounts else None
-        match rng.randrange(7 if account else 1):
+        match rng.randrange(8 if account else 1):
             case 0:
                 accounts.append(budget.open(step, now_s)[0])
             case 1 | 2 if not account.is_closing:
                 budget.receive(account, rng.randrange(2 * LARGE), now_s)
-                budget.record_request(account, is_complete=rng.random() < 0.5)
+                cost = rng.choice((None, LARGE // 10))
+                is_complete = rng.random() < 0.5
+                budget.record_request(account, is_complete=is_complete, head_cost=cost)
             case 3 if not account.is_closing:
                 budget.record_merged(account, rng.randrange(LARGE))
             case 4:
@@ -235,6 +274,8 @@
                 accounts.remove(account)
             case 6:
                 budget.expire(now_s)
+            case 7 if rng.random() < 0.2:
+                budget.lose(account)
         kept = [a for a in budget._accounts.values() if a.held_bytes > SMALL_BYTES]
         live = sum(a.held_bytes for a in kept if not a.is_closing)
         closing = sum(a.held_bytes for a in kept if a.is_closing)
@@ -243,3 +284,7 @@
             not a.is_closing for a in budget._accounts.values()
         )
         assert budget.connections <= 30
+    for account in accounts:
+        budget.remove(account)
+    sums = (budget._large_bytes, budget._closing_bytes, budget._closing)
+    assert (sums, budget._accounts) == ((0, 0, 0), {})
