Say what the limits on clients charge, and in which unit

Cause: cost, price and bytes stood for one thing in http_limits; two figures of an account were private but set by another class and explained nowhere; `lose` and `_costs_lines` needed explaining; `_sweep` closed connections and reported; the setting of a transport's largest read stood twice. Change: docstrings with units; recent_bytes and merged_bytes are described attributes; record_lost, _charges_lines, MAX_CONNECTION_SHARE; _report; limit_reads is shared with the links between processes. No behaviour changes.

--- a/chiveledge/http_limits/__init__.py
+++ b/chiveledge/http_limits/__init__.py
@@ -12,9 +12,11 @@
     Reason,
     RequestLimits,
 )
+from chiveledge.http_limits._handler import READ_BYTES, limit_reads
 from chiveledge.http_limits._servers import ClientServers, LimitedServer, Listener
 
 __all__ = [
+    "READ_BYTES",
     "Account",
     "BodyLost",
     "BodyTooLarge",
@@ -28,5 +30,6 @@
     "ReadBudget",
     "Reason",
     "RequestLimits",
+    "limit_reads",
     "read_body",
 ]
--- a/chiveledge/http_limits/_body.py
+++ b/chiveledge/http_limits/_body.py
@@ -1,4 +1,4 @@
-"""Reads the body of a request piece by piece into one buffer."""
+"""Reads the body of a request piece by piece into one buffer, within limits."""
 
 from __future__ import annotations
 
@@ -21,13 +21,13 @@
 
 
 class BodyTooLate(NamedTuple):
-    """The body wasn't complete in time."""
+    """The body wasn't complete within the timeout in seconds."""
 
     timeout_s: float
 
 
 class BodyLost(NamedTuple):
-    """The connection broke before the body was complete."""
+    """The connection was lost before the body was complete."""
 
 
 async def read_body(
@@ -70,6 +70,7 @@
 async def _read(
     request: web.BaseRequest, limit: int
 ) -> Result[bytes, BodyTooLarge | BodyLost]:
+    """Read the body, and record each piece in the budget of its connection."""
     protocol = request.protocol
     body = bytearray()
     try:
@@ -81,7 +82,7 @@
                 protocol.record_merged(len(block))
         return Ok(bytes(body))
     except ConnectionError as error:
-        # The stream keeps the error, which would keep these frames and the stream
-        # until the next collection of garbage.
+        # The stream keeps the error. With its traceback the error refers to the stream
+        # in turn, and both would be kept until the next collection of garbage.
         error.__traceback__ = None
         return Err(BodyLost())
--- a/chiveledge/http_limits/_budget.py
+++ b/chiveledge/http_limits/_budget.py
@@ -3,10 +3,12 @@
 Load pattern: thousands of connections that send heads or bodies without end, or stop
 just short of the end and stay open, beside ordinary callers.
 
-What was read and not yet answered counts by connection. A request of up to
-`SMALL_BYTES` is paid for with its connection and never closed for others; larger ones
-share a limit. Over that limit, the incomplete request with the largest product of bytes
-and age is closed, so that a client that stands still goes before one that arrives.
+What was read and not yet answered is charged to its connection, as a cost in bytes:
+the bytes that arrived, with additions for what the parser and the handlers keep beside
+them. Memory for requests that cost up to `SMALL_BYTES` is reserved with each
+connection, so they are never closed because of others; larger ones share a limit. Over
+that limit, the incomplete request with the largest product of cost and age is closed,
+so that a stalled request is closed before one that still arrives.
 """
 
 from __future__ import annotations
@@ -17,7 +19,7 @@
 from typing import Any, NamedTuple
 
 SMALL_BYTES = 8192
-"""Cost of a request, with its head, that is never closed for the sake of others."""
+"""Largest cost of a request, with its head, that is never closed because of others."""
 
 CONNECTION_BYTES = 16_384
 """Memory of a connection with its parser and task, and the response not yet sent."""
@@ -26,8 +28,8 @@
 """Share of the memory for connections with a small request each."""
 
 LARGE_MEMORY_SHARE = 0.125
-"""Share of the memory for requests over `SMALL_BYTES`. Those that are closed but not
-gone yet, since their handlers run, may use as much again."""
+"""Share of the memory for requests that cost more than `SMALL_BYTES`. Those that are
+closed while their handlers still run may use as much again."""
 
 DESCRIPTOR_SHARE = 0.5
 """Share of the descriptors for clients; the rest is for the process's own calls."""
@@ -35,19 +37,20 @@
 FILE_DESCRIPTORS = 200
 """Descriptors that hosts reserve for files."""
 
-LARGEST_REQUEST_SHARE = 0.75
-"""Share of a listener's large bytes that one connection may hold."""
+MAX_CONNECTION_SHARE = 0.75
+"""Share of a listener's part for large requests that one connection may hold."""
 
 BODY_STALL_S = 10.0
 """Time without a byte after which an incomplete body is given up."""
 
 BODY_COST = 2
-"""Cost of a byte of a body that a handler took: it is copied once more while it is
-decoded, stored or forwarded."""
+"""Cost of a byte of a body that a handler has read into its buffer: it is copied once
+more while it is decoded, stored or forwarded."""
 
 BYTES_PER_MB = 1 << 20
 MIN_AGE_S = 0.1
-"""Age of a new request when candidates are compared by bytes times age."""
+"""Added to each age when requests are compared by cost times age, so that new ones
+are compared by cost."""
 
 
 class Reason(StrEnum):
@@ -77,12 +80,12 @@
 
     @property
     def large_bytes(self) -> int:
-        """Bytes for requests over `SMALL_BYTES`, in all."""
+        """Maximum cost of all requests over `SMALL_BYTES`, in bytes."""
         return int(self.memory_mb * BYTES_PER_MB * LARGE_MEMORY_SHARE)
 
     @property
     def connections(self) -> int:
-        """Number of connections, in all."""
+        """Maximum number of connections of all listeners."""
         memory = self.memory_mb * BYTES_PER_MB * CONNECTION_MEMORY_SHARE
         by_memory = int(memory / (CONNECTION_BYTES + SMALL_BYTES))
         allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -91,7 +94,7 @@
 
 
 class RequestLimits(NamedTuple):
-    """Limits on one request, which no ordinary client meets.
+    """Limits on one request, which no ordinary client reaches.
 
     Attributes
     ----------
@@ -140,6 +143,11 @@
     ----------
     held_bytes : int
         Cost of what was read and not yet answered.
+    recent_bytes : int
+        Cost of what arrived since the last answer. Once a handler reads a body, the
+        cost of what the handler keeps instead.
+    merged_bytes : int
+        Cost of the part of a body that a handler has read.
     head_bytes : int
         Bytes of an incomplete head.
     is_idle : bool
@@ -147,51 +155,52 @@
     is_incomplete : bool
         Whether a request has arrived in part.
     is_closing : bool
-        Whether the connection is to be closed.
+        Whether the connection is to be closed, or was lost.
     since_s : float
-        When the request began, or when the connection became idle.
+        Time at which the request began, or at which the connection became idle.
     progress_s : float
-        When the last bytes arrived.
+        Time at which the last bytes arrived.
     """
 
     __slots__ = (
-        "_body_bytes",
-        "_recent_bytes",
         "connection",
         "head_bytes",
         "held_bytes",
         "is_closing",
         "is_idle",
         "is_incomplete",
+        "merged_bytes",
         "progress_s",
+        "recent_bytes",
         "since_s",
     )
 
     def __init__(self, connection: object, now_s: float) -> None:
         self.connection: Any = connection
         self.held_bytes = 0
+        self.recent_bytes = 0
+        self.merged_bytes = 0
         self.head_bytes = 0
         self.is_idle = True
         self.is_incomplete = False
         self.is_closing = False
         self.since_s = now_s
         self.progress_s = now_s
-        self._body_bytes = 0
-        self._recent_bytes = 0
 
 
 class ListenerBudget:
     """Connections of one listener, and what they hold.
 
-    The methods return the connections to close, which may include the one that they
-    are called for. The caller closes them, and calls `remove` when they are gone.
+    Methods that may exceed a limit return the connections to close, among them perhaps
+    the one that they are called for. The caller closes them, and calls `remove` once
+    their handlers have ended. Times are in seconds on any scale that only rises.
 
     Parameters
     ----------
     connections : int
         Maximum number of connections.
     large_bytes : int
-        Maximum cost of all requests over `SMALL_BYTES`.
+        Maximum cost of all requests over `SMALL_BYTES`, in bytes.
     limits : callable
         Returns the limits on one request.
     """
@@ -201,7 +210,7 @@
     ) -> None:
         self._max_connections = max(1, connections)
         self._max_large_bytes = large_bytes
-        self._max_held_bytes = int(large_bytes * LARGEST_REQUEST_SHARE)
+        self._max_held_bytes = int(large_bytes * MAX_CONNECTION_SHARE)
         self._limits = limits
         self._accounts: dict[int, Account] = {}
         self._large_bytes = 0
@@ -215,7 +224,7 @@
 
     @property
     def held_bytes(self) -> int:
-        """Cost of all that is held, those to be closed included."""
+        """Cost of what all connections hold, those to be closed included, in bytes."""
         return sum(account.held_bytes for account in self._accounts.values())
 
     def open(self, connection: object, now_s: float) -> tuple[Account, list[Closing]]:
@@ -230,15 +239,15 @@
         return account, closings
 
     def receive(self, account: Account, cost: int, now_s: float) -> list[Closing]:
-        """Charge a connection for bytes before they are kept.
+        """Charge a connection for bytes that arrived, before they are kept.
 
-        Bytes of a connection that is to be closed after this call must not be kept.
+        If the connection is to be closed after this call, they must not be kept.
         """
         if account.is_idle:
             account.is_idle = False
             account.since_s = now_s
         account.progress_s = now_s
-        account._recent_bytes += cost
+        account.recent_bytes += cost
         held = account.held_bytes + cost
         self._set_held(account, held)
         if held <= SMALL_BYTES:
@@ -269,13 +278,20 @@
         account.is_incomplete = not is_complete
 
     def record_merged(self, account: Account, size: int) -> None:
-        """Record that a handler took all that had arrived of a body as `size` bytes.
+        """Record that a handler has read all that had arrived of a body.
 
         From now on, the request costs what the handler keeps.
+
+        Parameters
+        ----------
+        account : Account
+            Connection of the request.
+        size : int
+            Number of bytes that the handler got.
         """
-        account._body_bytes += BODY_COST * size
-        account._recent_bytes = SMALL_BYTES + account._body_bytes
-        self._set_held(account, account._recent_bytes)
+        account.merged_bytes += BODY_COST * size
+        account.recent_bytes = SMALL_BYTES + account.merged_bytes
+        self._set_held(account, account.recent_bytes)
 
     def finish(self, account: Account, now_s: float, *, is_idle: bool) -> None:
         """Record that a request was answered.
@@ -289,22 +305,22 @@
         is_idle : bool
             Whether no other request of the connection has arrived, even in part.
         """
-        kept = 0 if is_idle else min(account.held_bytes, account._recent_bytes)
+        kept = 0 if is_idle else min(account.held_bytes, account.recent_bytes)
         self._set_held(account, kept)
-        account._recent_bytes = 0
-        account._body_bytes = 0
+        account.recent_bytes = 0
+        account.merged_bytes = 0
         account.since_s = now_s
         if is_idle:
             account.is_idle = True
             account.is_incomplete = False
 
-    def lose(self, account: Account) -> None:
+    def record_lost(self, account: Account) -> None:
         """Record that a connection is lost, while its handler may still run."""
         if id(account) in self._accounts and not account.is_closing:
             self._begin_closing(account)
 
     def remove(self, account: Account) -> None:
-        """Remove a connection that is gone, with all that it held."""
+        """Remove a connection whose handler has ended, with all that it held."""
         if id(account) not in self._accounts:
             return
         self._set_held(account, 0)
@@ -355,7 +371,7 @@
         self._set_held(account, held)
 
     def _choose_request(self, now_s: float) -> Account | None:
-        """Return the incomplete request with the most bytes times age, if any."""
+        """Return the incomplete request with the largest cost times age, if any."""
         candidates = [
             account
             for account in self._accounts.values()
@@ -406,7 +422,7 @@
 
     @property
     def held_bytes(self) -> int:
-        """Cost of all that is held."""
+        """Cost of what the connections of all listeners hold, in bytes."""
         return sum(part.held_bytes for part in self._listeners.values())
 
     def add_listener(
--- a/chiveledge/http_limits/_handler.py
+++ b/chiveledge/http_limits/_handler.py
@@ -12,27 +12,33 @@
     from chiveledge.http_limits._servers import Listener
 
 READ_BYTES = 16_384
-"""Largest read from a socket, so that few bytes are parsed before they are charged."""
+"""Largest read from a socket, so that few bytes are kept before they are charged."""
 
 READ_BUFFER_BYTES = 65_536
-"""Bytes of a body that nobody reads after which the connection isn't read either."""
+"""Bytes of a body waiting for its handler from which the connection isn't read."""
 
 WRITE_BUFFER_BYTES = 16_384
-"""Bytes of responses that a client may leave unread before its requests wait."""
+"""Bytes of unsent responses from which handlers wait for the client to read."""
 
 LINE_COST = 64
-"""Cost of a line end in a head or a chunked body, beyond its bytes.
+"""Cost in bytes of a line end in a head or a chunked body, beyond its own bytes.
 
 A header line is kept as several strings. A chunk, which has two line ends, costs the
 parser up to 100 bytes, also if it carries only one.
 """
 
 COMPRESSED_COST = 4 * READ_BUFFER_BYTES
-"""Cost of a compressed body, of which more is kept than arrives."""
+"""Cost in bytes of a compressed body, of which more is kept than arrives."""
 
 BAD_REQUEST = 400
 
 
+def limit_reads(transport: Any) -> None:
+    """Make a transport read at most `READ_BYTES` at a time."""
+    # Not documented, but read by asyncio's transports before each read.
+    transport.max_size = READ_BYTES
+
+
 class LimitedRequestHandler(web.RequestHandler):
     """Handler of one connection that stays within a budget.
 
@@ -52,7 +58,7 @@
 
     __slots__ = (
         "_account",
-        "_costs_lines",
+        "_charges_lines",
         "_listener",
         "_open_requests",
         "_payload",
@@ -64,27 +70,29 @@
         super().__init__(server, read_bufsize=READ_BUFFER_BYTES, **options)
         self._listener = listener
         self._account: Any = None
+        # Body of the newest request while it is incomplete.
         self._payload: Any = None
-        self._costs_lines = True
+        # Whether what arrives next has lines, as a head and a chunked body have.
+        self._charges_lines = True
+        # Requests that were parsed and not answered; those that were parsed at all.
         self._open_requests = 0
         self._seen_requests = 0
         self._socket_transport: Any = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Open an account; another connection may be closed for it."""
-        # Not documented, but read by asyncio's transports before each read.
-        transport.max_size = READ_BYTES
+        limit_reads(transport)
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._socket_transport = transport
         super().connection_made(transport)
         self._account = self._listener.open(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Close the account when the task of the connection has ended."""
+        """Remove the account when the task of the connection has ended."""
         task = self._task_handler
         super().connection_lost(exc)
         self._payload = None
-        self._listener.budget.lose(self._account)
+        self._listener.budget.record_lost(self._account)
         if task is None:
             self._listener.budget.remove(self._account)
         else:
@@ -94,7 +102,7 @@
         """Charge for bytes, then parse them if the connection stays open."""
         if data:
             cost = len(data)
-            if self._costs_lines:
+            if self._charges_lines:
                 cost += LINE_COST * data.count(b"\r\n")
             if not self._listener.receive(self._account, cost):
                 return
@@ -102,7 +110,7 @@
         self._record_parsed(len(data))
 
     def record_merged(self, size: int) -> None:
-        """Record that a handler took all that had arrived of the body."""
+        """Record that a handler has read all that had arrived of the body."""
         if self._open_requests <= 1:
             self._listener.budget.record_merged(self._account, size)
 
@@ -132,11 +140,11 @@
         return response
 
     def abort(self) -> None:
-        """Close the connection at once; what it was to be sent is dropped."""
+        """Close the connection at once; responses that are not sent yet are dropped."""
         self._socket_transport.abort()
 
     def close_idle(self) -> None:
-        """Close the connection after what it was sent."""
+        """Close the connection once its responses are sent."""
         self._socket_transport.close()
 
     def _record_parsed(self, size: int) -> None:
@@ -157,24 +165,26 @@
             self._listener.record_head(self._account, size)
 
     def _record_newest(self) -> None:
+        """Record the newest request, and whether its body is still to come."""
         message, payload = self._messages[-1]
         if payload.is_eof():
             self._end_body()
             return
         self._payload = payload
         # A malformed request is no message, and its body is not read.
-        self._costs_lines = getattr(message, "chunked", False)
+        self._charges_lines = getattr(message, "chunked", False)
         if getattr(message, "compression", None):
             self._listener.receive(self._account, COMPRESSED_COST)
 
     def _end_body(self) -> None:
         self._payload = None
-        self._costs_lines = True
+        self._charges_lines = True
 
     def _remove_account(self, task: asyncio.Task[None]) -> None:
         self._listener.budget.remove(self._account)
 
     def _finish(self) -> None:
+        """Record an answer, and whether anything of another request has arrived."""
         has_more = self._open_requests > 0 or self._account.head_bytes
         has_body = self._payload is not None and not self._payload.is_eof()
         self._listener.finish(self._account, is_idle=not has_more and not has_body)
--- a/chiveledge/http_limits/_servers.py
+++ b/chiveledge/http_limits/_servers.py
@@ -25,7 +25,11 @@
 from chiveledge.metrics import Metrics
 
 KEEP_ALIVE_S = 75.0
+"""Time after which an idle connection is closed."""
+
 SWEEP_S = 1.0
+"""Period of closing stalled connections and of reporting."""
+
 BACKLOG = 512
 """Maximum number of connections waiting to be accepted, for bursts after an outage."""
 
@@ -34,6 +38,8 @@
 
 
 class _ClosedKind(NamedTuple):
+    """What connections have in common that share a line in the log."""
+
     listener: str
     reason: Reason
 
@@ -91,7 +97,15 @@
         return account
 
     def receive(self, account: Account, cost: int) -> bool:
-        """Charge for bytes that arrived; return whether they may be kept."""
+        """Charge for bytes that arrived; return whether they may be kept.
+
+        Parameters
+        ----------
+        account : Account
+            Account of the connection.
+        cost : int
+            Their cost, in bytes.
+        """
         if account.is_closing:
             return False
         closings = self.budget.receive(account, cost, self._servers.now_s)
@@ -105,7 +119,7 @@
             self.close(self.budget.record_head(account, size, self._servers.now_s))
 
     def finish(self, account: Account, *, is_idle: bool) -> None:
-        """Record that a request was answered."""
+        """Record that a request was answered; see `ListenerBudget.finish`."""
         self.budget.finish(account, self._servers.now_s, is_idle=is_idle)
 
     def close(self, closings: list[Closing]) -> None:
@@ -165,8 +179,8 @@
     Attributes
     ----------
     now_s : float
-        Time while the process ran, to the second. The pause of a suspended process
-        does not count, as what clients sent meanwhile has not been read.
+        Time for which the process has run, in seconds, advanced once a second. Time in
+        which it was suspended does not count, as nothing was read meanwhile.
     """
 
     def __init__(
@@ -250,14 +264,16 @@
         return LimitedServer(runner, server)
 
     async def run(self) -> None:
-        """Close what stands still, and report, until cancelled."""
+        """Close stalled connections, and report, until cancelled."""
         last_s = self._clock.monotonic()
         while True:
             await self._clock.sleep(SWEEP_S)
             passed_s = self._clock.monotonic() - last_s
             last_s += passed_s
             self.now_s += min(passed_s, 2 * SWEEP_S)
-            self._sweep()
+            for listener in self._listeners:
+                listener.close(listener.budget.expire(self.now_s))
+            self._report()
 
     def count_closed(self, listener: str, closing: Closing) -> None:
         """Count a connection that is closed."""
@@ -269,9 +285,8 @@
         """Count a request that isn't HTTP."""
         self._metrics.count("client_bad_requests")
 
-    def _sweep(self) -> None:
-        for listener in self._listeners:
-            listener.close(listener.budget.expire(self.now_s))
+    def _report(self) -> None:
+        """Log the connections closed since the last report, and update the metrics."""
         for (name, reason), closed in self._closed.items():
             self._log.write(
                 "serving",
--- a/chiveledge/peers/_network.py
+++ b/chiveledge/peers/_network.py
@@ -11,7 +11,7 @@
 from result import Err, Ok
 
 from chiveledge.clock import Clock
-from chiveledge.http_limits import Account, Listener
+from chiveledge.http_limits import READ_BYTES, Account, Listener, limit_reads
 from chiveledge.logs import PartLogger
 from chiveledge.metrics import Metrics
 from chiveledge.peers._codec import (
@@ -27,9 +27,6 @@
 
 LENGTH_BYTES = 4
 MAX_MESSAGE_BYTES = 4 << 20
-READ_BYTES = 16_384
-"""Largest read, so that few bytes are kept before they are charged."""
-
 MAX_PENDING_NOTICES = 64
 RECONNECT_S = 0.3
 CONNECT_TIMEOUT_S = 1.0
@@ -67,15 +64,17 @@
 
 
 class _Link:
-    """Incoming connection, as `Listener` closes it."""
+    """Incoming connection with the methods by which a `Listener` closes it."""
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
         self._writer = writer
 
     def abort(self) -> None:
+        """Close the connection at once."""
         self._writer.transport.abort()
 
     def close_idle(self) -> None:
+        """Close the connection once what was written is sent."""
         self._writer.close()
 
 
@@ -212,8 +211,7 @@
     ) -> None:
         task = asyncio.current_task()
         self._incoming[task] = writer
-        # Not documented, but read by asyncio's transports before each read.
-        writer.transport.max_size = READ_BYTES
+        limit_reads(writer.transport)
         account = self._listener.open(_Link(writer))
         try:
             while not account.is_closing:
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -223,7 +223,7 @@
         return ClientServers(resources, self._clock, self._log, self._metrics)
 
     def _get_request_limits(self) -> RequestLimits:
-        """Return limits that no client within the configured ones meets."""
+        """Return limits that no client reaches that keeps to the configured ones."""
         configured, default = self._operator_rows.catalogue.limits, RequestLimits()
         return RequestLimits(
             max(default.head_bytes, 2 * configured.header_bytes),
--- a/chiveledge/process.py
+++ b/chiveledge/process.py
@@ -313,7 +313,7 @@
     """Writes the lines of `ClientServers` to the log of the process."""
 
     def write(self, part: str, event: str, **fields: object) -> None:
-        """Write one line."""
+        """Write one line. The only event is that connections were closed."""
         PartLogger(part).warning("Closed connections of clients.", **fields)
 
 
