Tell the two kinds of drain rows and the blame for losses apart in words

Cause: drain_store and _drain_rows didn't say which interface they serve; "again and again", "for how long", "how much it points to" and DrainCommitted.drain said less than, or not, what the code does; _was_alone answered and recorded; _find_withheld logged and counted; CONFIGURATION_WATCH_SHARE has bounded a watch of all operators' rows since drains are among them. Change: docstrings; _record_lost beside _was_alone; _withhold_if_drained; OPERATOR_WATCH_SHARE. No behaviour changes.

--- a/chiveledge/coordinator/_context.py
+++ b/chiveledge/coordinator/_context.py
@@ -38,7 +38,7 @@
     waves : callable
         Returns the waves of upkeep that operators requested.
     drains : callable
-        Returns the drains of failure domains as this process knows them.
+        Returns the drains of failure domains as far as this process knows them.
     """
 
     table: WatchedTable
--- a/chiveledge/coordinator/_drain_monitor.py
+++ b/chiveledge/coordinator/_drain_monitor.py
@@ -1,4 +1,4 @@
-"""Reports what drains of failure domains hold up: the whole fleet, or single steps.
+"""Logs what drains of failure domains delay: all starts, or those of single steps.
 
 Load pattern: while operators have taken failure domains out, work that only their
 workers can take piles up, and the operator has to see that it waits for the drain.
@@ -18,7 +18,7 @@
 
 
 class DrainMonitor:
-    """Logs when starts are held up by drains, and when they no longer are.
+    """Logs when starts begin and cease to wait because of drains.
 
     Parameters
     ----------
@@ -35,10 +35,11 @@
         self._drains = context.drains
         self._links = links
         self._unknown_since_s: float | None = None
+        # By the name of the step.
         self._waiting_since_s: dict[str, float] = {}
 
     def check_age(self, now_s: float) -> None:
-        """Log when the drains are too old to start anything, and when no longer.
+        """Log when the drains become too old to be relied on, and when not any more.
 
         Parameters
         ----------
@@ -123,8 +124,9 @@
 ) -> dict[str, tuple[StepDemand, set[DomainName]]]:
     """Return the steps that only workers in drained domains can take, by name.
 
-    Steps of one shape are looked up once, and workers of one kind too: hundreds of
-    steps may wait, and hundreds of workers differ in few ways.
+    Each comes with its demand and these domains. Whether capacity is free doesn't
+    count. Steps of one shape are looked up once, and workers of one kind too: hundreds
+    of steps may wait, and hundreds of workers differ in few ways.
     """
     kinds = _list_kinds(links)
     drained = [kind for kind in kinds if kind.domain in known.drains]
--- a/chiveledge/coordinator/_hedged_orders.py
+++ b/chiveledge/coordinator/_hedged_orders.py
@@ -60,7 +60,8 @@
     send : callable
         Sends the order once and returns its answer.
     may_repeat : callable, optional
-        Whether a copy may be sent by then.
+        Returns whether a copy may be sent; called once `HEDGE_DELAY_S` has passed. If
+        it may not, the answer to the first order is awaited.
     """
     first = asyncio.create_task(send())
     timer = asyncio.create_task(clock.sleep(HEDGE_DELAY_S))
--- a/chiveledge/coordinator/_orders.py
+++ b/chiveledge/coordinator/_orders.py
@@ -156,7 +156,7 @@
         return ""
 
     def _discard_unusable(self, step: Step, placed: PlacedRuns) -> PlacedRuns:
-        """Discard the runs whose workers shrank or are drained since they were placed.
+        """Discard the runs on workers that shrank or were drained after the placement.
 
         Returns the other runs; none of a gang that isn't whole any more.
         """
@@ -184,7 +184,7 @@
         return ""
 
     def _may_start_on(self, link: WorkerLink) -> bool:
-        """Return whether a start order may be sent by the drains known now."""
+        """Return whether the drains known now allow a start on a worker."""
         return self._drains().may_start_in(link.entry.domain)
 
     def stop(self, link: WorkerLink, tracked: TrackedRun, reason: str) -> None:
--- a/chiveledge/drain_store.py
+++ b/chiveledge/drain_store.py
@@ -38,6 +38,8 @@
 
 DRAIN_PREFIX = "drains/"
 LAST_CHANGE_KEY = "drain-changes/last"
+"""Row that every change checks and writes."""
+
 COMMIT_TIMEOUT_S = 3.0
 MAX_TRIES = 8
 """Tries of a change while other operators change drains at the same time."""
@@ -69,9 +71,10 @@
     Attributes
     ----------
     drain : Drain
-        The drain now in force, or the one that was lifted.
+        The drain now in force, or the one that was lifted. If none was there to lift,
+        author and time are those of the change.
     changed : bool
-        False if the domain was drained, or not drained, before.
+        False if the domain was as requested before.
     """
 
     drain: Drain
@@ -87,7 +90,7 @@
 
 @dataclass(frozen=True)
 class DrainUnknown:
-    """The change may have been committed, now or later."""
+    """The change may have been committed, or be committed later, as `write_id`."""
 
     write_id: str
 
@@ -101,7 +104,9 @@
 
 
 def find_domain_problem(domain: str) -> str:
-    """Return why a failure domain can't have this name, with the remedy; or nothing.
+    """Return why a failure domain can't have this name, with the remedy.
+
+    The text is empty if it can.
 
     Examples
     --------
@@ -126,7 +131,11 @@
 
 
 def decode_drain(row: Row) -> Drain:
-    """Decode a row; the key alone drains the domain, whatever the value is."""
+    """Decode the row of a drain.
+
+    The key alone drains the domain: if the value can't be read, author and time are
+    those of an unknown request.
+    """
     domain = row.key.removeprefix(DRAIN_PREFIX)
     try:
         fields = parse_json(row.value)
@@ -149,8 +158,8 @@
 ) -> DrainOutcome:
     """Drain a failure domain, or lift its drain.
 
-    A change that finds what it wants is committed as well: an earlier one whose answer
-    was lost can't take effect after it.
+    If the domain is already as requested, a transaction is committed all the same: an
+    earlier change whose answer was lost can't take effect after it.
 
     Parameters
     ----------
@@ -162,6 +171,12 @@
         The request, whose domain has a valid name.
     write_id : str
         Unique name of this change.
+
+    Returns
+    -------
+    DrainOutcome
+        `DrainRefused` also if the store can't be read, or if other changes came first
+        in `MAX_TRIES` tries.
     """
     for attempt in range(MAX_TRIES):
         match await _read_rows(table, change.domain):
--- a/chiveledge/drains.py
+++ b/chiveledge/drains.py
@@ -3,6 +3,9 @@
 Load pattern: a whole failure domain leaves while the fleet is full, and what would have
 started there competes for the rest. Nothing starts in a drained domain; what runs there
 goes on.
+
+Operators request drains by rows of the users' platform (`platform/_drain_rows.py`) or
+on the product's own interface (`drain_store.py`).
 """
 
 from __future__ import annotations
@@ -37,7 +40,7 @@
     drains : mapping
         Drains in force, by domain.
     age_s : float
-        Time since they were last confirmed, in seconds.
+        Time since they were last confirmed, in seconds; infinite if they never were.
     max_age_s : float
         Age up to which they are relied on, in seconds; infinite if nothing promises
         that a drain takes effect within a time.
--- a/chiveledge/jobs.py
+++ b/chiveledge/jobs.py
@@ -141,7 +141,8 @@
     reason : str
         Why the job failed or waits.
     blame : int
-        How much the losses of its workers point to the job.
+        Weight of the evidence that the job causes the losses of its workers; see
+        `scheduler/_lost_attempts.py`.
     lost_at : datetime, optional
         Wall time of the last such loss.
     """
--- a/chiveledge/metrics.py
+++ b/chiveledge/metrics.py
@@ -35,7 +35,7 @@
 
 
 class Metrics:
-    """Counters and latency histograms by name."""
+    """Counters, figures that are set, and latency histograms by name."""
 
     def __init__(self) -> None:
         self._counters: Counter[str] = Counter()
@@ -46,7 +46,7 @@
         self._counters[name] += amount
 
     def set(self, name: str, value: int) -> None:
-        """Set a counter to the present value of what it counts."""
+        """Set a figure that may fall, such as a number of connections."""
         self._counters[name] = value
 
     def value(self, name: str) -> int:
--- a/chiveledge/platform/_drain_rows.py
+++ b/chiveledge/platform/_drain_rows.py
@@ -1,4 +1,8 @@
-"""Rows with which operators drain failure domains: one a domain, named after it."""
+"""Rows of the users' platform with which operators drain failure domains.
+
+There is one row a domain, named after it. The product's own interface has rows of its
+own, see `drain_store.py`.
+"""
 
 from __future__ import annotations
 
@@ -14,9 +18,10 @@
 
 
 class DrainRows:
-    """Drains that operators requested.
+    """Drains that operators requested by rows.
 
-    Only the key decides: it names the domain, also if the value can't be read.
+    Only the key counts: the domain that it names is drained, also if the value can't be
+    read.
 
     Parameters
     ----------
@@ -36,7 +41,10 @@
     def apply_changes(
         self, rows: Iterable[Row], deleted: Iterable[str], is_snapshot: bool
     ) -> None:
-        """Apply changed and deleted rows; a snapshot replaces the drains."""
+        """Apply changed and deleted rows; a snapshot replaces the drains.
+
+        Rows of other prefixes and a row that names no domain are ignored.
+        """
         rows = [row for row in rows if _find_domain(row.key)]
         lifted = {_find_domain(key) for key in deleted}
         if is_snapshot:
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -72,13 +72,13 @@
 DRAINS_AGE_SHARE = 0.7
 """Age up to which the drains are relied on, as a share of `drain_apply_s`.
 
-The rest is for an order on its way to a worker, whose timeout it must exceed. Each
-attempt of a start checks the age again.
+The rest must exceed the timeout of an order on its way to a worker. Each attempt of a
+start checks the age again.
 """
 
-CONFIGURATION_WATCH_SHARE = 0.2
+OPERATOR_WATCH_SHARE = 0.2
 """Maximum duration of a watch of the operators' rows, as a share of the shortest time
-within which one of them has to be in force.
+within which a changed row has to be in force.
 
 One unanswered watch, its margin and the snapshot read after it end before the
 configuration is so old that callers are sent elsewhere.
@@ -256,7 +256,7 @@
             self._clock,
             self._log,
             self._operator_rows.apply_changes,
-            wait_s=self._shortest_apply_s * CONFIGURATION_WATCH_SHARE,
+            wait_s=self._shortest_apply_s * OPERATOR_WATCH_SHARE,
         )
         self._status_follower = TableFollower(
             store,
@@ -365,7 +365,7 @@
 
     @property
     def _shortest_apply_s(self) -> float:
-        """Shortest time within which a row of the operators has to be in force."""
+        """Shortest time within which a changed operators' row has to be in force."""
         bounds = self._settings.bounds
         return min(bounds.config_apply_s, bounds.drain_apply_s or bounds.config_apply_s)
 
--- a/chiveledge/platform/_settings.py
+++ b/chiveledge/platform/_settings.py
@@ -248,7 +248,10 @@
 
 
 def _get_drain_apply_s(fields: Mapping[str, Any]) -> float | None:
-    """Return the bound on applying drains; None if there is none."""
+    """Return the bound on applying drains, in seconds; None if there is none.
+
+    Raises `_FieldError` for a negative one.
+    """
     apply_ms = _get_number(fields, "evac_ms", 0)
     if apply_ms < 0:
         raise _FieldError("bounds.evac_ms", f"set 0 or more, got {apply_ms:g}")
--- a/chiveledge/scheduler/_attempt_outcomes.py
+++ b/chiveledge/scheduler/_attempt_outcomes.py
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True)
 class NeverStarted:
-    """The attempt ended before all of its members ran."""
+    """The attempt ended before every member had started; some may have."""
 
     reason: str
 
--- a/chiveledge/scheduler/_attempt_runner.py
+++ b/chiveledge/scheduler/_attempt_runner.py
@@ -169,14 +169,14 @@
         if self._requested_outcome is not None:
             return self._requested_outcome
         await self._wait_until_starts_allowed()
-        withheld = self._find_withheld(self.attempt.workers)
+        withheld = self._withhold_if_drained(self.attempt.workers)
         if withheld is not None:
             return withheld
         reason = await self._reserve_all()
         if reason:
             return NeverStarted(reason)
         await self._wait_until_starts_allowed()
-        withheld = self._find_withheld(self.attempt.workers)
+        withheld = self._withhold_if_drained(self.attempt.workers)
         if withheld is not None:
             return withheld
         match await self._committer.commit_start(self.job, self.attempt):
@@ -226,16 +226,16 @@
         deadline_s = self._clock.monotonic() + START_TIMEOUT_S
         await self._wait_until_starts_allowed()
         workers = self._list_workers_to_start()
-        withheld = self._find_withheld(workers)
+        withheld = self._withhold_if_drained(workers)
         if withheld is not None:
             return withheld
         answers = await asyncio.gather(
             *(self._start_on(worker, deadline_s) for worker in workers)
         )
         by_worker = dict(zip(workers, answers, strict=True))
-        refused = [w for w, a in by_worker.items() if a is _StartAnswer.WITHHELD]
-        if refused:
-            return self._withhold(refused)
+        drained = [w for w, a in by_worker.items() if a is _StartAnswer.WITHHELD]
+        if drained:
+            return self._withhold(drained)
         failed = tuple(w for w, a in by_worker.items() if a is _StartAnswer.FAILED)
         if failed:
             return MembersLost(failed)
@@ -268,15 +268,22 @@
         return tuple(w for w in self.attempt.workers if w in waiting)
 
     def _list_drained(self, workers: Iterable[WorkerName]) -> list[WorkerName]:
+        """Return the workers on which nothing may start by the drains known now."""
         known = self._drains.known
         return [w for w in workers if not known.may_start_in(self._session(w).domain)]
 
-    def _find_withheld(self, workers: Iterable[WorkerName]) -> NeverStarted | None:
-        """Return the outcome of an attempt that a drain withholds, else None."""
+    def _withhold_if_drained(
+        self, workers: Iterable[WorkerName]
+    ) -> NeverStarted | None:
+        """Withhold the attempt if one of these workers is in a drained domain.
+
+        Returns the outcome of a withheld attempt, else None.
+        """
         drained = self._list_drained(workers)
         return self._withhold(drained) if drained else None
 
     def _withhold(self, drained: Sequence[WorkerName]) -> NeverStarted:
+        """Log that drains withhold the attempt, and return its outcome."""
         domains = {self._session(worker).domain for worker in drained}
         self._drains.record_withheld(self.attempt_id, domains)
         return NeverStarted(f"drained failure domains: {', '.join(sorted(domains))}")
--- a/chiveledge/scheduler/_drain_follower.py
+++ b/chiveledge/scheduler/_drain_follower.py
@@ -1,4 +1,4 @@
-"""What a region's leader knows of the drains of failure domains, and for how long."""
+"""What a region's leader knows of the drains of failure domains, and its age."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class DrainFollower:
-    """Reads the drains again and again; without a recent read nothing may start.
+    """Reads the drains when asked to; without a recent read nothing may start.
 
     Parameters
     ----------
@@ -32,7 +32,7 @@
     region : str
         Region whose leader follows, for the log.
     max_age_s : float
-        Age of the last read beyond which nothing starts.
+        Age of the last read beyond which nothing starts, in seconds.
     """
 
     def __init__(
@@ -65,7 +65,10 @@
         return self._confirmed_s > float("-inf")
 
     async def refresh(self) -> bool:
-        """Read the drains once; return whether others are in force than before."""
+        """Read the drains once; return whether other ones are in force than before.
+
+        After a read that failed, the drains of the last one stay, with their age.
+        """
         sent_s = self._clock.monotonic()
         has_changed = False
         match await read_drains(self._table):
@@ -80,7 +83,7 @@
     def record_withheld(
         self, attempt: AttemptId, domains: Iterable[DomainName]
     ) -> None:
-        """Log and count an attempt that is withdrawn for a drain."""
+        """Log and count an attempt that is withdrawn because of drained domains."""
         self._metrics.count("starts_withheld")
         log.info(
             "Withdrew an attempt for a drain.",
@@ -91,6 +94,7 @@
         )
 
     def _apply(self, drains: Mapping[DomainName, Drain]) -> bool:
+        """Replace the drains; return whether they differ from those before."""
         before, self._drains = self._drains, drains
         if before == drains:
             return False
@@ -104,7 +108,7 @@
         return True
 
     def _log_age(self) -> None:
-        """Log when the drains are no longer known, and when they are again."""
+        """Log when the drains become too old to be relied on, and when not any more."""
         known = self.known
         if known.is_current == self._was_current:
             return
--- a/chiveledge/scheduler/_job_repository.py
+++ b/chiveledge/scheduler/_job_repository.py
@@ -96,6 +96,7 @@
         self._clock = clock
         self._jobs: dict[JobId, Job] = {}
         self._versions: dict[JobId, int] = {}
+        # Monotonic time of the last loss of each worker, and the job that lost it.
         self._lost_workers: dict[WorkerName, tuple[float, JobId]] = {}
 
     @property
@@ -241,9 +242,10 @@
     def _apply_loss(
         self, job: Job, workers: tuple[WorkerName, ...], sign: LossSign
     ) -> Job:
-        """Queue a job again whose workers were lost, unless too many were."""
+        """Queue a job again whose workers were lost, unless it is to be given up."""
         earlier = LossRecord(job.blame, job.lost_at) if job.lost_at else None
         alone = self._was_alone(job.job_id, workers)
+        self._record_lost(job.job_id, workers)
         record = add_loss(earlier, sign, alone=alone, now=self._clock.now())
         log.info(
             "Workers of a job were lost.",
@@ -260,7 +262,7 @@
         return job._replace(reason=f"lost members on {','.join(workers)}")
 
     def _was_alone(self, job_id: JobId, workers: tuple[WorkerName, ...]) -> bool:
-        """Return whether no other job ran on lost workers; record their loss."""
+        """Return whether no other job ran on workers when they were lost."""
         now_s = self._clock.monotonic()
         shared = any(
             other.job_id != job_id
@@ -271,9 +273,14 @@
         for worker in workers:
             lost_s, lost_job = self._lost_workers.get(worker, (0.0, job_id))
             shared |= lost_job != job_id and now_s - lost_s < SHARED_LOSS_S
-            self._lost_workers[worker] = (now_s, job_id)
         return not shared
 
+    def _record_lost(self, job_id: JobId, workers: tuple[WorkerName, ...]) -> None:
+        """Record when, and under which job, workers were lost last."""
+        now_s = self._clock.monotonic()
+        for worker in workers:
+            self._lost_workers[worker] = (now_s, job_id)
+
     def _finalize(self, job: Job, state: JobState, reason: str) -> Job:
         if state is not JobState.FINISHED:
             self._failure_tracker.discard_job(job.job_id)
--- a/chiveledge/scheduler/_lost_attempts.py
+++ b/chiveledge/scheduler/_lost_attempts.py
@@ -1,8 +1,8 @@
 """Bounds how often a job starts again after its workers were lost under it.
 
 Load pattern: a job crashes each worker that starts it, and reports no failure. A worker
-that restarts under the only job on it points to that job; a silent worker or one that
-other jobs shared says less, and the loss of half of a region nothing.
+that restarts while it runs only one job is evidence against that job; a silent worker,
+or one that ran other jobs too, is less, and the loss of half of a region is none.
 """
 
 from __future__ import annotations
@@ -15,14 +15,21 @@
 """Time after which earlier losses don't count any more if none follows."""
 
 MAX_BLAME = 8
-"""Blame at which a job is given up: four restarts of workers that ran nothing else."""
+"""Blame at which a job is given up: four attempts, each ended by a restart of workers
+that ran nothing else."""
 
 SHARED_LOSS_S = 5.0
-"""Time within which losses of the same worker under several jobs have one cause."""
+"""Time within which losses of the same worker under several jobs count as one loss
+that they share."""
 
 
 class LossSign(StrEnum):
-    """What is known of the workers that were lost under an attempt."""
+    """What is known of the workers that were lost under an attempt.
+
+    They have restarted if they answer, but no longer know the attempt; they are silent
+    if they don't answer or didn't start their members. The loss is widespread if at
+    least half of the region's workers, and more than one, are lost.
+    """
 
     RESTARTED = "restarted"
     SILENT = "silent"
@@ -35,7 +42,8 @@
     Attributes
     ----------
     blame : int
-        Sum over the losses of how much each points to the job.
+        Weight of the evidence that the job itself causes the losses: the sum of 0 to 2
+        for each.
     last_at : datetime
         Wall time of the last one.
     """
@@ -45,14 +53,14 @@
 
     @property
     def is_exhausted(self) -> bool:
-        """Whether the job is given up."""
+        """Whether the job has to be given up."""
         return self.blame >= MAX_BLAME
 
 
 def add_loss(
     record: LossRecord | None, sign: LossSign, *, alone: bool, now: datetime
 ) -> LossRecord:
-    """Return the record with one more lost attempt.
+    """Return the record with one more loss.
 
     Parameters
     ----------
@@ -78,6 +86,7 @@
 
 
 def _weigh(sign: LossSign, alone: bool) -> int:
+    """Return the blame for one loss."""
     match sign:
         case LossSign.RESTARTED if alone:
             return 2
