Say in learnt figures and turns what is counted, and in which unit

Cause: "the height of a burst", "late for its sake", "when most is at stake" and "decide by the estimate" are figures of speech; MIN_CHANGE, the keys of restored comparisons, the rank of full speed, the weighted median and the precision of an average couldn't be understood where they stand; order_fairly said "all workers" where FleetView.sum_capacities counts those that accept runs; a worker's slowdown was said to be one that always was seen, and is an expected one since unknown machines have one; guaranteed jobs take no turns, which only the code said. Change: docstrings and comments; a local variable free_chars. No behaviour changes.

--- a/chiveledge/coordinator/_learnt_figures.py
+++ b/chiveledge/coordinator/_learnt_figures.py
@@ -1,11 +1,13 @@
 """Keeps what leaders learn in the store, so that it outlasts them.
 
-Load pattern: the leader is lost at the height of a burst. The next one would start
-urgent gangs on slow machines and go by declared run times for as long as the first one
-needed to learn better, which is when most is at stake.
+Learnt are the speeds of machines and the run times of queues.
 
-Loading never holds up a term, and storing never holds up a start or an end: both are
-done by a task of their own, and without the rows a term learns anew.
+Load pattern: the leader is lost during a burst of urgent gangs. Until the next one had
+learnt the same again, it would start them on slow machines and rely on declared run
+times.
+
+Loading never delays a term, and storing never delays a start or an end: both are done
+by an asyncio task of their own, and without the rows a term learns anew.
 """
 
 from __future__ import annotations
@@ -30,15 +32,17 @@
 from chiveledge.services import Conflict, Put, Rejected, Transaction
 
 STORE_INTERVAL_S = 3.0
-"""Shortest time between two writes: a burst lasts longer, and each call has a cost."""
+"""Shortest time between two writes: bursts last longer, and each write is a call."""
 
 LOAD_RETRY_S = 0.5
+"""Pause after a read that failed."""
 
 REJECTED_PAUSE_S = 60.0
-"""Pause after the store refused the rows for good, as it would refuse the next, too."""
+"""Pause after the store rejected a write, as it would probably reject the next one."""
 
 MIN_CHANGE = 0.05
-"""Change of a logarithm that is worth a write: half of what tells workers apart."""
+"""Change of a logarithm that is worth a write: half of the slowdown from which a worker
+counts as slower (`MIN_SLOWDOWN`)."""
 
 
 class _StoredState(NamedTuple):
@@ -116,7 +120,11 @@
                 pause_s = await self._store(figures)
 
     async def _load(self, began_s: float) -> bool:
-        """Read the rows and use what they show of machines and queues unknown here."""
+        """Read the rows and use what they show of machines and queues unknown here.
+
+        Returns whether they could be read. `began_s` is the monotonic time at which the
+        first read began, for the log.
+        """
         match await self._table.snapshot(LEARNT_PREFIX):
             case Ok(snapshot):
                 figures, unreadable = decode_rows(snapshot.rows)
@@ -139,7 +147,7 @@
         return True
 
     async def _store(self, figures: LearntFigures) -> float:
-        """Store the rows that changed; return the pause until the next write.
+        """Store the rows that changed; return the pause in seconds until the next one.
 
         A write that was delayed and takes effect after a later one restores figures
         that are some seconds older, if this process still leads.
@@ -171,7 +179,7 @@
         if isinstance(error, Conflict):
             self._on_lost("the leadership row changed")
             return STORE_INTERVAL_S
-        # Whether it has an effect isn't known, so the next one writes all rows.
+        # Whether the write takes effect isn't known, so the next one writes all rows.
         unknown = dict.fromkeys([*stored, *texts], "")
         self._stored = self._stored._replace(texts=unknown)
         self._metrics.count("learnt_writes_failed")
@@ -180,7 +188,11 @@
 
 
 def has_changed(stored: LearntFigures, present: LearntFigures) -> bool:
-    """Return whether figures differ from the stored ones by enough for a write."""
+    """Return whether figures differ from the stored ones by enough for a write.
+
+    A machine or queue that isn't stored yet is enough; ratios to declared times don't
+    count.
+    """
     speeds = {name: speed.log_speed for name, speed in stored.speeds.items()}
     if any(
         abs(speeds.get(name, float("inf")) - speed.log_speed) >= MIN_CHANGE
--- a/chiveledge/coordinator/_learnt_rows.py
+++ b/chiveledge/coordinator/_learnt_rows.py
@@ -30,15 +30,16 @@
 """Separates the kind of a row from its number in a key."""
 
 MAX_ROWS = 40
-"""Most rows of one kind; what doesn't fit in them is left out, the oldest first."""
+"""Maximum number of rows of one kind; the oldest entries beyond are left out."""
 
 DECIMALS = 3
-"""Decimals of stored logarithms; a thousandth is far below what is told apart."""
+"""Decimals of stored logarithms; a thousandth is far below `MIN_CHANGE`."""
 
 MAX_LOG = 25.0
-"""Largest logarithm of a ratio or of a time in seconds that can be meant."""
+"""Largest plausible logarithm of a ratio or of a time in seconds."""
 
 MAX_STORED_SAMPLES = 10**6
+"""Largest plausible number of comparisons of a machine."""
 
 BRACKET_CHARS = 2
 COMMA_CHARS = 1
@@ -73,8 +74,10 @@
 
     Parameters
     ----------
+    figures : LearntFigures
+        What the rows are to hold.
     max_row_chars : int
-        Longest text of a row.
+        Longest text of a row, in characters. An entry that is longer is left out.
     """
     speeds = {name: _encode_speed(speed) for name, speed in figures.speeds.items()}
     times = {name: _encode_times(times) for name, times in figures.run_times.items()}
@@ -102,19 +105,19 @@
 def _split_entries(entries: dict[str, object], max_row_chars: int) -> list[str]:
     """Return the texts of the rows for entries, the newest first."""
     rows: list[list[str]] = []
-    room = 0
+    free_chars = 0
     for name in reversed(entries):
         text = f"{json.dumps(name)}:{_to_text(entries[name])}"
         needed = len(text) + COMMA_CHARS
         if needed > max_row_chars - BRACKET_CHARS:
             continue
-        if needed > room:
+        if needed > free_chars:
             if len(rows) == MAX_ROWS:
                 break
             rows.append([])
-            room = max_row_chars - BRACKET_CHARS
+            free_chars = max_row_chars - BRACKET_CHARS
         rows[-1].append(text)
-        room -= needed
+        free_chars -= needed
     # Sorted, so that a row whose entries haven't changed has the same text.
     return ["{" + ",".join(sorted(texts)) + "}" for texts in rows]
 
@@ -148,6 +151,7 @@
 
 
 def _decode_speed(value: list) -> MachineSpeed:
+    """Decode an entry; raises one of `DECODE_ERRORS`, as the functions below do."""
     log_speed, samples = value
     count = check_whole_number(samples, at_most=MAX_STORED_SAMPLES)
     if count == 0:
--- a/chiveledge/coordinator/_run_times.py
+++ b/chiveledge/coordinator/_run_times.py
@@ -1,9 +1,10 @@
 """Estimates run times of tasks from completed runs of their queue.
 
 Load pattern: declared times that are wrong by a factor, and a few jobs that take many
-times as long as the others of their queue. Order, waits, stalls and evacuation decide
-by the estimate, so one such job must not make all later ones look long. A value far
-above the average therefore counts only up to a limit, while shorter ones count in full.
+times as long as the others of their queue. The order of jobs, and what waits, counts as
+stalled or is evacuated, depend on the estimate, so one such job must not raise that of
+all later ones. A value far above the average therefore counts only up to a limit, while
+shorter ones count in full.
 """
 
 from __future__ import annotations
@@ -26,15 +27,16 @@
 MIN_RUN_TIME_S = 0.01
 """Shortest run time that is distinguished, whether it was declared or observed."""
 
-
 MAX_RISE_DEVIATIONS = 2.0
-"""Number of deviations above the average up to which a value counts."""
+"""Number of mean deviations above the average up to which a value counts."""
 
 MIN_RISE_LIMIT = 0.5
-"""Smallest such limit of a logarithm, as few values show too small a deviation."""
+"""Smallest value of this limit, in a logarithm, as few values show too small a
+deviation."""
 
 MAX_STEPS = 1000.0
-"""Limit of the counted weight, which then doesn't affect an average any more."""
+"""Weight up to which steps are counted; from far below it on, the count doesn't affect
+an average any more."""
 
 MAX_RESTORED_STEPS = 5.0
 """Largest weight of a restored average, which new runs soon outweigh."""
@@ -51,7 +53,7 @@
     mean, deviation : float
         Its average and its mean absolute deviation.
     steps : float
-        Number of steps that show it.
+        Number of steps that show it; one of which some tasks were done counts in part.
     """
 
     mean: float
@@ -90,9 +92,11 @@
 
     @property
     def precision(self) -> float:
+        """Weight of the average among estimates: the inverse of its variance."""
         return 1 / (self.deviation**2 + MIN_VARIANCE)
 
     def update(self, value: float, weight: float) -> None:
+        """Add a value that counts as `weight` steps."""
         if not self.steps:
             self.mean = value
         # The first few steps count alike.
@@ -106,6 +110,7 @@
         self.mean += share * change
 
     def describe(self) -> LearntAverage:
+        """Return it as it is stored."""
         return LearntAverage(self.mean, self.deviation, self.steps)
 
 
@@ -194,6 +199,7 @@
         return remaining_s
 
     def _trim(self) -> None:
+        """Remove the queues with the oldest runs beyond `MAX_QUEUES`."""
         while len(self._run_times) > MAX_QUEUES:
             queue, _ = self._run_times.popitem(last=False)
             self._ratios.pop(queue, None)
--- a/chiveledge/coordinator/_supervision.py
+++ b/chiveledge/coordinator/_supervision.py
@@ -75,7 +75,7 @@
         self._slowdowns = self._find_slowdowns()
 
     def find_slow_workers(self, now_s: float) -> SlowWorkers:
-        """Return the workers that are slow now, and those that are always slower."""
+        """Return the workers that are slow now, and the expected slowdown of each."""
         return SlowWorkers(
             self._speeds.slow_workers(now_s, len(self._links)),
             self._slowdowns,
--- a/chiveledge/coordinator/_workspace_usage.py
+++ b/chiveledge/coordinator/_workspace_usage.py
@@ -19,7 +19,8 @@
 ) -> dict[tuple[str, WorkspaceName], Usage]:
     """Return the capacity that open runs take, by service and workspace.
 
-    Runs that are being stopped don't count: what they did is lost or will be resumed.
+    Runs that are being stopped don't count: their capacity will be free, and their work
+    is lost or resumed by another run.
     """
     counts = Counter(
         (link.entry.service, tracked.name.job_id, tracked.name.step)
--- a/chiveledge/placement/_fairness.py
+++ b/chiveledge/placement/_fairness.py
@@ -2,13 +2,14 @@
 
 Load pattern: a large workspace hands in a burst of batch jobs on a full fleet. By due
 time alone the jobs that other workspaces hand in a little later wait until the whole
-burst is placed, and are late for its sake. Therefore workspaces take turns: the next
-job placed is that of the workspace whose dominant share is the smallest, the share of
-the resource of which it has the most in use. What a plan has placed for a workspace
-counts at once, so that one plan doesn't give all free capacity to the same one.
+burst is placed, and are late because of it. Therefore workspaces take turns: the next
+job placed is that of the workspace whose dominant share is the smallest: its share of
+the resource of which it uses the largest part. What a plan has ordered before
+counts at once, so that one plan doesn't give all free capacity to the same workspace.
 
 Only jobs of the same priority and timeliness take turns, so that no job that can be in
-time comes after one that can't. Urgent jobs don't: they are placed by due time.
+time comes after one that can't. Urgent and guaranteed jobs take no turns: they are
+placed by due time.
 
 The shares follow from the open runs alone, which each leader loads with the jobs.
 """
@@ -44,7 +45,10 @@
 
 
 def may_compete(demands: Iterable[StepDemand]) -> bool:
-    """Return whether several workspaces have jobs that would take turns."""
+    """Return whether several workspaces have jobs that may take turns.
+
+    A quick check: it doesn't tell apart by timeliness.
+    """
     seen: dict[tuple[str, int], WorkspaceName] = {}
     for demand in demands:
         if _takes_turns(demand):
@@ -55,7 +59,7 @@
 
 
 def find_dominant_share(usage: Usage, capacity: Usage) -> float:
-    """Return the largest share of any resource that a usage takes.
+    """Return the largest share, over all resources, of the capacity that a usage takes.
 
     Examples
     --------
@@ -82,8 +86,8 @@
     in_use : mapping
         Capacity that the open runs of each workspace take.
     capacities : mapping
-        Capacity of all workers of each service. Demands of a service that isn't named
-        keep the order of `sort_demands`.
+        Capacity of the workers of each service that accept runs. Demands of a service
+        that isn't named keep the order of `sort_demands`.
     """
     classes: dict[tuple, list[StepDemand]] = defaultdict(list)
     for demand in sort_demands(demands):
@@ -99,6 +103,7 @@
 
 
 def _takes_turns(demand: StepDemand) -> bool:
+    """Return whether a demand is of a class in which workspaces take turns."""
     return not demand.urgent and not demand.guaranteed
 
 
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -82,7 +82,8 @@
     cold : bool
         Whether it says itself that it is still slow after its start.
     slowdown : float
-        How many times as long runs always take on it as on a worker at full speed.
+        How many times as long runs are expected to take on it as on a worker at full
+        speed, also without a disturbance.
     trusted : bool
         Whether a recent start there made progress and nothing failed since.
     serving : bool
--- a/chiveledge/placement/_learnt_speed.py
+++ b/chiveledge/placement/_learnt_speed.py
@@ -2,7 +2,7 @@
 
 Load pattern: urgent gangs arrive while most workers are busy. A gang ends with its
 slowest member, so among workers of unlike speed nearly every gang is slowed down, and
-one that had to wait for stops besides is late. Once the slower workers are known,
+is late if it also had to wait for stops. Once the slower workers are known,
 urgent work is placed on the others where it would be late on these.
 
 The members of a gang do equal work from one moment on, so their progress compares their
@@ -25,11 +25,11 @@
 from chiveledge.services.machines import MachineName
 
 MIN_RATIO = 0.5
-"""Smallest ratio of speeds that counts, so that a worker that is disturbed for some
-seconds isn't taken for a slow one for long."""
+"""Smallest ratio of a member's rate to its gang's pace that counts, so that a worker
+that is disturbed for some seconds isn't taken for a slow one for long."""
 
 PRIOR_SAMPLES = 0.5
-"""Number of comparisons that show no difference each machine starts with."""
+"""Number of comparisons without a difference with which each machine starts."""
 
 MAX_SAMPLES = 12
 """Number of newest comparisons kept of each machine."""
@@ -44,10 +44,11 @@
 """Number of machines kept, the newest compared; more than twice the largest fleet."""
 
 FULL_SPEED_RANK = 0.9
-"""Share of the known machines that are at most as fast as those at full speed."""
+"""Rank among the known machines, from 0 for the slowest to 1, of the one whose speed
+is full speed."""
 
 MIN_KNOWN = 8
-"""Number of known machines from which they show what an unknown one is like."""
+"""Number of known machines from which their average is expected of an unknown one."""
 
 MIN_SLOWDOWN = 1.1
 """Slowdown from which a worker is told from one at full speed; rounded percents alone
@@ -65,6 +66,8 @@
         Machine of its worker.
     gang : tuple of str and int
         Step and number of the run, the same for all members.
+    percent_per_s : float
+        Its progress divided by the time since its start, in percent a second.
     """
 
     run: tuple[str, int]
@@ -129,10 +132,12 @@
             if machine in self._samples:
                 continue
             count = min(speed.samples, MAX_RESTORED_SAMPLES)
-            # Undoes the share of the prior, which counts anew.
+            # `_average` applies the prior again, so its first effect is undone.
             value = speed.log_speed * (count + PRIOR_SAMPLES) / count
             self._samples[machine] = OrderedDict(
-                (("", -number), value) for number in range(count)
+                # Keys that no run has, one for each comparison.
+                (("", -number), value)
+                for number in range(count)
             )
             self._samples.move_to_end(machine, last=False)
         self._trim()
@@ -150,7 +155,8 @@
     ) -> dict[MachineName, float]:
         """Return how many times as long runs are expected to take on each machine.
 
-        1 for machines that can't be told from those at full speed.
+        It is 1 for machines that can't be told from those at full speed. A machine that
+        isn't known has the average of the known ones once `MIN_KNOWN` are.
         """
         known = self._compute_slowdowns()
         unknown = fmean(known.values()) if len(known) >= MIN_KNOWN else 1.0
@@ -206,12 +212,13 @@
         return sum(value * weight for value, weight in near) / total_weight
 
     def _trim(self) -> None:
+        """Remove the machines compared longest ago beyond `MAX_MACHINES`."""
         while len(self._samples) > MAX_MACHINES:
             self._samples.popitem(last=False)
 
 
 def _average(samples: Iterable[float]) -> float:
-    """Return the median of comparisons, drawn towards none while there are few."""
+    """Return the median of comparisons, drawn towards 0 while there are few."""
     values = list(samples)
     if not values:
         return 0.0
@@ -219,7 +226,7 @@
 
 
 def _find_weighted_median(rows: list[tuple[float, float]]) -> float:
-    """Return the largest value up to which the values have half of the weight."""
+    """Return the largest value such that it and those above have half of the weight."""
     half = sum(weight for _, weight in rows) / 2
     total = 0.0
     for value, weight in sorted(rows, reverse=True):
--- a/chiveledge/placement/_order.py
+++ b/chiveledge/placement/_order.py
@@ -160,7 +160,7 @@
 
 
 def find_class(demand: StepDemand) -> tuple[bool, int, bool, Timeliness]:
-    """Return what comes before the due time in the order of demands."""
+    """Return the class of a demand, which goes before its due time in the order."""
     return (
         not demand.guaranteed,
         demand.priority,
--- a/chiveledge/placement/_plan.py
+++ b/chiveledge/placement/_plan.py
@@ -78,7 +78,8 @@
     demands : iterable of StepDemand
         Waiting tasks, in any order.
     in_use : mapping, optional
-        Capacity that the open runs of each workspace take.
+        Capacity that the open runs of each workspace take; needed only if several
+        workspaces compete (`may_compete`).
     """
     plan = Plan([], [])
     released = [_release(fleet, demand) for demand in demands]
