Count the workers of a failure domain in one place

Cause: commands and queries of administration each counted them; `unused` named workers in drained domains; `cut` returned an overlap; disturbers[0] stood for the one that submits jobs; soak/domains and the deployment didn't say what their figures and rows mean. Change: Membership.count_workers_in, excluded, drained, find_overlap_s, docstrings. No behaviour changes.

--- a/chiveledge/administration/_commands.py
+++ b/chiveledge/administration/_commands.py
@@ -160,6 +160,7 @@
     def _respond_to_drain(
         self, change: DrainChange, outcome: DrainOutcome
     ) -> web.Response:
+        """Return the response, after an entry in the timeline if a drain changed."""
         match outcome:
             case DrainCommitted(drain, changed):
                 if changed:
@@ -187,10 +188,10 @@
 
     def _count_workers(self, domain: DomainName) -> dict[str, object]:
         """Return the number of a domain's workers, with a note if it has none."""
-        workers = self._membership.find_by_role(HostRole.WORKER)
-        count = sum(worker.domain == domain for worker in workers)
+        count = self._membership.count_workers_in(domain)
         if count:
             return {"workers": count}
+        workers = self._membership.find_by_role(HostRole.WORKER)
         known = ", ".join(sorted({worker.domain for worker in workers})) or "none"
         note = f"no listed worker is in {domain!r}; domains with workers: {known}"
         return {"workers": 0, "note": note}
@@ -259,6 +260,7 @@
 
 
 def _read_operator(request: web.Request) -> str:
+    """Return the name that an operator gave, or ``operator``."""
     return request.headers.get("Chiveledge-Operator", "operator")
 
 
--- a/chiveledge/administration/_queries.py
+++ b/chiveledge/administration/_queries.py
@@ -18,7 +18,7 @@
 from chiveledge.metrics import Metrics
 from chiveledge.outcomes import Reason
 from chiveledge.scheduler import Scheduler
-from chiveledge.services import HostRole, TableService
+from chiveledge.services import TableService
 from chiveledge.settings import ProcessSettings
 
 UNAVAILABLE_STATUS = 503
@@ -183,11 +183,12 @@
         return list(self._scheduler.leaders) if self._scheduler else []
 
     def _describe_drain(self, drain: Drain) -> dict[str, object]:
-        workers = self._membership.find_by_role(HostRole.WORKER)
-        count = sum(worker.domain == drain.domain for worker in workers)
+        """Return the fields of a drain, and how many workers its domain has."""
+        count = self._membership.count_workers_in(drain.domain)
         return drain._asdict() | {"workers": count}
 
     def _describe_known(self, region: str) -> dict[str, object]:
+        """Return what this process knows of drains as the leader of a region."""
         leader = self._scheduler.leaders[region]
         known = leader.drains
         return {
--- a/chiveledge/coordinator/_fleet_view.py
+++ b/chiveledge/coordinator/_fleet_view.py
@@ -123,10 +123,10 @@
         drains = self._drains()
         self._now_s = now_s
         self._protected = find_protected_tasks(links, self._jobs)
-        unused = {
+        drained = {
             link.name for link in links if not drains.may_start_in(link.entry.domain)
         }
-        avoided = suspicion.avoided(now_s, len(links) - len(unused), unused)
+        avoided = suspicion.avoided(now_s, len(links) - len(drained), drained)
         probing = suspicion.probing(now_s)
         suspected = suspicion.suspected()
         trusted = suspicion.trusted(now_s)
--- a/chiveledge/log_report/_histories.py
+++ b/chiveledge/log_report/_histories.py
@@ -86,7 +86,7 @@
     waits_for_drain : dict
         Unix time since when a step waits for the drain of a failure domain.
     drain_wait_s : float
-        Seconds that its steps have waited for drains that were lifted.
+        Seconds that its steps have waited for drains, without waits that go on.
     """
 
     job_id: str
@@ -285,7 +285,7 @@
             bool(fields.get("checkpoints", False)),
         )
         job.placed.append(placed)
-        # A later leader finds no drain and writes no line that the wait is over.
+        # A later leader that finds no drain doesn't log that the wait is over.
         _end_drain_wait(job, placed.step, time_s)
 
     def _record_end(
@@ -323,6 +323,7 @@
 
 
 def _end_drain_wait(job: JobHistory, step: int, time_s: float) -> None:
+    """Add the wait of a step that ends at a Unix time, if it waits for a drain."""
     since_s = job.waits_for_drain.pop(step, time_s)
     job.drain_wait_s += time_s - since_s
 
--- a/chiveledge/log_report/_report.py
+++ b/chiveledge/log_report/_report.py
@@ -14,7 +14,7 @@
 TENTHS = 10
 
 AFTER_TAKEOVER_S = 5.0
-"""How long after a takeover runs count as started by a leader that is new."""
+"""How long after a takeover runs count as started by a new leader."""
 
 
 class Quantiles(NamedTuple):
--- a/chiveledge/membership.py
+++ b/chiveledge/membership.py
@@ -12,6 +12,7 @@
 from chiveledge.events import Timeline
 from chiveledge.logs import PartLogger
 from chiveledge.services import HostEntry, HostList, HostRole, HostState
+from chiveledge.types import DomainName
 
 MAX_VANISHED_SHARE = 0.5
 """Share of a role's entries that may vanish in one read before the list is suspected
@@ -83,6 +84,11 @@
         """Return the entries of one role."""
         return [entry for entry in self._entries.values() if entry.role is role]
 
+    def count_workers_in(self, domain: DomainName) -> int:
+        """Return the number of workers of a failure domain."""
+        workers = self.find_by_role(HostRole.WORKER)
+        return sum(worker.domain == domain for worker in workers)
+
     def mark_leaving(self, names: Iterable[str]) -> None:
         """Mark targets as leaving, as reported by a peer or by the target itself.
 
--- a/chiveledge/placement/_suspicion.py
+++ b/chiveledge/placement/_suspicion.py
@@ -122,19 +122,27 @@
         }
 
     def avoided(
-        self, now_s: float, total: int, unused: Container[WorkerName] = ()
+        self, now_s: float, total: int, excluded: Container[WorkerName] = ()
     ) -> set[WorkerName]:
         """Return the workers to avoid now, at most `AVOIDED_SHARE` of `total`.
 
-        If there are more, those avoided most recently are returned. Workers in `unused`
-        get no runs in any case and are left out.
+        If there are more, those avoided most recently are returned.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+        total : int
+            Number of workers that may get runs.
+        excluded : container of str, optional
+            Workers that get no runs in any case; they aren't returned.
         """
         rows = [
             (record.avoided_since_s, name)
             for name, record in self._workers.items()
             if record.avoided_since_s is not None
             and now_s < record.avoided_since_s + AVOID_S
-            and name not in unused
+            and name not in excluded
         ]
         limit = max(1, int(total * AVOIDED_SHARE))
         return {name for _, name in sorted(rows, reverse=True)[:limit]}
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -74,7 +74,10 @@
     callers: int,
     disturbers: tuple[Disturber, DrainInjector, DomainDrainer],
 ) -> list[str]:
-    """Inject faults for `seconds` while callers submit jobs; return the violations."""
+    """Inject faults for `seconds` while callers submit jobs; return the violations.
+
+    The `disturbers` act at the same time; the first submits jobs of its own too.
+    """
     for name in names:
         await deployment.call_until(name, "GET", "/q/", lambda status, _: status == 200)
     checker = InvariantChecker(deployment)
@@ -97,7 +100,8 @@
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-    jobs = [job for caller in (disturbers[0], *active_callers) for job in caller.jobs]
+    disturber, *_ = disturbers
+    jobs = [job for caller in (disturber, *active_callers) for job in caller.jobs]
     await checker.check_jobs(jobs, names[0])
     checker.check_processes()
     accepted = sum(job.accepted for job in jobs)
--- a/soak/domains.py
+++ b/soak/domains.py
@@ -1,7 +1,8 @@
-"""Failure domains that operators drain and give back beside the other faults.
+"""Failure domains that operators drain and give back while other faults happen.
 
-One at a time, all at once, one without workers, with a request that can't be read, and
-back within a second. No run may begin there once the bound is over.
+They drain one, all at once, or one without workers, with rows that can or can't be
+read, and give some back within a second. No run may begin in a domain that has been
+drained for longer than `DRAIN_BOUND_S`.
 """
 
 from __future__ import annotations
@@ -14,9 +15,14 @@
 MIN_PAUSE_S = 0.2
 MAX_PAUSE_S = 2.0
 MAX_DRAINS = 4
+"""Drains of one seed."""
+
 SHORT_DRAIN_S = (0.05, 0.9)
 LONG_DRAIN_S = (DRAIN_BOUND_S + 0.5, DRAIN_BOUND_S + 4.0)
+"""Shortest and longest time, as for `SHORT_DRAIN_S`."""
+
 REQUESTS = ({}, {"by": "soak"}, "", "[" * 4000)
+"""Values of the rows; the last two are no objects."""
 
 
 class DomainDrainer:
@@ -44,6 +50,7 @@
             await self._drain(self._rng.choice(choices), self._rng.uniform(*bounds))
 
     async def _drain(self, domains: list[str], duration_s: float) -> None:
+        """Drain domains for a time, then give them back, also when cancelled."""
         print(f"  drain {domains} for {duration_s:.1f} s", flush=True)
         try:
             for domain in domains:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -32,6 +32,8 @@
 """Time from the crash of a worker until it serves again."""
 
 WORKER_DOMAINS = {"i-0": "z", "i-1": "y"}
+"""Failure domain of each worker."""
+
 DRAIN_BOUND_S = 3.0
 """Time after a drain from which no run may begin in the failure domain."""
 
@@ -184,12 +186,12 @@
         self.store.write(f"servers/{name}", row)
 
     def drain(self, domain: str, fields: object) -> None:
-        """Request as the operator that nothing more starts in a failure domain."""
+        """Drain a failure domain as an operator; `fields` is the value of the row."""
         self.store.write(f"op/evacuate/{domain}", fields)
         self.record.start_drain(domain, self.clock.monotonic())
 
     def give_back(self, domain: str) -> None:
-        """Take the request to drain a failure domain back."""
+        """Give a drained failure domain back."""
         self.record.end_drain(domain, self.clock.monotonic())
         self.store.remove(f"op/evacuate/{domain}")
 
--- a/standins/run_record.py
+++ b/standins/run_record.py
@@ -18,13 +18,13 @@
 
 
 class Span(NamedTuple):
-    """A span of monotonic time, in seconds; it may last still."""
+    """A span of monotonic time, in seconds; its end is infinite while it lasts."""
 
     start_s: float
     end_s: float = float("inf")
 
-    def cut(self, start_s: float, end_s: float) -> float:
-        """Return the time that it shares with another span."""
+    def find_overlap_s(self, start_s: float, end_s: float) -> float:
+        """Return how long it and another span last at the same time."""
         return max(min(self.end_s, end_s) - max(self.start_s, start_s), 0.0)
 
 
@@ -169,8 +169,10 @@
         ]
 
     def _active_s(self, start_s: float, end_s: float) -> float:
-        """Return the length of a time, at least, in which no process was suspended."""
-        return end_s - start_s - sum(p.cut(start_s, end_s) for p in self.pauses)
+        """Return for how long, at least, no process was suspended in a span of time."""
+        return (
+            end_s - start_s - sum(p.find_overlap_s(start_s, end_s) for p in self.pauses)
+        )
 
     @property
     def starts_over_capacity(self) -> list[Overload]:
