--- a/tests/http_limits/test_budget.py
+++ b/tests/http_limits/test_budget.py
@@ -275,7 +275,7 @@
             case 6:
                 budget.expire(now_s)
             case 7 if rng.random() < 0.2:
-                budget.lose(account)
+                budget.record_lost(account)
         kept = [a for a in budget._accounts.values() if a.held_bytes > SMALL_BYTES]
         live = sum(a.held_bytes for a in kept if not a.is_closing)
         closing = sum(a.held_bytes for a in kept if a.is_closing)
