A stopping process cancels its tasks until they have ended

Cause, by its connections and log: one of the process's tasks survived its cancellation, and the process waited for it for good. A cancellation that meets the timeout of a call may be reported as that timeout; which call it was is not traced. Change: `cancel_and_wait` cancels again until the tasks have ended; a process and a leader's term end by it.

--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -37,6 +37,7 @@
 from chiveledge.leadership import Leadership
 from chiveledge.placement import LearntSpeeds, WorkerSuspicion
 from chiveledge.services import Row, parse_row_name
+from chiveledge.tasks import cancel_and_wait
 from chiveledge.workload import (
     JobProgress,
     JobState,
@@ -201,9 +202,7 @@
         self._spawn(self._renew_loop())
         self._spawn(self._lead())
         await self._ended.wait()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_and_wait(self._tasks)
         for link in self.links.values():
             await link.client.close()
         self._leadership.step_down(self._end_reason)
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -49,6 +49,7 @@
     WorkerDecoder,
 )
 from chiveledge.services import ConnectionPool, HttpCaller
+from chiveledge.tasks import cancel_and_wait
 
 EXIT_BAD_SETTINGS = 2
 SHARD = "all"
@@ -213,9 +214,7 @@
                 self._log.write("node", "broken", error=repr(task.exception()))
                 task.result()
         await self._drain(coordinator, handler)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_and_wait(tasks)
 
     def _make_servers(self) -> ClientServers:
         limits = self._settings.limits
