Logs tell which peer decided a request, and under which revision

A host without the store hands requests on. front/not_served had the host's own revision also where a peer decided, so a refusal under an old configuration couldn't be told from a peer's good answer. It names the peer now (null: this host), relay/handed_on the peer's revision.

--- a/chiveledge/intake/_relay.py
+++ b/chiveledge/intake/_relay.py
@@ -47,8 +47,9 @@
 
 
 class Relayed(NamedTuple):
-    """Complete answer of a peer, with its configuration revision."""
+    """Complete answer of a peer, with its name and its configuration revision."""
 
+    peer: str
     status: int
     revision: Revision
     body: bytes
@@ -183,6 +184,7 @@
                     allow_redirects=False,
                 ) as response:
                     return Relayed(
+                        peer.name,
                         response.status,
                         int(response.headers[REVISION_HEADER]),
                         await response.read(),
@@ -211,6 +213,7 @@
             peer=peer.name,
             outcome=type(answer).__name__,
             status=answer.status if isinstance(answer, Relayed) else None,
+            revision=answer.revision if isinstance(answer, Relayed) else None,
         )
 
 
--- a/chiveledge/platform/_api.py
+++ b/chiveledge/platform/_api.py
@@ -70,6 +70,24 @@
         self.reason_text = reason_text
 
 
+class RelayedResponse(web.Response):
+    """Response that a peer made.
+
+    Parameters
+    ----------
+    relayed : Relayed
+        Answer of the peer.
+    """
+
+    def __init__(self, relayed: Relayed) -> None:
+        super().__init__(
+            status=relayed.status, body=relayed.body, content_type="application/json"
+        )
+        if relayed.retry_after is not None:
+            self.headers["Retry-After"] = relayed.retry_after
+        self.peer = relayed.peer
+
+
 class ApiHandler:
     """Handler of the callers' requests.
 
@@ -167,6 +185,7 @@
             status=response.status,
             retry_after=response.headers.get("Retry-After"),
             reason=response.reason_text if isinstance(response, ErrorResponse) else "",
+            peer=response.peer if isinstance(response, RelayedResponse) else None,
             revision=self._catalogue().revision,
             age_s=round(self._configuration_age_s(), 3),
         )
@@ -243,14 +262,9 @@
             _get_timeout_s(request),
         )
         match outcome:
-            case Relayed(status, revision, answer, retry_after):
+            case Relayed(revision=revision):
                 self._max_served_revision = max(self._max_served_revision, revision)
-                response = web.Response(
-                    status=status, body=answer, content_type="application/json"
-                )
-                if retry_after is not None:
-                    response.headers["Retry-After"] = retry_after
-                return response
+                return RelayedResponse(outcome)
             case MaybeDone(reason) if request.method != "GET":
                 return _make_error(504, reason)
             case MaybeDone() | NotTaken():
