--- a/tests/configuration/test_changes.py
+++ b/tests/configuration/test_changes.py
@@ -183,3 +183,21 @@
     clock.jump(STALE_S + 1)
     replica.record_peer_revision("peer", 2, 0.0)
     assert not replica.fresh
+
+
+@pytest.mark.parametrize("newer_peers", [1, 4])
+async def test_newer_revision_of_a_peer_ends_freshness(table, clock, newer_peers):
+    """The store rejects this process and serves others; the push to it was lost."""
+    replica = make_replica(table, clock)
+    await change(table, clock, 0, "ordinary")
+    await replica.refresh()
+    replica.set_process_count(5)
+    table.faults.set({"down": True})
+    clock.jump(STALE_S + 1)
+    await replica.refresh()
+    for number in range(4):
+        revision = 2 if number < newer_peers else 1
+        replica.record_peer_revision(f"peer{number}", revision, 100.0)
+    assert not replica.fresh
+    replica.apply(make_versioned(2, make_document(), "ann"))
+    assert replica.fresh
