A stale configuration decides nothing, neither for callers nor for peers

Callers saw 404 or 401 for a queue or key that had been added, and 200 with one that had been taken away, for as long as the store turned a host away (CONFIG). Cause: only submissions looked at the age of the configuration.

--- a/chiveledge/intake/_relay.py
+++ b/chiveledge/intake/_relay.py
@@ -3,7 +3,7 @@
 The store may reject some hosts, or be unreachable from them, while the others serve.
 Without forwarding, callers would be refused until the load balancer excludes those
 hosts, and most callers retry only once or twice. A request is forwarded at most once:
-a peer that cannot reach the store either refuses it.
+a peer that cannot reach the store either refuses it, and the next peer is asked.
 
 An answer carries the configuration revision under which it was made, and a forwarded
 request the minimum revision to answer under, so the callers of one host never see an
--- a/chiveledge/platform/_api.py
+++ b/chiveledge/platform/_api.py
@@ -98,7 +98,7 @@
     configuration_age_s : callable
         Returns the time since the configuration was last confirmed, in seconds.
     max_configuration_age_s : float
-        Age up to which jobs are accepted under the configuration, in seconds.
+        Age up to which requests are decided by the configuration, in seconds.
     is_draining : callable
         Returns whether the process is draining, so that connections are to be closed.
     job_store : JobStore
@@ -143,7 +143,11 @@
 
     @property
     def _has_stale_configuration(self) -> bool:
-        """Whether a newer configuration may exist that this process has not read."""
+        """Whether a newer configuration may exist that this process has not read.
+
+        Nothing is decided by a stale configuration, neither for callers nor for peers:
+        its queues and keys may have been removed, and others added.
+        """
         return self._configuration_age_s() > self._max_configuration_age_s
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -198,6 +202,8 @@
                 return relayed
         if catalogue.revision == 0:
             return self._make_unavailable("no configuration has been read yet")
+        if self._has_stale_configuration:
+            return self._make_unavailable("the configuration may be stale")
         if catalogue.revision < max(
             self._max_served_revision, _get_min_revision(request)
         ):
