A request that waited for a peer is decided by the present configuration

Callers could see 404 for a queue that their host already knew: the configuration was read before the host asked its peers, which may take the caller's whole deadline, and was used after it, when the store had confirmed a newer one.

--- a/chiveledge/platform/_api.py
+++ b/chiveledge/platform/_api.py
@@ -195,11 +195,12 @@
         )
 
     async def _route(self, request: web.BaseRequest) -> web.Response:
-        catalogue = self._catalogue()
         if self._has_stale_configuration and RELAYED_HEADER not in request.headers:
             relayed = await self._forward(request)
             if relayed is not None:
                 return relayed
+        # Read after the wait, in which a newer configuration may have arrived.
+        catalogue = self._catalogue()
         if catalogue.revision == 0:
             return self._make_unavailable("no configuration has been read yet")
         if self._has_stale_configuration:
