A job is decided by the configuration at the end of its body

A caller that sent all of a job but its end before its key was taken away could finish it whenever its own deadline allowed, and the job was accepted; the same with a removed queue. The queue and the workspace were looked up before the body was read and not again. The same class as the wait for a peer, found by looking for it. Test: both cases of test_job_is_decided_by_configuration_at_end_of_its_body failed before (200). The deadline of a submission counts from the start of its handling now, a wait for peers included.

--- a/chiveledge/platform/_api.py
+++ b/chiveledge/platform/_api.py
@@ -155,7 +155,7 @@
         self.in_progress += 1
         started_s = self._clock.monotonic()
         try:
-            response = await self._route(request)
+            response = await self._route(request, started_s)
         except (ConnectionError, asyncio.IncompleteReadError):
             # The caller has disconnected and gets no response.
             response = web.Response(status=400)
@@ -194,7 +194,7 @@
             age_s=round(self._configuration_age_s(), 3),
         )
 
-    async def _route(self, request: web.BaseRequest) -> web.Response:
+    async def _route(self, request: web.BaseRequest, started_s: float) -> web.Response:
         if self._has_stale_configuration and RELAYED_HEADER not in request.headers:
             relayed = await self._forward(request)
             if relayed is not None:
@@ -224,8 +224,9 @@
             return _make_error(404, "a job ID has 16 hexadecimal digits")
         match request.method:
             case "POST":
-                self._log_route(job_id, match, workspace)
-                return await self._submit(request, queue, workspace, job_id)
+                return await self._submit(
+                    request, started_s, catalogue, match, workspace, job_id
+                )
             case "GET":
                 return await self._read(job_id, workspace)
             case "DELETE":
@@ -296,16 +297,25 @@
         raise AssertionError("unreachable")
 
     async def _submit(
-        self, request: web.BaseRequest, queue: Queue, workspace: str, job_id: str
+        self,
+        request: web.BaseRequest,
+        started_s: float,
+        catalogue: Catalogue,
+        route: RouteMatch,
+        workspace: str,
+        job_id: str,
     ) -> web.Response:
-        started_s = self._clock.monotonic()
         body = await self._read_body(request)
         if isinstance(body, ErrorResponse):
             return body
         if self._has_stale_configuration:
             return self._make_unavailable("the configuration may be stale")
+        if self._catalogue() is not catalogue:
+            # The queue or the key may be gone. The request keeps its body.
+            return await self._route(request, started_s)
+        self._log_route(job_id, route, workspace)
         accepted_ms = int(self._clock.now().timestamp() * 1000)
-        match decode_job(body, job_id, queue, workspace, accepted_ms):
+        match decode_job(body, job_id, route.queue, workspace, accepted_ms):
             case Ok(job):
                 pass
             case Err(error):
--- a/tests/platform/test_stale_configuration.py
+++ b/tests/platform/test_stale_configuration.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from dataclasses import replace
 
 import pytest
@@ -45,7 +46,7 @@
         "version": revision,
         "routes": [*CONFIGURATION["routes"], added],
     }
-    return decode_catalogue(web.json_response(changed).text).unwrap()
+    return decode_catalogue(json.dumps(changed)).unwrap()
 
 
 async def submit_job(api: Api) -> None:
@@ -108,6 +109,28 @@
     assert asked.is_set()
 
 
+@pytest.mark.parametrize(
+    "changed,status",
+    [
+        pytest.param({"tenants": CONFIGURATION["tenants"][1:]}, 401, id="revoked key"),
+        pytest.param({"routes": CONFIGURATION["routes"][1:]}, 404, id="removed queue"),
+    ],
+)
+async def test_job_is_decided_by_configuration_at_end_of_its_body(api, changed, status):
+    """A caller that had sent all but the end of a job's body kept a revoked key."""
+
+    async def pieces():
+        yield b" "
+        while not api.handler.in_progress:
+            await asyncio.sleep(0.01)
+        newer = CONFIGURATION | {"version": 8} | changed
+        api.catalogue = decode_catalogue(json.dumps(newer)).unwrap()
+        yield json.dumps(JOB).encode()
+
+    assert (await api.call("POST", f"/q/{ID}", pieces()))[0] == status
+    assert not api.table.rows
+
+
 async def test_added_queue_is_served_as_soon_as_it_is_confirmed(api):
     api.age_s = STALE_AGE_S
     assert (await api.call("GET", "/added/"))[0] == 503
