--- a/chiveledge/gateway/_admission.py
+++ b/chiveledge/gateway/_admission.py
@@ -22,6 +22,7 @@
 HEADER_KEY = "Idempotency-Key"
 MAX_KEY_CHARS = 128
 BODY_TIMEOUT_S = 10.0
+STALE_RETRY_AFTER_S = 1.0
 MS_PER_S = 1000
 
 
@@ -34,15 +35,15 @@
 def check_workspace(
     request: web.Request, configuration: ConfigurationReplica
 ) -> Result[WorkspaceName, web.Response]:
-    """Return the workspace that the caller is authenticated for, or a refusal."""
+    """Return the workspace that the caller is authenticated for, or a refusal.
+
+    A stale document lets nobody in and refuses nobody as unknown: the workspace may
+    have been added since, or its token revoked.
+    """
     if configuration.current is None:
-        return Err(
-            make_refusal(
-                Reason.STALE_CONFIGURATION,
-                "no configuration is set yet; an operator must set one",
-                retry_after_s=1.0,
-            )
-        )
+        return Err(_make_stale("no configuration is set yet; an operator must set one"))
+    if not configuration.fresh:
+        return Err(_make_stale("the configuration may be stale; send it again"))
     name = request.headers.get(HEADER_WORKSPACE, "")
     workspace = configuration.current.document.workspaces.get(name)
     if workspace is None:
@@ -55,6 +56,12 @@
     return Ok(name)
 
 
+def _make_stale(detail: str) -> web.Response:
+    return make_refusal(
+        Reason.STALE_CONFIGURATION, detail, retry_after_s=STALE_RETRY_AFTER_S
+    )
+
+
 def check_key(request: web.Request) -> Result[str, web.Response]:
     """Return the idempotency key, or a refusal if it is missing or malformed."""
     key = request.headers.get(HEADER_KEY, "")
