Own interface: a request is decided by the document at the end of its body

A caller that held back the end of its body, up to 10 s, kept a revoked token or a removed kind. Tests: the two cases of test_request_is_decided_by_document_at_end_of_its_body failed before; the one of jobs needs the new argument of read_body and couldn't run before.

--- a/chiveledge/gateway/_admission.py
+++ b/chiveledge/gateway/_admission.py
@@ -75,12 +75,18 @@
     return Ok(key)
 
 
-async def read_body(request: web.Request) -> Result[bytes, web.Response]:
-    """Return the body, or a refusal if it is too large or arrives too slowly."""
+async def read_body(
+    request: web.Request, configuration: ConfigurationReplica
+) -> Result[bytes, web.Response]:
+    """Return the body of an authenticated caller, or a refusal.
+
+    It is refused if it is too large or arrives too slowly, or if the caller's token was
+    revoked meanwhile.
+    """
     limit = request.client_max_size
     match await read_limited_body(request, limit, SystemClock(), BODY_TIMEOUT_S):
         case Ok(body):
-            return Ok(body)
+            return check_workspace(request, configuration).map(lambda _: body)
         case Err(BodyTooLate(timeout_s)):
             detail = f"the body took longer than {timeout_s:g} s; send it faster"
             return Err(make_refusal(Reason.BAD_INPUT, detail, status=408))
@@ -101,7 +107,8 @@
             workspace = name
         case Err(refusal):
             return Err(refusal)
-    kinds = configuration.current.document.kinds
+    current = configuration.current
+    kinds = current.document.kinds
     kind_name = request.match_info["kind"]
     kind = kinds.get(kind_name)
     if kind is None:
@@ -118,11 +125,14 @@
                 key = found
             case Err(refusal):
                 return Err(refusal)
-    match await read_body(request):
+    match await read_body(request, configuration):
         case Ok(read):
             body = read
         case Err(refusal):
             return Err(refusal)
+    if configuration.current is not current:
+        # The kind may be gone or changed. The request keeps its body.
+        return await check_request(request, configuration)
     envelope = RequestEnvelope(
         request_id=uuid.uuid4().hex,
         workspace=workspace,
--- a/chiveledge/gateway/_commands.py
+++ b/chiveledge/gateway/_commands.py
@@ -83,7 +83,7 @@
                 pass
             case Err(refusal):
                 return refusal
-        match await _read_json(request):
+        match await _read_json(request, self._configuration):
             case Ok(value):
                 checked = check_model(JobSpec, "job", value)
             case Err(refusal):
@@ -125,7 +125,7 @@
                 pass
             case Err(refusal):
                 return refusal
-        match await _read_json(request):
+        match await _read_json(request, self._configuration):
             case Ok({"jobs": [*job_ids]}) if len(job_ids) <= MAX_CANCELLATIONS:
                 answers = await self._jobs.cancel(workspace, [str(j) for j in job_ids])
                 return web.json_response({"jobs": answers}, status=ACCEPTED_STATUS)
@@ -137,9 +137,9 @@
         raise AssertionError("unreachable")
 
 
-async def _read_json(request: web.Request):
-    """Return the decoded JSON body, or a refusal."""
-    match await read_body(request):
+async def _read_json(request: web.Request, configuration: ConfigurationReplica):
+    """Return the decoded JSON body of an authenticated caller, or a refusal."""
+    match await read_body(request, configuration):
         case Ok(raw):
             try:
                 return Ok(parse_json(raw))
