Peers that refused a request are asked last for a second

Load pattern: the store turns most hosts away; a host asks three peers at random, and a caller that comes back met the same ones. Since stale peers refuse now, each of them costs an attempt. Test: with five of six peers stale, two or more of eight requests were refused without this.

--- a/chiveledge/intake/_relay.py
+++ b/chiveledge/intake/_relay.py
@@ -40,6 +40,9 @@
 UNREACHABLE_PENALTY_S = 5.0
 """How long a peer that failed to answer is tried last."""
 
+REFUSED_PENALTY_S = 1.0
+"""How long a peer that refused is tried last; it has probably lost the store too."""
+
 REFUSED_STATUS = 503
 MIN_ERROR_STATUS = 400
 GONE_STATUS = 410
@@ -156,6 +159,8 @@
                     outcome = answer
                 case Relayed(status=status) if _is_final(status, may_be_done):
                     return answer
+                case Relayed():
+                    self._avoid(peer, REFUSED_PENALTY_S)
         return outcome
 
     async def _send(
@@ -191,17 +196,16 @@
                         response.headers.get("Retry-After"),
                     )
             except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-                self._avoid_until_s[peer.name] = (
-                    self._clock.monotonic() + UNREACHABLE_PENALTY_S
-                )
+                self._avoid(peer, UNREACHABLE_PENALTY_S)
                 return NotTaken()
             except (aiohttp.ClientError, OSError, ValueError, KeyError) as error:
                 # The last two mean that another server has the peer's address now.
-                self._avoid_until_s[peer.name] = (
-                    self._clock.monotonic() + UNREACHABLE_PENALTY_S
-                )
+                self._avoid(peer, UNREACHABLE_PENALTY_S)
                 return MaybeDone(f"{peer.name}: {type(error).__name__}")
 
+    def _avoid(self, peer: PeerHost, seconds: float) -> None:
+        self._avoid_until_s[peer.name] = self._clock.monotonic() + seconds
+
     def _log_outcome(
         self, peer: PeerHost, method: str, path: str, answer: RelayOutcome
     ) -> None:
--- a/tests/platform/test_stale_configuration.py
+++ b/tests/platform/test_stale_configuration.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 from dataclasses import replace
 
@@ -90,6 +91,22 @@
         assert (await api.call("GET", "/added/"))[0] == 200
 
 
+@pytest.mark.parametrize("stale_peers", [3, 5])
+async def test_peers_that_refused_are_asked_last(api, monkeypatch, stale_peers):
+    """Most hosts are turned away; a caller that comes back must not meet them again."""
+    monkeypatch.setattr("chiveledge.intake._relay.REFUSED_PENALTY_S", 60.0)
+    api.age_s = STALE_AGE_S
+    async with contextlib.AsyncExitStack() as stack:
+        for number in range(stale_peers + 1):
+            peer = Api()
+            peer.age_s = STALE_AGE_S if number < stale_peers else 0.0
+            url = await stack.enter_async_context(serve(peer.handler.handle))
+            api.add_peer(f"p{number}", url)
+        statuses = [(await api.call("GET", "/q/"))[0] for _ in range(8)]
+    assert set(statuses) <= {200, 503}
+    assert statuses.count(503) <= 1
+
+
 @pytest.mark.parametrize("method", ["POST", "GET"])
 async def test_configuration_read_while_peers_are_asked_decides(api, method):
     """The store answers again while the request waits for an unresponsive peer."""
