Own interface: a newer revision that a peer reported ends freshness

A process that the store rejects while it serves others, and that missed the push of a change, acted on its old document as long as it heard from most peers, although they reported a newer one. The rule for outages assumes that nobody reaches the store. Such a process is not ready now until it has the newer document, by the next push or the store.

--- a/chiveledge/configuration/_replica.py
+++ b/chiveledge/configuration/_replica.py
@@ -26,8 +26,10 @@
     this process or to a peer that reported it. No change can be accepted while no
     process reaches the store. So the document also counts as fresh if a read of the
     store has just failed and this process, together with the peers that it recently
-    received reports from, makes up more than half of all processes. A process that
-    receives reports from fewer peers, or that was paused, may have missed a change.
+    received reports from, makes up more than half of all processes, unless one of them
+    has reported a newer revision: the store may reject this process and serve others. A
+    process that receives reports from fewer peers, or that was paused, may have missed
+    a change.
 
     Parameters
     ----------
@@ -61,6 +63,7 @@
         self._confirmed_s = float("-inf")
         self._read_failed_s = float("-inf")
         self._reported_s: dict[ProcessName, float] = {}
+        self._newest_reported = 0
         self._process_count = 1
         self._stream: ReplaySubject[VersionedDocument] = ReplaySubject(1)
         self._changed = asyncio.Event()
@@ -95,7 +98,8 @@
         read_failed_lately = (
             self._clock.monotonic() - self._read_failed_s <= self._stale_s
         )
-        return read_failed_lately and self._has_majority()
+        knows_newest = self._newest_reported <= self.revision
+        return read_failed_lately and knows_newest and self._has_majority()
 
     def set_process_count(self, count: int) -> None:
         """Set the number of processes in the deployment, including this one."""
@@ -110,6 +114,7 @@
         """
         now = self._clock.monotonic()
         self._reported_s[peer] = now
+        self._newest_reported = max(self._newest_reported, revision)
         if revision == self.revision:
             self._confirmed_s = max(self._confirmed_s, now - confirmation_age_s)
 
