Own interface: a change of the preset reverts no change that the process missed

Operators saw a confirmed change of the document come back older: a process that couldn't read the store, but whose commit went through a moment later, made the new document from its old copy and wrote it over the newest one, since the operator had named the newest revision. It also refused a preset that the newest revision has. Cause: put_preset ignored that the read before it had failed.

--- a/chiveledge/administration/_commands.py
+++ b/chiveledge/administration/_commands.py
@@ -108,8 +108,20 @@
         raise AssertionError("unreachable")
 
     async def put_preset(self, request: web.Request) -> web.Response:
-        """Switch to another preset of the document in force."""
-        await self._configuration.refresh()
+        """Switch to another preset of the document in force.
+
+        A process that can't read the revision that the operator saw refuses: a change
+        of its older document would revert what that one lacks.
+        """
+        match _parse_expected_revision(request):
+            case Ok(expected):
+                pass
+            case Err(refusal):
+                return refusal
+        was_read = await self._configuration.refresh()
+        if not was_read and self._configuration.revision < expected:
+            detail = f"this process has not read revision {expected} yet; send it again"
+            return make_refusal(Reason.STALE_CONFIGURATION, detail, retry_after_s=1)
         if self._configuration.current is None:
             return make_refusal(
                 Reason.BAD_INPUT, "no configuration is in force; set one first"
--- /dev/null
+++ b/tests/administration/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of chiveledge.gateway."""
+
+from __future__ import annotations
