Own interface: a preset isn't changed in a document older than the operator's

The same fault by another path: the read before the change succeeds, the revision that the operator names is committed after it, and the commit takes the older document. Test: test_preset_is_not_changed_from_a_document_older_than_expected failed on the commit before (200).

--- a/chiveledge/administration/_commands.py
+++ b/chiveledge/administration/_commands.py
@@ -110,7 +110,7 @@
     async def put_preset(self, request: web.Request) -> web.Response:
         """Switch to another preset of the document in force.
 
-        A process that can't read the revision that the operator saw refuses: a change
+        A process that has not read the revision that the operator saw refuses: a change
         of its older document would revert what that one lacks.
         """
         match _parse_expected_revision(request):
@@ -118,9 +118,13 @@
                 pass
             case Err(refusal):
                 return refusal
-        was_read = await self._configuration.refresh()
-        if not was_read and self._configuration.revision < expected:
-            detail = f"this process has not read revision {expected} yet; send it again"
+        await self._configuration.refresh()
+        revision = self._configuration.revision
+        if revision < expected:
+            detail = (
+                f"If-Match: got {expected}, this process has read revision {revision}; "
+                "look which one is in force, and send it again"
+            )
             return make_refusal(Reason.STALE_CONFIGURATION, detail, retry_after_s=1)
         if self._configuration.current is None:
             return make_refusal(
--- a/tests/administration/test_commands.py
+++ b/tests/administration/test_commands.py
@@ -83,6 +83,15 @@
     assert "new" in current.document.workspaces
 
 
+async def test_preset_is_not_changed_from_a_document_older_than_expected(table):
+    """The read is answered before the revision is committed that the operator sees."""
+    commands = make_commands(table)
+    commands._configuration._table = MemoryTable(ManualClock())
+    response = await commands.put_preset(make_preset_request("peak", 2))
+    assert response.status == 503
+    assert (await read_configuration(table)).unwrap().revision == 2
+
+
 async def test_unknown_preset_is_not_refused_by_old_document(table):
     commands = make_commands(table)
     response = await commands.put_preset(make_preset_request("new", 2))
