Soak: queues that an operator adds and removes are asked for at every process

An answer that only versions allow that were replaced longer ago than the bound violates. Versions come from one operator now, which the disturbances use.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,7 @@
 
 from soak.callers import Caller
 from soak.checks import InvariantChecker
+from soak.configurations import Operator, Prober
 from soak.disturbances import Disturber
 from soak.domains import DomainDrainer
 from soak.drains import DrainInjector
@@ -39,13 +40,18 @@
         try:
             for name in names:
                 await deployment.launch(name)
-            disturber = Disturber(deployment, names, random.Random(f"odd {seed}"))
+            operator = Operator(deployment, random.Random(f"operator {seed}"))
+            disturber = Disturber(
+                deployment, names, random.Random(f"odd {seed}"), operator
+            )
+            prober = Prober(deployment, names, operator)
             drains = DrainInjector(deployment, links, random.Random(f"drain {seed}"))
             domains = DomainDrainer(deployment, random.Random(f"domain {seed}"))
-            disturbers = (disturber, drains, domains)
+            disturbers = (disturber, drains, domains, prober)
             violations = await _run_faults(
                 deployment, links, names, rng, seconds, callers, disturbers
             )
+            violations += prober.violations
             _print_job_logs(deployment, names, violations)
             return violations
         finally:
@@ -72,7 +78,7 @@
     rng: random.Random,
     seconds: float,
     callers: int,
-    disturbers: tuple[Disturber, DrainInjector, DomainDrainer],
+    disturbers: tuple[Disturber, DrainInjector, DomainDrainer, Prober],
 ) -> list[str]:
     """Inject faults for `seconds` while callers submit jobs; return the violations.
 
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -7,14 +7,14 @@
 from __future__ import annotations
 
 import asyncio
-import copy
 import random
 import signal
 from collections.abc import Callable
 
 from chiveledge.workload import Usage
 from soak.callers import JobRecord
-from standins.deployment import CONFIGURATION, Deployment
+from soak.configurations import Operator
+from standins.deployment import Deployment
 from standins.platform import describe_worker
 from standins.simulated_task import StandInTask
 
@@ -41,6 +41,8 @@
         Names of its processes.
     rng : random.Random
         Draws the disturbances.
+    operator : Operator
+        Changes the configuration.
 
     Attributes
     ----------
@@ -49,13 +51,17 @@
     """
 
     def __init__(
-        self, deployment: Deployment, nodes: list[str], rng: random.Random
+        self,
+        deployment: Deployment,
+        nodes: list[str],
+        rng: random.Random,
+        operator: Operator,
     ) -> None:
         self.jobs: list[JobRecord] = []
         self._deployment = deployment
         self._nodes = nodes
         self._rng = rng
-        self._version = CONFIGURATION["version"]
+        self._operator = operator
         self._first_seen_s: dict[int, float] = {}
 
     async def run(self) -> None:
@@ -87,10 +93,7 @@
     async def _change_configuration(self) -> None:
         """Write some versions at once, as operators do who correct each other."""
         for _ in range(self._rng.randint(1, 3)):
-            self._version += self._rng.randint(1, 9)
-            fields = copy.deepcopy(CONFIGURATION) | {"version": self._version}
-            fields["routes"][0]["target_runtime_ms"] = self._rng.randint(100, 2000)
-            self._deployment.store.write("op/config", fields)
+            self._operator.change()
 
     async def _hang_up(self) -> None:
         now_s = self._deployment.clock.monotonic()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,7 @@
 from soak.__main__ import run_seed
 from soak.callers import JobRecord
 from soak.checks import InvariantChecker
+from soak.configurations import Operator, Version
 from soak.faults import draw_fault
 from soak.proxy import LinkMode, LinkProxy
 from standins.deployment import Deployment, serve
@@ -82,3 +83,26 @@
     checker = InvariantChecker(Deployment(tmp_path))
     checker._check_outcome(record)
     assert bool(checker.violations) is found
+
+
+@pytest.mark.parametrize(
+    "sent_s,status,allowed",
+    [
+        (0.5, 404, True),
+        (0.5, 200, False),
+        (3.4, 404, True),
+        (3.6, 404, False),
+        (3.6, 200, True),
+        (9.9, 404, False),
+        (10.1, 404, True),
+        (12.4, 200, True),
+        (12.6, 200, False),
+        (12.6, 503, True),
+    ],
+)
+def test_answer_by_replaced_version_is_allowed_for_the_bound(sent_s, status, allowed):
+    """The queue is added at 1 s and removed at 10 s; changes apply within 2.5 s."""
+    operator = Operator(None, random.Random(1))
+    written = (Version(1.0, frozenset({"/p/"})), Version(10.0, frozenset()))
+    operator.versions += [v for v in written if v.acknowledged_s <= sent_s]
+    assert operator.allows("/p/", status, sent_s) is allowed
