Own interface: reports that are read late confirm no document

A process that had been paused, or whose link had been silent, read reports from before that and took its document for confirmed, for up to configuration_stale_s more, as each report tells the age of its confirmation at the moment at which it was sent. A report repeats the newest stamp that its sender had from the receiver, so it was made after that stamp: its age is bounded by the receiver's own clock, without agreement of clocks.

--- a/chiveledge/configuration/_replica.py
+++ b/chiveledge/configuration/_replica.py
@@ -106,17 +106,32 @@
         self._process_count = max(count, 1)
 
     def record_peer_revision(
-        self, peer: ProcessName, revision: int, confirmation_age_s: float
+        self,
+        peer: ProcessName,
+        revision: int,
+        confirmation_age_s: float,
+        report_age_s: float,
     ) -> None:
         """Record the revision that a peer reported, and the age of its confirmation.
 
         A confirmation counts here only if the peer has the same revision.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the peer.
+        revision : int
+            Revision in force in the peer when it made the report.
+        confirmation_age_s : float
+            Age of the peer's confirmation when it made the report, in seconds.
+        report_age_s : float
+            Longest time since it made the report, in seconds.
         """
-        now = self._clock.monotonic()
-        self._reported_s[peer] = now
+        made_s = self._clock.monotonic() - report_age_s
+        self._reported_s[peer] = max(self._reported_s.get(peer, made_s), made_s)
         self._newest_reported = max(self._newest_reported, revision)
         if revision == self.revision:
-            self._confirmed_s = max(self._confirmed_s, now - confirmation_age_s)
+            self._confirmed_s = max(self._confirmed_s, made_s - confirmation_age_s)
 
     def apply(self, versioned: VersionedDocument) -> bool:
         """Put a document in force if its revision is higher than the current one.
--- a/chiveledge/peers/_codec.py
+++ b/chiveledge/peers/_codec.py
@@ -42,6 +42,11 @@
         The sender's requests in flight at each minion.
     leaving : tuple of str
         Names of targets that the sender knows to be leaving.
+    sent_stamp : int
+        Stamp of the sender's clock when it made the report.
+    echoed_stamp : int
+        Newest `sent_stamp` that the sender had received from the peer to which the
+        report goes; 0 if none.
     """
 
     revision: Revision
@@ -49,6 +54,8 @@
     ready: bool
     loads: tuple[MinionLoad, ...] = ()
     leaving: tuple[str, ...] = ()
+    sent_stamp: int = 0
+    echoed_stamp: int = 0
 
 
 @dataclass(frozen=True)
@@ -69,10 +76,18 @@
 
 
 class PeerEnvelope(NamedTuple):
-    """A message with the name of the process that sent it."""
+    """A message with the name of the process that sent it.
+
+    Attributes
+    ----------
+    report_age_s : float
+        Longest time that a received report can have been on its way; infinite if
+        nothing bounds it.
+    """
 
     sender: ProcessName
     body: PeerBody
+    report_age_s: float = float("inf")
 
 
 def encode_message(envelope: PeerEnvelope) -> bytes:
@@ -107,6 +122,8 @@
         loads[index].name = load.name
         loads[index].inFlight = load.in_flight
     builder.leaving = list(report.leaving)
+    builder.sentStamp = report.sent_stamp
+    builder.echoedStamp = report.echoed_stamp
 
 
 def _read_body(message: object) -> PeerBody:
@@ -128,4 +145,6 @@
         ready=reader.ready,
         loads=tuple(MinionLoad(load.name, load.inFlight) for load in reader.loads),
         leaving=tuple(reader.leaving),
+        sent_stamp=reader.sentStamp,
+        echoed_stamp=reader.echoedStamp,
     )
--- a/chiveledge/peers/_network.py
+++ b/chiveledge/peers/_network.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 import reactivex
 from reactivex.subject import Subject
@@ -21,6 +22,7 @@
     decode_message,
     encode_message,
 )
+from chiveledge.peers._stamps import ReportStamps
 from chiveledge.services import HostEntry
 from chiveledge.settings import Endpoint
 from chiveledge.types import ProcessName
@@ -117,6 +119,7 @@
         self._report_s = report_s
         self._make_report = make_report
         self._listener = listener
+        self._stamps = ReportStamps(clock)
         self._outboxes: dict[ProcessName, _Outbox] = {}
         self._tasks: dict[ProcessName, asyncio.Task[None]] = {}
         self._messages: Subject[PeerEnvelope] = Subject()
@@ -149,7 +152,10 @@
 
     def queue_report(self) -> None:
         """Queue a report of the current state for every peer."""
-        self.broadcast(self._make_report())
+        report = replace(self._make_report(), sent_stamp=self._stamps.make())
+        for name, outbox in self._outboxes.items():
+            echoed = self._stamps.find_received(name)
+            outbox.put(replace(report, echoed_stamp=echoed))
 
     async def run(self) -> None:
         """Listen for peers and send reports until cancelled."""
@@ -226,7 +232,7 @@
                 self._metrics.count("peer_bytes", LENGTH_BYTES + size)
                 match decode_message(packed):
                     case Ok(envelope):
-                        self._messages.on_next(envelope)
+                        self._messages.on_next(self._bound_age(envelope))
                     case Err(problem):
                         log.warning("Closed the connection of a peer.", problem=problem)
                         return
@@ -237,6 +243,15 @@
             self._listener.budget.remove(account)
             writer.close()
 
+    def _bound_age(self, envelope: PeerEnvelope) -> PeerEnvelope:
+        """Return a received message with the longest age of the report in it."""
+        match envelope.body:
+            case PeerReport(sent_stamp=sent, echoed_stamp=echoed):
+                self._stamps.record(envelope.sender, sent)
+                age_s = self._stamps.bound_age_s(echoed)
+                return envelope._replace(report_age_s=age_s)
+        return envelope
+
     async def _read_length(self, reader: asyncio.StreamReader, account: Account) -> int:
         """Return the length of the next message, in bytes."""
         start = await reader.readexactly(1)
--- a/chiveledge/peers/_schema.capnp
+++ b/chiveledge/peers/_schema.capnp
@@ -11,6 +11,8 @@
   ready @2 :Bool;
   loads @3 :List(MinionLoad);
   leaving @4 :List(Text);
+  sentStamp @5 :UInt64;
+  echoedStamp @6 :UInt64;
 }
 
 struct ConfigurationPush {
--- a/chiveledge/process.py
+++ b/chiveledge/process.py
@@ -269,7 +269,10 @@
         match envelope.body:
             case PeerReport() as report:
                 self._configuration.record_peer_revision(
-                    envelope.sender, report.revision, report.confirmation_age_s
+                    envelope.sender,
+                    report.revision,
+                    report.confirmation_age_s,
+                    envelope.report_age_s,
                 )
                 self._membership.mark_leaving(report.leaving)
                 if self._gateway is not None:
--- a/tests/configuration/test_changes.py
+++ b/tests/configuration/test_changes.py
@@ -171,7 +171,7 @@
     if since_s:
         await replica.refresh()
     for number in range(reporting):
-        replica.record_peer_revision(f"peer{number}", 1, age_s)
+        replica.record_peer_revision(f"peer{number}", 1, age_s, 0.0)
     assert replica.fresh == expected
 
 
@@ -181,7 +181,7 @@
     await replica.refresh()
     replica.set_process_count(5)
     clock.jump(STALE_S + 1)
-    replica.record_peer_revision("peer", 2, 0.0)
+    replica.record_peer_revision("peer", 2, 0.0, 0.0)
     assert not replica.fresh
 
 
@@ -197,7 +197,7 @@
     await replica.refresh()
     for number in range(4):
         revision = 2 if number < newer_peers else 1
-        replica.record_peer_revision(f"peer{number}", revision, 100.0)
+        replica.record_peer_revision(f"peer{number}", revision, 100.0, 0.0)
     assert not replica.fresh
     replica.apply(make_versioned(2, make_document(), "ann"))
     assert replica.fresh
--- a/tests/gateway/test_at_most_once.py
+++ b/tests/gateway/test_at_most_once.py
@@ -59,7 +59,7 @@
             self.table, self.clock, timeline, poll_s=1.0, stale_s=1e9
         )
         replica.apply(make_versioned(1, make_document(), "test"))
-        replica.record_peer_revision("peer", 1, 0.0)
+        replica.record_peer_revision("peer", 1, 0.0, 0.0)
         pool = MinionPool("honam", RouterPolicy(8, 7), self.clock, timeline)
         pool.set_minions(
             HostEntry(name, HostRole.MINION, name, "honam", "a", "planner")
--- a/tests/gateway/test_stale_document.py
+++ b/tests/gateway/test_stale_document.py
@@ -39,7 +39,7 @@
     )
     replica.set_process_count(5)
     replica.apply(make_versioned(1, make_document(), "ann"))
-    replica.record_peer_revision("peer", 1, 0.0)
+    replica.record_peer_revision("peer", 1, 0.0, 0.0)
     return replica
 
 
