--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -44,7 +44,9 @@
             disturber = Disturber(
                 deployment, names, random.Random(f"odd {seed}"), operator
             )
-            prober = Prober(deployment, names, operator)
+            prober = Prober(
+                deployment, names, operator, random.Random(f"prober {seed}")
+            )
             drains = DrainInjector(deployment, links, random.Random(f"drain {seed}"))
             domains = DomainDrainer(deployment, random.Random(f"domain {seed}"))
             disturbers = (disturber, drains, domains, prober)
--- a/soak/configurations.py
+++ b/soak/configurations.py
@@ -21,6 +21,7 @@
 PROBED_PREFIXES = ("/probed-a/", "/probed-b/", "/probed-c/")
 PROBE_TIMEOUT_S = 3.0
 PROBE_PAUSE_S = 0.05
+MAX_CHANGE_PAUSE_S = 1.5
 SERVED_STATUS = 200
 UNKNOWN_QUEUE_STATUS = 404
 
@@ -83,7 +84,18 @@
 
 
 class Prober:
-    """Asks all processes for the queues of an operator until it is cancelled.
+    """Lets an operator change queues, and asks all processes for them.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        System under test.
+    nodes : list of str
+        Names of its processes.
+    operator : Operator
+        Changes the configuration.
+    rng : random.Random
+        Draws the pauses between changes.
 
     Attributes
     ----------
@@ -92,16 +104,26 @@
     """
 
     def __init__(
-        self, deployment: Deployment, nodes: list[str], operator: Operator
+        self,
+        deployment: Deployment,
+        nodes: list[str],
+        operator: Operator,
+        rng: random.Random,
     ) -> None:
         self.violations: list[str] = []
         self._deployment = deployment
         self._nodes = nodes
         self._operator = operator
+        self._rng = rng
 
     async def run(self) -> None:
         """Probe each process over a connection of its own until cancelled."""
-        await asyncio.gather(*(self._probe(node) for node in self._nodes))
+        await asyncio.gather(self._change(), *map(self._probe, self._nodes))
+
+    async def _change(self) -> None:
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.0, MAX_CHANGE_PAUSE_S))
+            self._operator.change()
 
     async def _probe(self, node: str) -> None:
         timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
