A shorter bound on the age of the configuration holds after a reload

The bound was read from the settings at the start of a process, so after a reload with a shorter one requests were decided by configurations older than it. Found by looking for values that are read before and used later. Test: test_shorter_bound_of_reloaded_settings_holds_at_once; the handler took a number before, so it couldn't run.

--- a/chiveledge/intake/_relay.py
+++ b/chiveledge/intake/_relay.py
@@ -50,7 +50,7 @@
 
 
 class Relayed(NamedTuple):
-    """Complete answer of a peer, with its name and its configuration revision."""
+    """Complete answer of a peer, and the configuration revision it was made under."""
 
     peer: str
     status: int
--- a/chiveledge/platform/_api.py
+++ b/chiveledge/platform/_api.py
@@ -77,6 +77,11 @@
     ----------
     relayed : Relayed
         Answer of the peer.
+
+    Attributes
+    ----------
+    peer : str
+        Name of the peer.
     """
 
     def __init__(self, relayed: Relayed) -> None:
@@ -97,8 +102,9 @@
         Returns the configuration in force.
     configuration_age_s : callable
         Returns the time since the configuration was last confirmed, in seconds.
-    max_configuration_age_s : float
-        Age up to which requests are decided by the configuration, in seconds.
+    max_configuration_age_s : callable
+        Returns the age up to which requests are decided by the configuration, in
+        seconds.
     is_draining : callable
         Returns whether the process is draining, so that connections are to be closed.
     job_store : JobStore
@@ -119,7 +125,7 @@
         self,
         catalogue: Callable[[], Catalogue],
         configuration_age_s: Callable[[], float],
-        max_configuration_age_s: float,
+        max_configuration_age_s: Callable[[], float],
         is_draining: Callable[[], bool],
         job_store: JobStore,
         status_cache: JobStatusCache,
@@ -148,7 +154,7 @@
         Nothing is decided by a stale configuration, neither for callers nor for peers:
         its queues and keys may have been removed, and others added.
         """
-        return self._configuration_age_s() > self._max_configuration_age_s
+        return self._configuration_age_s() > self._max_configuration_age_s()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request."""
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -144,7 +144,7 @@
         handler = ApiHandler(
             lambda: self._operator_rows.catalogue,
             lambda: self._configuration_follower.age_s,
-            self._max_configuration_age_s,
+            lambda: self._max_configuration_age_s,
             self._draining.is_set,
             JobStore(
                 store,
--- a/tests/platform/test_api.py
+++ b/tests/platform/test_api.py
@@ -75,6 +75,7 @@
     def __init__(self) -> None:
         self.catalogue = decode_catalogue(json.dumps(CONFIGURATION)).unwrap()
         self.age_s = 0.0
+        self.max_age_s = 2.0
         clock = SystemClock()
         self.table = MemoryTable(clock)
         self.status_cache = JobStatusCache(NullLog())
@@ -89,7 +90,7 @@
         self.handler = ApiHandler(
             lambda: self.catalogue,
             lambda: self.age_s,
-            2.0,
+            lambda: self.max_age_s,
             lambda: False,
             JobStore(self.table, self.status_cache, clock, NullLog(), 65_536),
             self.status_cache,
--- a/tests/platform/test_stale_configuration.py
+++ b/tests/platform/test_stale_configuration.py
@@ -148,6 +148,13 @@
     assert not api.table.rows
 
 
+async def test_shorter_bound_of_reloaded_settings_holds_at_once(api):
+    api.age_s = 1.5
+    assert (await api.call("GET", "/q/"))[0] == 200
+    api.max_age_s = 1.0
+    assert (await api.call("GET", "/q/"))[0] == 503
+
+
 async def test_added_queue_is_served_as_soon_as_it_is_confirmed(api):
     api.age_s = STALE_AGE_S
     assert (await api.call("GET", "/added/"))[0] == 503
