--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -43,6 +43,9 @@
 JOBS = 1700
 KB = 1024
 
+REPORT_STAMP = 0x2A7B_41C6_93D5_18EF
+"""As long as most stamps; they start at a random number of 62 bits."""
+
 
 def make_workers(scale: float) -> list[WorkerSize]:
     """Return heterogeneous workers: a few with 8 accelerators, most with 0 or 1."""
@@ -206,7 +209,8 @@
 def measure_messages(scale: float) -> None:
     """Print the sizes of a peer report and of a renewal of a worker's leases."""
     loads = tuple(MinionLoad(f"minion-{n:02d}", 3) for n in range(round(24 * scale)))
-    report = PeerReport(12345, 0.5, True, loads)
+    stamps = {"sent_stamp": REPORT_STAMP, "echoed_stamp": REPORT_STAMP}
+    report = PeerReport(12345, 0.5, True, loads, **stamps)
     packed = encode_message(PeerEnvelope("north-01/gateway", report))
     _print_result(f"peer_report_bytes.x{scale:g}", len(packed), "B")
     attempts = tuple(f"{REGION}.{'0' * 20}~12.{n}" for n in range(round(8 * scale)))
