--- a/tests/administration/__init__.py
+++ b/tests/administration/__init__.py
@@ -1,3 +1,3 @@
-"""Tests of chiveledge.gateway."""
+"""Tests of chiveledge.administration."""
 
 from __future__ import annotations
