--- a/review/6/case.py
+++ b/review/6/case.py
@@ -70,4 +70,4 @@
     return HELD if state == "running" else NOT_RUN
 
 
-main(play)
+main(play, "haneul-sched-grown")
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import json
 import os
 import sys
@@ -23,6 +24,7 @@
 from chiveledge.workload import Usage
 from standins import deployment as base
 from standins.ports import find_free_port
+from standins.machines import MemoryMachines, make_machines_app
 from standins.platform import make_worker_app
 from standins.task_worker import MemoryTaskWorker
 
@@ -31,6 +33,9 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MINION = Usage(32_000, 65_536, 8)
 HEARTBEAT_S = 1.5
+SILENCE_S = 10.0
+"""Time for which the connection of a lost answer stays open and silent."""
+
 BOUNDS = {
     "seed_lag_s": 3,
     "addr_reuse_s": 2,
@@ -65,6 +70,24 @@
     "harm_ms": 4000,
     "reclaim_ms": 3400,
 }
+GROWN_BOUNDS = BOUNDS | {
+    "contact_ms": 5000,
+    "ack_ms": 8000,
+    "catch_up_s": 6,
+    "drain_ms": 4000,
+    "config_apply_ms": 4000,
+    "max_stretch_ms": 8000,
+    "recover_s": 15,
+    "hold_max_ms": 6000,
+    "stop_ms": 400,
+    "gang_ms": 4000,
+    "cancel_ms": 4000,
+    "restore_ms": 100,
+    "notice_ms": 6500,
+    "harm_ms": 4500,
+    "reclaim_ms": 2900,
+}
+SITES = {"haneul-sched": BOUNDS, "haneul-sched-grown": GROWN_BOUNDS}
 CONFIGURATION: dict[str, Any] = {
     "version": 7,
     "routes": [
@@ -131,13 +154,17 @@
 class Case(base.Deployment):
     """A store, minions and processes; everything seen is written to `record.txt`."""
 
-    def __init__(self, folder: Path, record: Path) -> None:
+    def __init__(self, folder: Path, record: Path, bounds: dict[str, Any]) -> None:
         super().__init__(folder)
+        self._bounds = bounds
         self._began_s = time.monotonic()
         self._file = record.open("w")
         self.shown: dict[str, str] = {}
         self.machines: dict[str, str] = {}
         self.power: dict[str, Power] = {}
+        self.upkeeps: MemoryMachines | None = None
+        self.cloud = ""
+        self.lost_answers = 0
 
     def note(self, **fields: object) -> None:
         """Write one line of the record."""
@@ -156,6 +183,42 @@
         self.store.write("op/config", CONFIGURATION)
         self.note(event="started", minions=count)
 
+    async def start_cloud(self) -> None:
+        """Serve the machines; `lost_answers` orders are done and never answered."""
+        upkeep_s = self._bounds["upkeep_s"]
+        self.upkeeps = MemoryMachines(
+            self.workers, self.clock, upkeep_s, self._publish_entry
+        )
+
+        @web.middleware
+        async def handle(request: web.Request, handler) -> web.StreamResponse:
+            if request.method == "GET":
+                return await handler(request)
+            body = await request.json()
+            token = request.headers["X-Fencing-Token"]
+            response = await handler(request)
+            is_lost = response.status == 200 and self.lost_answers > 0
+            self.note(
+                event="upkeep order",
+                machine=body["machine"],
+                token=token,
+                status=response.status,
+                answer="lost" if is_lost else "sent",
+            )
+            if is_lost:
+                self.lost_answers -= 1
+                await asyncio.sleep(SILENCE_S)
+            return response
+
+        app = make_machines_app(self.upkeeps)
+        app.middlewares.append(handle)
+        runner, self.cloud = await base.serve(app)
+        self._runners.append(runner)
+
+    def _publish_entry(self, entry: WorkerEntry) -> None:
+        worker = next(w for w in self.workers if w.entry.name == entry.name)
+        self.publish(worker)
+
     async def add_minion(self, name: str, zone: str, rack: str) -> MemoryTaskWorker:
         """Start one minion."""
         entry = WorkerEntry(
@@ -308,8 +371,11 @@
             "discovery": "platform",
             "entry": "vip",
             "heartbeat_ms": 1500,
-            "bounds": BOUNDS,
+            "bounds": self._bounds,
             "orders": "call",
+            "cloud": {"address": self.cloud, "rate_per_s": 60.0, "duty_per_s": 60.0}
+            if self.cloud
+            else {},
             "platform": {
                 "address": self._address,
                 "form": "table",
@@ -337,6 +403,11 @@
             self.shown[path] = state
         return state
 
+    @staticmethod
+    def decode(value: str) -> str:
+        """Return the text of a stored value."""
+        return base64.b64decode(value).decode()
+
     def write_runs(self) -> None:
         """Write all runs that the minions saw."""
         for task, runs in self.record.runs.items():
@@ -344,13 +415,13 @@
                 self.note(event="run", task=task, seen=str(run))
 
 
-def main(play) -> None:
+def main(play, site: str) -> None:
     """Play a case in a temporary folder and exit with its result."""
     here = Path(sys.argv[0]).resolve().parent
 
     async def run() -> int:
         with tempfile.TemporaryDirectory() as folder:
-            case = Case(Path(folder), here / "record.txt")
+            case = Case(Path(folder), here / "record.txt", SITES[site])
             try:
                 return await asyncio.wait_for(play(case), 110)
             except (TimeoutError, OSError, AssertionError) as error:
