--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -17,15 +17,14 @@
 from pathlib import Path
 from typing import Any
 
-import aiohttp
 from aiohttp import web
 
 from chiveledge.services.task_worker import WorkerEntry
 from chiveledge.workload import Usage
 from standins import deployment as base
-from standins.ports import find_free_port
 from standins.machines import MemoryMachines, make_machines_app
 from standins.platform import make_worker_app
+from standins.ports import find_free_port
 from standins.task_worker import MemoryTaskWorker
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -116,9 +115,7 @@
             "target_runtime_ms": 500,
         },
     ],
-    "services": [
-        {"name": "pool", "health_path": "/health", "enforces_capacity": True}
-    ],
+    "services": [{"name": "pool", "health_path": "/health", "enforces_capacity": True}],
     "tenants": [{"name": "t1", "api_keys": ["k1"], "guaranteed": {"gpu": 16}}],
 }
 
@@ -184,7 +181,10 @@
         self.note(event="started", minions=count)
 
     async def start_cloud(self) -> None:
-        """Serve the machines; `lost_answers` orders are done and never answered."""
+        """Serve the machines; `lost_answers` orders are done and never answered.
+
+        It knows the machines of the minions that are there now.
+        """
         upkeep_s = self._bounds["upkeep_s"]
         self.upkeeps = MemoryMachines(
             self.workers, self.clock, upkeep_s, self._publish_entry
