--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -129,20 +129,28 @@
 
     def cut(self) -> None:
         """Let open and new connections go silent."""
+        # A call that is being served holds the earlier event.
         self._is_on.clear()
 
     def restore(self) -> None:
         """Reset what waits, and serve again."""
         self._is_on.set()
 
+    def restore_new_connections(self) -> None:
+        """Serve again; what waits stays silent, as after a restart without a reset."""
+        held, self._is_on = self._is_on, asyncio.Event()
+        self._is_on.set()
+        asyncio.get_running_loop().call_later(SILENCE_S, held.set)
+
     @web.middleware
     async def handle(self, request: web.Request, handler) -> web.StreamResponse:
         """Hold a call that arrives, or would be answered, without power."""
-        if self._is_on.is_set():
+        is_on = self._is_on
+        if is_on.is_set():
             response = await handler(request)
-            if self._is_on.is_set():
+            if is_on.is_set():
                 return response
-        await self._is_on.wait()
+        await is_on.wait()
         if request.transport is not None:
             request.transport.abort()
         return web.Response()
@@ -274,8 +282,13 @@
         self.store.remove(f"servers/{name}")
         self.note(event="entry removed", minion=name)
 
-    async def lose_power(self, number: int, down_s: float | None) -> None:
-        """Cut a minion's power, for good if no duration is given."""
+    async def lose_power(
+        self, number: int, down_s: float | None, *, resets: bool = True
+    ) -> None:
+        """Cut a minion's power, for good if no duration is given.
+
+        Unless it resets its earlier connections when it is back, they stay silent.
+        """
         worker = self.workers[number]
         name = worker.entry.name
         self.note(
@@ -289,9 +302,16 @@
             self.note(event="entry removed", minion=name)
             return
         await asyncio.sleep(down_s)
-        self.power[name].restore()
-        self.publish(worker)
+        if resets:
+            self.power[name].restore()
+        else:
+            self.power[name].restore_new_connections()
         self.note(event="power back", minion=name, born=worker.entry.incarnation_ms)
+        if not resets:
+            # It registers with its first heartbeat.
+            asyncio.get_running_loop().call_later(HEARTBEAT_S, self.publish, worker)
+            return
+        self.publish(worker)
 
     async def replace_minion(self, number: int, after_s: float) -> None:
         """Start the next life of a lost minion's machine, under another id."""
