Name why a step waits although it would fit or most of the fleet is free

Change: a plan returns the demands that it did not place. The leader looks at one that has waited for 3 s each 0.25 s and writes coordinator/waits with the first cause that holds, and wait_over; counters waits_CAUSE; two sentences of the trace; a table for operators. What waits only for a full fleet has no line.

No change of decisions.

--- a/chiveledge/coordinator/_planning.py
+++ b/chiveledge/coordinator/_planning.py
@@ -17,6 +17,7 @@
 from chiveledge.coordinator._run_times import RunTimeEstimator
 from chiveledge.coordinator._supervision import FleetSupervisor
 from chiveledge.coordinator._tracked_run import TrackedRun
+from chiveledge.coordinator._wait_monitor import WaitMonitor
 from chiveledge.coordinator._worker_link import WorkerLink
 from chiveledge.coordinator._worker_loss import CrashRecorder
 from chiveledge.coordinator._workspace_usage import sum_usage
@@ -124,6 +125,7 @@
             links, jobs, self._start_runs, context.drains
         )
         self._drain_monitor = DrainMonitor(context, links)
+        self._wait_monitor = WaitMonitor(context)
         self._arrivals: dict[str, UrgentArrivals] = defaultdict(UrgentArrivals)
 
     async def run(self) -> None:
@@ -178,6 +180,7 @@
                 self._record_turn(start)
         for deferred in plan.deferred_starts:
             self._stop_for_deferred_start(deferred, now_s)
+        self._wait_monitor.check(fleet, plan.waiting, now_s)
         if slow.now:
             self._supervisor.move_off_slow_workers(fleet, slow.now, now_s)
 
--- a/chiveledge/log_trace.py
+++ b/chiveledge/log_trace.py
@@ -32,6 +32,14 @@
     "job_failed": "recorded that the job failed",
 }
 
+WAIT_SENTENCES = {
+    "too_large": "they fit on no set of workers in use, even if these were empty",
+    "full": "too little is free on them together, though most of the fleet is free",
+    "excluded": "the workers with free capacity are not allowed for them now",
+    "reserved": "the workers with free capacity are reserved for urgent work",
+    "preference": "they fit, but not on the workers preferred for them",
+}
+
 
 class LogLine(NamedTuple):
     """One line of a process's decision log.
@@ -165,6 +173,10 @@
                 f"{fields.get('step')} after {fields.get('waited_s')} s of waiting, "
                 f"{fields.get('due_s')} s before the job would be late"
             )
+        case ("coordinator", "waits"):
+            return _describe_wait(fields, where)
+        case ("coordinator", "wait_over"):
+            return f"{where} found that {fields.get('step')} no longer waits so"
         case ("coordinator", "admitted" | "cancelled") | ("settlement", "job_failed"):
             return f"{where} {STATE_SENTENCES[line.event]}"
         case ("settlement", "closed"):
@@ -192,6 +204,16 @@
     return f"tried to forward the request to {peer}"
 
 
+def _describe_wait(fields: dict[str, Any], where: str) -> str:
+    cause = str(fields.get("cause"))
+    tasks = "a gang of" if fields.get("gang") else "up to"
+    return (
+        f"{where} left {fields.get('step')} waiting ({tasks} {fields.get('tasks')} "
+        f"tasks, {fields.get('waited_s')} s so far, {fields.get('candidates')} of "
+        f"{fields.get('workers')} workers allowed): {WAIT_SENTENCES.get(cause, cause)}"
+    )
+
+
 def _describe_submission(fields: dict[str, Any]) -> str:
     match fields.get("outcome"), fields.get("detail"):
         case "Accepted", [True]:
--- a/chiveledge/placement/__init__.py
+++ b/chiveledge/placement/__init__.py
@@ -38,6 +38,7 @@
 from chiveledge.placement._stall import MIN_STALL_S, find_stall_timeout_s
 from chiveledge.placement._suspicion import WorkerSuspicion
 from chiveledge.placement._upkeep import choose_next_machines, find_drain_timeout_s
+from chiveledge.placement._waiting import WaitCause, find_wait_cause
 
 __all__ = [
     "APART_S",
@@ -59,6 +60,7 @@
     "Straggler",
     "UrgentArrivals",
     "UsageByWorkspace",
+    "WaitCause",
     "WorkerSpeeds",
     "WorkerSuspicion",
     "WorkerView",
@@ -70,6 +72,7 @@
     "find_drain_timeout_s",
     "find_guaranteed_jobs",
     "find_stall_timeout_s",
+    "find_wait_cause",
     "make_plan",
     "may_compete",
     "order_fairly",
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -379,6 +379,14 @@
             count = min(count, 0 if worker.probe_running else 1)
         return max(0, count)
 
+    def count_fitting_if_empty(self, workers: Iterable[WorkerView], step: Step) -> int:
+        """Return how many tasks of a step workers could hold without other runs."""
+        usage = charged_usage(step)
+        counts = (usage.count_in(worker.capacity) for worker in workers)
+        if step.max_per_worker:
+            counts = (min(count, step.max_per_worker) for count in counts)
+        return sum(counts)
+
     def count_placed(self, worker: WorkerView, step_name: str) -> int:
         """Return how many tasks of a step run on a worker or are allocated to it."""
         running = sum(run.task.step_name == step_name for run in worker.runs)
--- a/chiveledge/placement/_plan.py
+++ b/chiveledge/placement/_plan.py
@@ -55,10 +55,17 @@
 
 
 class Plan(NamedTuple):
-    """Result of one placement pass."""
+    """Result of one placement pass.
+
+    Attributes
+    ----------
+    waiting : list of StepDemand
+        The tasks that neither start nor get capacity that is being released.
+    """
 
     starts: list[Start]
     deferred_starts: list[DeferredStart]
+    waiting: list[StepDemand]
 
 
 NOTHING_IN_USE: UsageByWorkspace = {}
@@ -81,7 +88,7 @@
         Capacity that the open runs of each workspace take; needed only if several
         workspaces compete (`may_compete`).
     """
-    plan = Plan([], [])
+    plan = Plan([], [], [])
     released = [_release(fleet, demand) for demand in demands]
     capacities = fleet.sum_capacities() if may_compete(released) else {}
     for demand, share in order_fairly(released, in_use, capacities):
@@ -90,10 +97,16 @@
             plan.starts.append(Start(demand, placements, share))
         placed = {placement.index for placement in placements}
         rest = tuple(index for index in demand.indices if index not in placed)
-        if rest and demand.urgent and demand.may_stop_runs:
-            deferred_start = _defer_start(fleet, demand._replace(indices=rest))
-            if deferred_start:
-                plan.deferred_starts.append(deferred_start)
+        if not rest:
+            continue
+        remaining = demand._replace(indices=rest)
+        deferred_start = None
+        if demand.urgent and demand.may_stop_runs:
+            deferred_start = _defer_start(fleet, remaining)
+        if deferred_start:
+            plan.deferred_starts.append(deferred_start)
+        else:
+            plan.waiting.append(remaining)
     return plan
 
 
--- a/tests/test_log_trace.py
+++ b/tests/test_log_trace.py
@@ -156,3 +156,33 @@
     assert run("trace", OTHER[::-1], *paths) == 1
     assert run("trace", JOB, tmp_path / "missing.log") == 2
     assert "missing.log: no such file" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("cause", "sentence"),
+    [
+        ("preference", "they fit, but not on the workers preferred for them"),
+        ("other", "other"),
+    ],
+)
+def test_wait_sentence_says_why_a_gang_does_not_start(cause, sentence):
+    host = Host("h1", "", ManualClock())
+    host.log.write(
+        "coordinator",
+        "waits",
+        id=JOB,
+        step=f"{JOB}.0.0",
+        cause=cause,
+        tasks=20,
+        gang=True,
+        workers=24,
+        candidates=23,
+        waited_s=3.1,
+    )
+    host.log.write("coordinator", "wait_over", id=JOB, step=f"{JOB}.0.0")
+    waits, over = describe_trace(trace_job(host.read(), JOB))
+    assert waits.endswith(
+        f"h1 left {JOB}.0.0 waiting (a gang of 20 tasks, 3.1 s so far, 23 of 24 "
+        f"workers allowed): {sentence}"
+    )
+    assert over.endswith(f"h1 found that {JOB}.0.0 no longer waits so")
