Count the limits of a worker once for tasks that are spread over racks

What callers saw: with same_rack, without gang, anti_affinity 1 and two workers in two racks, four tasks started, two on each worker; a worker that was being probed got two tasks.

Cause: list_pools returned each rack and then all candidates. Tasks that are placed one by one were filled into the racks and again into all workers, and a worker's limit only counts what earlier demands placed there, so it was granted twice.

Change: sets for tasks placed one by one are disjoint; all racks together are a set for gangs alone, which use one set. The choice of sets is a module of its own (placement/_pools.py).

--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -22,7 +22,14 @@
 )
 from benchmarks.load import Site
 from chiveledge.coordinator import RunTimeEstimator
-from chiveledge.placement import FleetView, StepDemand, _packing, _plan, _preemption
+from chiveledge.placement import (
+    FleetView,
+    StepDemand,
+    _packing,
+    _plan,
+    _pools,
+    _preemption,
+)
 from chiveledge.placement._order import Timeliness
 
 ALL_RULES = "all rules"
@@ -62,7 +69,7 @@
 
 def spread_gangs_at_once() -> None:
     """Do not wait for a rack."""
-    _packing.RACK_TIMEOUT_S = 0.0
+    _pools.RACK_TIMEOUT_S = 0.0
 
 
 def trust_declared_times() -> None:
--- a/chiveledge/placement/_packing.py
+++ b/chiveledge/placement/_packing.py
@@ -16,12 +16,10 @@
     exclude_reserved,
 )
 from chiveledge.placement._order import StepDemand
+from chiveledge.placement._pools import list_pools
 from chiveledge.types import WorkerName
 from chiveledge.workload import Usage
 
-RACK_TIMEOUT_S = 2.0
-"""How long tasks wait for capacity on racks where they are not slowed down."""
-
 NO_CAPACITY = Usage(-1, -1, -1)
 """Free capacity of a reserved worker: not even a task without any usage fits."""
 
@@ -85,34 +83,6 @@
     return full_speed
 
 
-def list_pools(
-    candidates: list[WorkerView], demand: StepDemand
-) -> list[list[WorkerView]]:
-    """Return sets of workers to try one after another, the preferred set first.
-
-    Workers on which the tasks would be slowed down come last, and only once the tasks
-    have waited for `RACK_TIMEOUT_S` or if there are no others.
-    """
-    step = demand.step
-    may_wait = demand.waited_s < RACK_TIMEOUT_S
-    if step.data_rack:
-        near = [worker for worker in candidates if worker.rack == step.data_rack]
-        far = [worker for worker in candidates if worker.rack != step.data_rack]
-        return [near] if may_wait and near else [near, far]
-    if step.same_rack:
-        racks = _group_racks(candidates)
-        ordered = sorted(
-            racks,
-            key=lambda rack: (
-                rack not in demand.preferred_racks,
-                _sum_free_accelerators(racks[rack]),
-            ),
-        )
-        pools = [racks[rack] for rack in ordered]
-        return pools if may_wait and len(pools) > 1 else [*pools, candidates]
-    return [candidates]
-
-
 def fill_pool(
     fleet: FleetView,
     demand: StepDemand,
@@ -180,14 +150,3 @@
         left.millicores,
         worker.name,
     )
-
-
-def _group_racks(workers: list[WorkerView]) -> dict[str, list[WorkerView]]:
-    racks: dict[str, list[WorkerView]] = {}
-    for worker in workers:
-        racks.setdefault(worker.rack, []).append(worker)
-    return racks
-
-
-def _sum_free_accelerators(workers: list[WorkerView]) -> int:
-    return sum(worker.free.accelerators for worker in workers)
--- a/chiveledge/placement/_preemption.py
+++ b/chiveledge/placement/_preemption.py
@@ -19,7 +19,8 @@
     charged_usage,
 )
 from chiveledge.placement._order import StepDemand
-from chiveledge.placement._packing import Placement, list_pools
+from chiveledge.placement._packing import Placement
+from chiveledge.placement._pools import list_pools
 from chiveledge.types import WorkerName
 from chiveledge.workload import Usage
 
--- a/tests/placement/test_packing.py
+++ b/tests/placement/test_packing.py
@@ -86,6 +86,19 @@
     assert list_workers(fleet, spread) == []
 
 
+@pytest.mark.parametrize(
+    ("options", "limits"), [({"max_per_worker": 1}, {}), ({}, {"probing": True})]
+)
+def test_limits_of_a_worker_hold_for_tasks_spread_over_racks(options, limits):
+    """Tasks that no single rack held were placed on each worker up to its limit twice:
+    once as part of its rack and once as one of all workers."""
+    fleet = make_fleet(
+        make_worker("w1", "r1", **limits), make_worker("w2", "r2", **limits)
+    )
+    demand = make_demand(count=4, same_rack=True, waited_s=2.5, **options)
+    assert sorted(list_workers(fleet, demand)) == ["w1", "w2"]
+
+
 def test_probing_worker_gets_one_task():
     fleet = make_fleet(make_worker("w1", probing=True), make_worker("w2"))
     assert list_workers(fleet, make_demand(count=9)).count("w1") == 1
