Let work that unreserved workers can't hold use those reserved for urgent jobs

What callers saw: while urgent jobs keep arriving, up to 15 % of the workers are reserved for them. A gang that needs more workers than the others are is not placed as long as they arrive, however empty the fleet. So is work that only reserved workers can run (a ticket, a label, a task too large for the others) while the others are full.

Cause: exclude_reserved gave the reserved workers back only if there were no others at all. has_capacity looked at unreserved workers alone and turned such work down before its candidates were known.

Change: the reserved workers are used if the others can't hold the tasks even when they are empty (a whole gang, else one task). has_capacity keeps one cache for all workers and one for unreserved ones, and asks the second only where no other rule narrows the candidates. StepDemand.min_tasks names what was written out three times.

Not covered: workers whose capacity lasting tasks hold for good count as empty.

--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from functools import cached_property
 from typing import NamedTuple
@@ -246,30 +246,48 @@
             capacities[service] = Usage(*map(sum, amounts))
         return capacities
 
-    def has_capacity(self, service: str, step: Step, *, urgent: bool) -> bool:
-        """Return whether a task of a step fits on any worker now.
+    def has_capacity(self, demand: StepDemand) -> bool:
+        """Return whether a task of a demand may fit on any worker now.
 
         Hundreds of steps may wait for a full fleet. Free capacity only shrinks while
         a plan is made, so usages that fit nowhere are cached, and a step that needs
         as much or more is turned down without a search.
         """
-        usage = charged_usage(step)
-        too_large = self._too_large[service, step.required_label, urgent]
-        if any(known.fits(usage) for known in too_large):
+        step = demand.step
+        if self._fits_nowhere(demand, with_reserved=True):
             return False
-        label = step.required_label
-        labelled = [
-            worker
-            for worker in self._accepting[service]
-            if not label or label in worker.labels
-        ]
-        if any(
-            usage.fits(w.free)
-            for w in (labelled if urgent else exclude_reserved(labelled))
-        ):
+        has_fewer_candidates = (
+            demand.allowed_workers is not None or step.filler or step.latency_target_ms
+        )
+        if demand.urgent or has_fewer_candidates:
+            return True
+        if not self._fits_nowhere(demand, with_reserved=False):
+            return True
+        unreserved = self._list_labelled(demand, with_reserved=False)
+        return not can_hold(unreserved, step, demand.min_tasks)
+
+    def _fits_nowhere(self, demand: StepDemand, *, with_reserved: bool) -> bool:
+        usage = charged_usage(demand.step)
+        key = demand.service, demand.step.required_label, with_reserved
+        too_large = self._too_large[key]
+        if any(known.fits(usage) for known in too_large):
             return True
+        workers = self._list_labelled(demand, with_reserved=with_reserved)
+        if any(usage.fits(worker.free) for worker in workers):
+            return False
         too_large.append(usage)
-        return False
+        return True
+
+    def _list_labelled(
+        self, demand: StepDemand, *, with_reserved: bool
+    ) -> Iterator[WorkerView]:
+        """Yield the accepting workers that have the label a step requires."""
+        label = demand.step.required_label
+        for worker in self._accepting[demand.service]:
+            if (not label or label in worker.labels) and (
+                with_reserved or not worker.reserved
+            ):
+                yield worker
 
     def has_full_speed_capacity(self, service: str, step: Step, count: int) -> bool:
         """Return whether `count` tasks of a step fit now on workers at full speed."""
@@ -352,8 +370,7 @@
         usage = charged_usage(demand.step)
         empty = [w for w in others if w.has_only(demand.job_id) and usage.fits(w.free)]
         room = sum(usage.count_in(worker.free) for worker in own + empty[:left])
-        needed = len(demand.indices) if demand.step.gang else 1
-        if room >= needed or not demand.joins_older_runs:
+        if room >= demand.min_tasks or not demand.joins_older_runs:
             return own + empty[:left]
         quiet = [w for w in others if w.has_only(demand.job_id, or_older_runs=True)]
         quiet.sort(key=lambda w: (not usage.fits(w.free), len(w.runs), w.name))
@@ -379,14 +396,6 @@
             count = min(count, 0 if worker.probe_running else 1)
         return max(0, count)
 
-    def count_fitting_if_empty(self, workers: Iterable[WorkerView], step: Step) -> int:
-        """Return how many tasks of a step workers could hold without other runs."""
-        usage = charged_usage(step)
-        counts = (usage.count_in(worker.capacity) for worker in workers)
-        if step.max_per_worker:
-            counts = (min(count, step.max_per_worker) for count in counts)
-        return sum(counts)
-
     def count_placed(self, worker: WorkerView, step_name: str) -> int:
         """Return how many tasks of a step run on a worker or are allocated to it."""
         running = sum(run.task.step_name == step_name for run in worker.runs)
@@ -418,13 +427,30 @@
         worker.probe_running |= worker.probing
 
 
-def exclude_reserved(workers: list[WorkerView]) -> list[WorkerView]:
-    """Return the workers that are not reserved for urgent work, or all if each is.
+def can_hold(workers: Iterable[WorkerView], step: Step, count: int) -> bool:
+    """Return whether `count` tasks of a step would fit if the workers were empty."""
+    usage = charged_usage(step)
+    held = 0
+    for worker in workers:
+        fitting = usage.count_in(worker.capacity)
+        held += min(fitting, step.max_per_worker or fitting)
+        if held >= count:
+            return True
+    return False
+
+
+def exclude_reserved(workers: list[WorkerView], demand: StepDemand) -> list[WorkerView]:
+    """Return the workers that are not reserved for urgent work.
 
-    Work that can run on reserved workers only would otherwise not start as long as
-    urgent jobs keep arriving.
+    All are returned if the others can't hold the tasks even when they are empty. Such
+    work would otherwise not start as long as urgent jobs keep arriving.
     """
-    return [worker for worker in workers if not worker.reserved] or workers
+    unreserved = [worker for worker in workers if not worker.reserved]
+    if len(unreserved) == len(workers):
+        return workers
+    if can_hold(unreserved, demand.step, demand.min_tasks):
+        return unreserved
+    return workers
 
 
 def charged_usage(step: Step) -> Usage:
--- a/chiveledge/placement/_order.py
+++ b/chiveledge/placement/_order.py
@@ -134,6 +134,11 @@
         """Whether tasks that start apart may join runs that began long before."""
         return self.waited_s >= EMPTY_WORKER_TIMEOUT_S
 
+    @property
+    def min_tasks(self) -> int:
+        """Fewest tasks that may start: all of a gang, otherwise one."""
+        return len(self.indices) if self.step.gang else 1
+
     @property
     def urgent(self) -> bool:
         """Whether runs of other jobs may be stopped for it."""
--- a/chiveledge/placement/_packing.py
+++ b/chiveledge/placement/_packing.py
@@ -39,10 +39,10 @@
     list of Placement
         For a gang all tasks or none; otherwise as many tasks as fit.
     """
-    if not fleet.has_capacity(demand.service, demand.step, urgent=demand.urgent):
+    if not fleet.has_capacity(demand):
         return []
     candidates = fleet.candidates(demand)
-    usable = candidates if demand.urgent else exclude_reserved(candidates)
+    usable = candidates if demand.urgent else exclude_reserved(candidates, demand)
     free = dict.fromkeys((worker.name for worker in candidates), NO_CAPACITY)
     free |= {worker.name: worker.free for worker in usable}
     pools = list_pools(candidates, demand)
--- a/chiveledge/placement/_waiting.py
+++ b/chiveledge/placement/_waiting.py
@@ -9,7 +9,12 @@
 from collections.abc import Iterable
 from enum import StrEnum
 
-from chiveledge.placement._fleet import FleetView, WorkerView, exclude_reserved
+from chiveledge.placement._fleet import (
+    FleetView,
+    WorkerView,
+    can_hold,
+    exclude_reserved,
+)
 from chiveledge.placement._order import StepDemand
 
 
@@ -36,21 +41,21 @@
 
 def find_wait_cause(fleet: FleetView, demand: StepDemand) -> WaitCause:
     """Return why none of a demand's tasks, or not the whole gang, was placed."""
-    wanted = len(demand.indices) if demand.step.gang else 1
+    wanted = demand.min_tasks
     label = demand.step.required_label
     workers = [
         worker
         for worker in fleet.accepting(demand.service)
         if not label or label in worker.labels
     ]
-    if fleet.count_fitting_if_empty(workers, demand.step) < wanted:
+    if not can_hold(workers, demand.step, wanted):
         return WaitCause.TOO_LARGE
     if _count_fitting(fleet, demand, workers) < wanted:
         return WaitCause.FULL
     candidates = fleet.candidates(demand)
     if _count_fitting(fleet, demand, candidates) < wanted:
         return WaitCause.EXCLUDED
-    usable = candidates if demand.urgent else exclude_reserved(candidates)
+    usable = candidates if demand.urgent else exclude_reserved(candidates, demand)
     if _count_fitting(fleet, demand, usable) < wanted:
         return WaitCause.RESERVED
     return WaitCause.PREFERENCE
--- a/tests/coordinator/test_preferred_workers.py
+++ b/tests/coordinator/test_preferred_workers.py
@@ -32,3 +32,20 @@
     await cluster.advance(6.0)
     assert cluster.state("j1") is JobState.COMPLETED
     assert not cluster.leader.log.find("coordinator", "waits")
+
+
+async def test_gang_of_the_whole_fleet_starts_while_urgent_jobs_keep_arriving(
+    make_cluster,
+):
+    """A worker is reserved for urgent jobs as long as they arrive, and without it the
+    gang fitted nowhere."""
+    cluster = make_cluster(workers=8)
+    await cluster.advance(1.0)
+    gang = Step(count=8, usage=Usage(1, 1, 1), gang=True, max_per_worker=1)
+    urgent = Step(count=6, usage=Usage(1, 1, 4))
+    for number in range(16):
+        await cluster.submit(f"u{number}", urgent, queue="urgent", work_s=0.2)
+        if number == 6:
+            await cluster.submit("j1", gang, queue="batch", work_s=0.5)
+        await cluster.advance(0.5)
+    assert cluster.state("j1") is JobState.COMPLETED
--- a/tests/placement/test_reserve.py
+++ b/tests/placement/test_reserve.py
@@ -90,3 +90,62 @@
     fleet.reserve_for_urgent("pool", 1)
     batch = make_demand("b", priority=2, required_label=label)
     assert list_workers(make_plan(fleet, [batch])) == placed
+
+
+def make_reserved_fleet(*workers):
+    """Return a fleet in which the workers whose names begin with r are reserved."""
+    fleet = make_fleet(*workers)
+    for worker in fleet.workers.values():
+        worker.reserved = worker.name.startswith("r")
+    return fleet
+
+
+def test_gang_that_unreserved_workers_cannot_hold_uses_reserved_ones():
+    """It was never placed as long as urgent jobs kept arriving."""
+    names = [*(f"w{number}" for number in range(21)), "r1", "r2", "r3"]
+    fleet = make_reserved_fleet(*(make_worker(name) for name in names))
+    spread = make_demand("a", count=22, gang=True, max_per_worker=1)
+    (start,) = make_plan(fleet, [spread]).starts
+    assert len({placement.worker for placement in start.placements}) == 22
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_gang_that_unreserved_workers_could_hold_waits_for_them(count):
+    fleet = make_reserved_fleet(
+        make_worker("w1", runs=[make_run("a", "w1", 8)]),
+        make_worker("w2"),
+        make_worker("r1"),
+    )
+    demand = make_demand("b", count=count, accelerators=8, gang=True)
+    starts = make_plan(fleet, [demand]).starts
+    assert [row.worker for start in starts for row in start.placements] == ["w2"][
+        : 2 - count
+    ]
+
+
+@pytest.mark.parametrize(
+    "options",
+    [
+        {"allowed_workers": frozenset({"r1"})},
+        {"required_label": "gpu"},
+        {"accelerators": 16},
+        {"filler": True},
+        {"count": 3, "required_label": "label", "max_per_worker": 1, "gang": True},
+    ],
+)
+def test_full_unreserved_workers_are_no_reason_to_wait_for_work_that_never_runs_there(
+    options,
+):
+    """The short cut for full fleets looked at unreserved workers alone, and turned work
+    down that only reserved ones can run."""
+    full = [make_run("a", "w1", 8)]
+    fleet = make_reserved_fleet(
+        make_worker("w1", runs=full, serving=True),
+        make_worker("r1", capacity=Usage(64000, 64000, 16)),
+        make_worker("r2", capacity=Usage(64000, 64000, 16)),
+        make_worker("r3", capacity=Usage(64000, 64000, 16)),
+    )
+    fleet.workers["r1"].labels |= {"gpu"}
+    for name in fleet.workers:
+        fleet.workers[name].labels |= {"label"}
+    assert len(make_plan(fleet, [make_demand("b", **options)]).starts) == 1
