Apply the short cut for full fleets only to work that all unreserved workers may take

A task that fits only on a reserved worker was turned down as long as a worker that is kept for another job could have held it.

Cause: has_capacity counts unreserved workers by label alone, also those that the tasks may not join.

Change: it leaves out workers kept for other jobs, and work whose candidates are limited by a ticket, suspicion, fillers or latency goes on to the full search.

--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -253,18 +253,18 @@
         a plan is made, so usages that fit nowhere are cached, and a step that needs
         as much or more is turned down without a search.
         """
-        step = demand.step
         if self._fits_nowhere(demand, with_reserved=True):
             return False
-        has_fewer_candidates = (
-            demand.allowed_workers is not None or step.filler or step.latency_target_ms
-        )
-        if demand.urgent or has_fewer_candidates:
+        if demand.urgent or _has_fewer_candidates(demand):
             return True
         if not self._fits_nowhere(demand, with_reserved=False):
             return True
-        unreserved = self._list_labelled(demand, with_reserved=False)
-        return not can_hold(unreserved, step, demand.min_tasks)
+        unreserved = (
+            worker
+            for worker in self._list_labelled(demand, with_reserved=False)
+            if demand.may_join(worker.isolated_job)
+        )
+        return not can_hold(unreserved, demand.step, demand.min_tasks)
 
     def _fits_nowhere(self, demand: StepDemand, *, with_reserved: bool) -> bool:
         usage = charged_usage(demand.step)
@@ -427,6 +427,18 @@
         worker.probe_running |= worker.probing
 
 
+def _has_fewer_candidates(demand: StepDemand) -> bool:
+    """Return whether more than labels and kept workers limits where tasks may run."""
+    step = demand.step
+    return (
+        demand.allowed_workers is not None
+        or demand.avoids_suspected
+        or demand.starts_apart
+        or step.filler
+        or step.latency_target_ms > 0
+    )
+
+
 def can_hold(workers: Iterable[WorkerView], step: Step, count: int) -> bool:
     """Return whether `count` tasks of a step would fit if the workers were empty."""
     usage = charged_usage(step)
--- a/tests/placement/test_fits_so_placed.py
+++ b/tests/placement/test_fits_so_placed.py
@@ -15,7 +15,7 @@
 from chiveledge.workload import Usage
 from tests.placement.fleets import make_demand, make_fleet, make_run, make_worker
 
-SEEDS = range(20)
+SEEDS = (*range(20), 1000, 1011)
 FLEETS_PER_SEED = 150
 LONG_WAIT_S = 60.0
 
