Stop runs for urgent work also where workers to be probed are needed

What callers saw: an urgent gang for which runs must be stopped, and which also needs a worker that is to be probed, waits until the probe is over; so does the rest of an urgent step's tasks.

Cause: choose_victims sought room on the workers that are not to be probed, and on the others only if there were none of these at all: the same preference that a whole gang had to fit in.

Change: workers to be probed count too if the others don't hold all tasks; the eviction that places the most tasks is taken, as before. Nothing changes while no worker is to be probed.

--- a/chiveledge/placement/_preemption.py
+++ b/chiveledge/placement/_preemption.py
@@ -268,14 +268,26 @@
         placed, or not the whole gang, even by stopping all runs of lower priority.
     """
     candidates = fleet.candidates(demand)
-    # A probe may fail, so it isn't worth a stop while there are other workers.
-    candidates = [worker for worker in candidates if not worker.probing] or candidates
-    best: Eviction | None = None
-    for pool in list_pools(candidates, demand):
-        found = _place_in_pool(fleet, demand, pool)
-        if found and (best is None or _rank(found) < _rank(best)):
-            best = found
-    return best or _place_in_pool(fleet, demand, candidates)
+    sound = [worker for worker in candidates if not worker.probing]
+    best = _choose_among(fleet, demand, sound)
+    if len(sound) == len(candidates):
+        return best
+    if best is not None and len(best.placements) == len(demand.indices):
+        return best
+    # A probe may fail, so it is worth a stop only for tasks that fit nowhere else.
+    with_probes = _choose_among(fleet, demand, candidates)
+    return min((e for e in (best, with_probes) if e), key=_rank, default=None)
+
+
+def _choose_among(
+    fleet: FleetView, demand: StepDemand, workers: list[WorkerView]
+) -> Eviction | None:
+    """Return the best eviction on one set that the demand prefers, or else on all."""
+    evictions = (
+        _place_in_pool(fleet, demand, pool) for pool in list_pools(workers, demand)
+    )
+    best = min((e for e in evictions if e), key=_rank, default=None)
+    return best or _place_in_pool(fleet, demand, workers)
 
 
 def _rank(eviction: Eviction) -> tuple[int, bool, float]:
--- a/tests/placement/test_fits_so_placed.py
+++ b/tests/placement/test_fits_so_placed.py
@@ -139,3 +139,32 @@
         ]
         assert len(placed) == expected, (demand, fleet.workers)
         assert all(placed.count(name) <= rooms.get(name, 0) for name in placed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_urgent_demand_gets_room_exactly_when_stops_make_enough(seed):
+    """An urgent gang that needed a stop and a worker that was to be probed waited until
+    the probe was over: the workers to stop runs on were sought among the others."""
+    rng = random.Random(seed)
+    for _ in range(FLEETS_PER_SEED):
+        names = [f"w{number}" for number in range(rng.randint(1, 6))]
+        fleet = make_fleet(*(draw_worker(rng, name) for name in names))
+        demand = draw_demand(rng, names)._replace(priority=0)
+        rooms = {
+            name: count_by_adding(demand, worker, worker.capacity)
+            for name, worker in fleet.workers.items()
+            if may_use(demand, worker)
+        }
+        placed = []
+        waiting = [demand]
+        for _ in range(demand.step.count):
+            plan = make_plan(fleet, waiting)
+            for part in (*plan.starts, *plan.deferred_starts):
+                placed += [placement.worker for placement in part.placements]
+            waiting = [
+                row.demand._replace(indices=demand.indices[len(placed) :])
+                for row in plan.deferred_starts
+                if len(placed) < len(demand.indices)
+            ]
+        assert len(placed) == count_placeable(demand, rooms), (demand, fleet.workers)
+        assert all(placed.count(name) <= rooms.get(name, 0) for name in placed)
