Let a job return to a worker on which it failed if it fits nowhere else, three failures at most

What callers saw (own interface): a gang that needs all workers of its region, or a job in a region with one or two, fails once on a worker and is never started again; it stays queued on an idle region.

Cause: the planner kept a job off each worker on which it had failed, for good. A job was given up after failing on three different workers, which a smaller region doesn't have.

Change: if all other listed workers can't hold the job even when empty, it may return. Workers that are away count as able to hold it, so an attempt isn't wasted on the bad one while a good one comes back. A worker on which it fails again counts again, so three failures still end it. Gangs without accelerators that exceed the empty region are told so at once, as those with accelerators were: each member was checked, never all of them.

Evidence: of seven new cases in test_jobs.py five failed before; the sixth, a region of four workers, held, and the seventh, that a job waits for a worker that is away, guards the change. 642 tests of scheduler, cells and administration pass.

--- a/chiveledge/cells/_allocator.py
+++ b/chiveledge/cells/_allocator.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from chiveledge.cells._allocations import (
@@ -294,11 +294,20 @@
             for block in self._free_blocks(index, tree)
         )
 
-    def can_ever_fit(self, shapes: Sequence[CellShape]) -> bool:
-        """Whether the cells fit into the empty region with all workers healthy."""
-        return not count_unplaced(
-            Counter(shapes), BlockIndex(self._trees).count_blocks()
-        )
+    def can_ever_fit(
+        self, shapes: Sequence[CellShape], excluded: Collection[WorkerName] = ()
+    ) -> bool:
+        """Whether the cells fit into the empty region with all workers healthy.
+
+        Parameters
+        ----------
+        excluded : collection of str, optional
+            Workers that don't count.
+        """
+        index = BlockIndex(self._trees)
+        for number, mask in enumerate(self._make_masks(excluded)):
+            index.set_occupied(number, mask)
+        return not count_unplaced(Counter(shapes), index.count_blocks())
 
     def _make_masks(self, workers: Iterable[WorkerName]) -> list[int]:
         names = set(workers)
--- a/chiveledge/jobs.py
+++ b/chiveledge/jobs.py
@@ -131,7 +131,7 @@
     attempt : Attempt or None
         Running attempt.
     failed_on : tuple of str
-        Workers on which a member failed.
+        Workers on which a member failed, once for each attempt.
     saved_s : float
         Run time that checkpoints have saved, in seconds.
     results : tuple of str
--- a/chiveledge/scheduler/_capacity.py
+++ b/chiveledge/scheduler/_capacity.py
@@ -43,15 +43,41 @@
         self._allocations: dict[AttemptId, tuple[MemberPlacement, ...]] = {}
 
     def explain_infeasible(self, spec: JobSpec) -> str:
-        """Return why no worker can ever run a member of a job; empty if one can."""
-        if any(_can_run_member(worker, spec) for worker in self._workers.values()):
+        """Return why a job can never run on the workers; empty if it can.
+
+        For a gang with accelerators only a single member is considered.
+        """
+        if not any(_can_run_member(worker, spec) for worker in self._workers.values()):
+            return (
+                f"no worker of region {spec.region!r} can ever run a member with "
+                f"accelerators={spec.accelerators}, cores={spec.cores}, "
+                f"memory_mb={spec.memory_mb}; declare a smaller member"
+            )
+        if spec.accelerators or self.can_ever_fit(spec):
             return ""
         return (
-            f"no worker of region {spec.region!r} can ever run a member with "
-            f"accelerators={spec.accelerators}, cores={spec.cores}, "
-            f"memory_mb={spec.memory_mb}; declare a smaller member"
+            f"the workers of region {spec.region!r} can never run members="
+            f"{spec.members} with cores={spec.cores} and memory_mb={spec.memory_mb} "
+            "together; declare fewer or smaller members"
         )
 
+    def can_ever_fit(
+        self, spec: JobSpec, excluded: Collection[WorkerName] = ()
+    ) -> bool:
+        """Return whether a gang without accelerators fits on the empty workers.
+
+        Parameters
+        ----------
+        excluded : collection of str, optional
+            Workers that don't count.
+        """
+        held = sum(
+            _count_members(_shared_cores(worker), _shared_memory_mb(worker), spec)
+            for name, worker in self._workers.items()
+            if name not in excluded
+        )
+        return held >= spec.members
+
     def place(
         self, attempt: AttemptId, spec: JobSpec, excluded: Collection[WorkerName]
     ) -> tuple[MemberPlacement, ...] | None:
@@ -85,8 +111,8 @@
         heapq.heapify(heap)
         while heap:
             cores, name = heapq.heappop(heap)
-            by_memory = self._free_memory_mb[name] // spec.memory_mb
-            yield _FreeCapacity(name, int(min(cores // spec.cores, by_memory)))
+            members = _count_members(cores, self._free_memory_mb[name], spec)
+            yield _FreeCapacity(name, members)
 
     def allocate(
         self, attempt: AttemptId, members: tuple[MemberPlacement, ...]
@@ -106,6 +132,11 @@
                 self._free_memory_mb[member.worker] += sign * member.memory_mb
 
 
+def _count_members(cores: float, memory_mb: float, spec: JobSpec) -> int:
+    """Return how many members of a gang fit into cores and memory."""
+    return int(min(cores // spec.cores, memory_mb // spec.memory_mb))
+
+
 def _shared_cores(worker: WorkerSize) -> float:
     share = 1 - ACCELERATOR_TASK_SHARE if worker.accelerators else 1.0
     return worker.cores * share
--- a/chiveledge/scheduler/_failure_tracker.py
+++ b/chiveledge/scheduler/_failure_tracker.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from chiveledge.types import JobId, WorkerName
 
-FAILED_WORKERS_OF_FAULTY_JOB = 3
-"""Different workers on which a job must fail to be considered faulty."""
+FAILURES_OF_FAULTY_JOB = 3
+"""Workers on which a job must fail to be considered faulty. A worker on which it fails
+again counts again: a job returns there only if it fits nowhere else."""
 
 FAILURES_TO_QUARANTINE = 2
 """Jobs that must fail on a worker and succeed elsewhere to quarantine the worker."""
@@ -20,7 +21,7 @@
     """Failures of jobs on workers, and the quarantine of faulty workers.
 
     A failure counts against its worker only once the same job succeeded on another
-    worker. A job that fails on `FAILED_WORKERS_OF_FAULTY_JOB` workers is itself
+    worker. A job that fails `FAILURES_OF_FAULTY_JOB` times is itself
     considered faulty, and its failures count against no worker.
     """
 
@@ -29,9 +30,9 @@
         self._worker_failures: dict[WorkerName, set[JobId]] = {}
         self._quarantined_since_s: dict[WorkerName, float] = {}
 
-    def is_job_faulty(self, failed_on: Iterable[WorkerName]) -> bool:
-        """Whether a job failed on enough different workers to be considered faulty."""
-        return len(set(failed_on)) >= FAILED_WORKERS_OF_FAULTY_JOB
+    def is_job_faulty(self, failed_on: Sequence[WorkerName]) -> bool:
+        """Whether a job failed on enough workers to be considered faulty."""
+        return len(failed_on) >= FAILURES_OF_FAULTY_JOB
 
     def record_failure(self, job_id: JobId, workers: Iterable[WorkerName]) -> None:
         """Record the workers on which members of a job failed."""
--- a/chiveledge/scheduler/_job_repository.py
+++ b/chiveledge/scheduler/_job_repository.py
@@ -232,10 +232,11 @@
 
     def _apply_failure(self, job: Job, workers: tuple[WorkerName, ...]) -> Job:
         self._failure_tracker.record_failure(job.job_id, workers)
-        failed_on = tuple(dict.fromkeys((*job.failed_on, *workers)))
+        failed_on = (*job.failed_on, *dict.fromkeys(workers))
         job = job._replace(failed_on=failed_on)
         if self._failure_tracker.is_job_faulty(failed_on):
-            reason = f"failed on {len(failed_on)} different workers"
+            names = ",".join(dict.fromkeys(failed_on))
+            reason = f"failed {len(failed_on)} times, on {names}"
             return self._finalize(job, JobState.FAILED, reason)
         return job._replace(reason=f"failed on {','.join(workers)}; will be retried")
 
--- a/chiveledge/scheduler/_planner.py
+++ b/chiveledge/scheduler/_planner.py
@@ -304,16 +304,41 @@
 
     def _place(
         self, job: Job, attempt_id: AttemptId, now: datetime
+    ) -> PlannedStart | None:
+        """Place a job on workers on which it has not failed, if these can hold it.
+
+        Workers that are away count, since they may come back before the job has failed
+        too often.
+        """
+        failed_on = frozenset(job.failed_on)
+        start = self._place_avoiding(job, attempt_id, now, failed_on)
+        if start is not None or not failed_on or self._can_hold(job.spec, failed_on):
+            return start
+        return self._place_avoiding(job, attempt_id, now, frozenset())
+
+    def _can_hold(self, spec: JobSpec, excluded: frozenset[WorkerName]) -> bool:
+        """Return whether a job fits on the other workers if these are empty."""
+        shapes = required_shapes(spec)
+        if shapes:
+            return self._cells.can_ever_fit(shapes, excluded)
+        return self._capacity.can_ever_fit(spec, excluded)
+
+    def _place_avoiding(
+        self,
+        job: Job,
+        attempt_id: AttemptId,
+        now: datetime,
+        avoided: frozenset[WorkerName],
     ) -> PlannedStart | None:
         shapes = required_shapes(job.spec)
         if not shapes:
-            excluded = self._unavailable.union(self._excluded, job.failed_on)
+            excluded = self._unavailable.union(self._excluded, avoided)
             members = self._capacity.place(attempt_id, job.spec, excluded)
             return members and PlannedStart(job, attempt_id, members, (), ())
-        if job.failed_on:
-            self._cells.set_excluded(self._excluded.union(job.failed_on))
+        if avoided:
+            self._cells.set_excluded(self._excluded.union(avoided))
         gang = self._place_cells(job, attempt_id, shapes, now)
-        if job.failed_on:
+        if avoided:
             self._cells.set_excluded(self._excluded)
         if gang is None:
             return None
--- a/tests/scheduler/test_jobs.py
+++ b/tests/scheduler/test_jobs.py
@@ -452,3 +452,73 @@
         assert 12.0 <= max(saved) <= region.clock.monotonic()
 
     run_region(work, document=make_document({"cafes": [(16, 1)], "depots": []}))
+
+
+@pytest.mark.parametrize("accelerators", [8, 0])
+def test_gang_that_needs_a_worker_on_which_it_failed_starts_there_again(accelerators):
+    """It was kept off that worker for good and, as the others did not hold it, was
+    never started again on an idle region."""
+
+    async def work(region):
+        region.start_leader("a")
+        region.workers["w00"].faults.set({"mode": "fail"})
+        payload = '{"run_s": 0.5}'
+        spec = make_spec(4, accelerators, payload)
+        if not accelerators:
+            spec = spec.model_copy(update={"cores": region.sizes[0].cores // 4})
+        job_id = await region.submit(spec, "k")
+        await region.run_until(
+            lambda: "w00" in region.job(job_id).failed_on, within_s=10.0
+        )
+        region.workers["w00"].faults.set({"mode": ""})
+        await region.run_until(
+            in_state(region, job_id, JobState.FINISHED), within_s=20.0
+        )
+
+    run_region(work)
+
+
+@pytest.mark.parametrize("workers", [1, 2, 4])
+def test_job_that_fails_on_too_few_workers_to_tell_is_given_up(workers):
+    """With fewer than three workers it stayed queued for ever."""
+
+    async def work(region):
+        region.start_leader("a")
+        bad = '{"run_s": 0.1, "fail": true}'
+        job_id = await region.submit(make_spec(payload=bad), "k")
+        await region.run_until(in_state(region, job_id, JobState.FAILED), within_s=30.0)
+        assert len(region.job(job_id).failed_on) == 3
+
+    run_region(work, workers=workers)
+
+
+def test_job_waits_for_a_worker_that_is_away_rather_than_fail_again_where_it_did():
+    async def work(region):
+        region.start_leader("a")
+        region.workers["w00"].faults.set({"mode": "fail"})
+        region.workers["w01"].faults.set({"down": True})
+        payload = '{"run_s": 0.5}'
+        job_id = await region.submit(make_spec(payload=payload), "k")
+        await region.run_until(lambda: region.job(job_id).failed_on, within_s=20.0)
+        await region.run_for(20.0)
+        assert region.job(job_id).failed_on == ("w00",)
+        region.workers["w01"].faults.set({})
+        await region.run_until(
+            in_state(region, job_id, JobState.FINISHED), within_s=20.0
+        )
+
+    run_region(work, workers=2)
+
+
+def test_gang_without_accelerators_that_exceeds_the_region_is_told_so():
+    """Each member fitted on a worker, so the gang was accepted and waited for ever."""
+
+    async def work(region):
+        region.start_leader("a")
+        cores = region.sizes[0].cores // 4
+        spec = make_spec(5, accelerators=0).model_copy(update={"cores": cores})
+        job_id = await region.submit(spec, "k")
+        await region.run_until(in_state(region, job_id, JobState.FAILED), within_s=5.0)
+        assert "members=5" in region.job(job_id).reason
+
+    run_region(work)
