Refuse a job that no set of the workers could ever hold

What callers saw: a gang that is wider than the whole fleet, or a task larger than any worker, was accepted and stayed queued for ever (on the own interface such jobs are refused).

Cause: the processes that take jobs don't know the workers; the leader does.

Change: the leader keeps the most workers of each kind that a service had at one time in the row board/~fleet, which all processes watch already; no call is added. A job that exceeds it even on empty workers is refused with 422, the step, how many tasks fit and the remedy, unless it is stored already. Unknown isn't refused: no row, 60 s after a growth, labels that may be racks, a row that would be too long. Workers that are away count for an hour, under later leaders too.

Evidence: 15 cases of test_fleet_capacity.py (in-process cluster: refused, only waiting, away and takeover, gone for long, growing, repeated, damaged row) and one of test_api.py pass.

--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -10,6 +10,7 @@
 
 from chiveledge.coordinator._advice import TicketCache
 from chiveledge.coordinator._context import TermContext
+from chiveledge.coordinator._fleet_capacity import FleetCapacityKeeper
 from chiveledge.coordinator._learnt_figures import LearntFigureKeeper
 from chiveledge.coordinator._orders import OrderDispatcher
 from chiveledge.coordinator._planning import PlanningController
@@ -109,6 +110,9 @@
         self._learnt_figures = LearntFigureKeeper(
             context, leadership, learnt_speeds, estimator, self.end
         )
+        self._fleet_capacity = FleetCapacityKeeper(
+            context, leadership, self.links, self.end
+        )
         self._progress_writer = ProgressWriter(
             context.table,
             leadership,
@@ -253,6 +257,7 @@
         self._spawn(self._inbox.run())
         self._spawn(self._cleanup_loop())
         self._spawn(self._tickets.run())
+        self._spawn(self._fleet_capacity.run())
         if self._context.machines is not None:
             self._spawn(self._upkeep.run())
         await self._planning.run()
--- a/chiveledge/intake/__init__.py
+++ b/chiveledge/intake/__init__.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 from chiveledge.intake._backoff import choose_retry_after_s
+from chiveledge.intake._fleet_row import (
+    FleetCapacityCopy,
+    decode_fleet,
+    encode_fleet,
+)
 from chiveledge.intake._follower import TableFollower
 from chiveledge.intake._job_store import (
     CANCEL_SUFFIX,
     INBOX_PREFIX,
     Accepted,
     CancelOutcome,
+    Infeasible,
     JobIdInUse,
     JobStore,
     NotFound,
@@ -36,6 +42,7 @@
     Relayed,
 )
 from chiveledge.intake._status_cache import (
+    FLEET_KEY,
     JOB_STATUS_PREFIX,
     JobStatus,
     JobStatusCache,
@@ -47,12 +54,15 @@
 
 __all__ = [
     "CANCEL_SUFFIX",
+    "FLEET_KEY",
     "INBOX_PREFIX",
     "JOB_STATUS_PREFIX",
     "RELAYED_HEADER",
     "REVISION_HEADER",
     "Accepted",
     "CancelOutcome",
+    "FleetCapacityCopy",
+    "Infeasible",
     "JobIdInUse",
     "JobStatus",
     "JobStatusCache",
@@ -72,7 +82,9 @@
     "UnknownOutcome",
     "cancel_key",
     "choose_retry_after_s",
+    "decode_fleet",
     "decode_status",
+    "encode_fleet",
     "encode_status",
     "initial_job_status_key",
     "is_cancel_key",
--- a/chiveledge/intake/_job_store.py
+++ b/chiveledge/intake/_job_store.py
@@ -76,6 +76,12 @@
     reason: str
 
 
+class Infeasible(NamedTuple):
+    """The job is not stored, since no set of the workers could ever hold it."""
+
+    reason: str
+
+
 class NotFound(NamedTuple):
     """No job has this ID."""
 
@@ -84,7 +90,9 @@
     """A job of another workspace has this ID; nothing was stored."""
 
 
-SubmitOutcome: TypeAlias = Accepted | NotStored | Refused | JobIdInUse | UnknownOutcome
+SubmitOutcome: TypeAlias = (
+    Accepted | NotStored | Refused | Infeasible | JobIdInUse | UnknownOutcome
+)
 CancelOutcome: TypeAlias = Accepted | NotFound | UnknownOutcome
 ReadOutcome: TypeAlias = JobStatus | NotFound | UnknownOutcome
 
@@ -122,6 +130,8 @@
         Longest text of a row that the table takes.
     is_unresponsive : callable, optional
         Returns whether the table service currently answers no calls.
+    explain_infeasible : callable, optional
+        Returns why a job can never start, or an empty text if it may.
     """
 
     def __init__(
@@ -132,6 +142,7 @@
         log: DecisionLog,
         max_row_chars: int,
         is_unresponsive: Callable[[], bool] = lambda: False,
+        explain_infeasible: Callable[[JobRequest], str] = lambda _: "",
     ) -> None:
         self._table = table
         self._status_cache = status_cache
@@ -139,6 +150,7 @@
         self._log = log
         self._max_row_chars = max_row_chars
         self._is_unresponsive = is_unresponsive
+        self._explain_infeasible = explain_infeasible
         self._hedge_delay = HedgeDelay()
 
     async def submit(self, request: JobRequest, timeout_s: float) -> SubmitOutcome:
@@ -158,6 +170,10 @@
             return self._log_submit(request, Refused(reason))
         if self._is_unresponsive():
             return self._log_submit(request, NotStored("the store does not answer"))
+        reason = self._explain_infeasible(request)
+        if reason and await self.read(request.job_id) == NotFound():
+            # A job that is stored was accepted when the fleet was larger.
+            return self._log_submit(request, Infeasible(reason))
         result = await transact_hedged(
             self._table,
             submission,
--- a/chiveledge/intake/_status_cache.py
+++ b/chiveledge/intake/_status_cache.py
@@ -18,6 +18,9 @@
 JOB_STATUS_TABLE = "board"
 JOB_STATUS_PREFIX = f"{JOB_STATUS_TABLE}/"
 
+FLEET_KEY = f"{JOB_STATUS_PREFIX}~fleet"
+"""Key of the row with the fleet's capacity; no job has an ID with a tilde."""
+
 INITIAL_STATUS_PARTS = 8
 """Number of store parts over which the rows of new jobs are distributed.
 
@@ -102,6 +105,8 @@
             self._initial_statuses.clear()
             self._current_statuses.clear()
         for row in rows:
+            if row.key == FLEET_KEY:
+                continue
             match decode_status(row.value):
                 case Ok(status):
                     self._statuses_of(row.key)[parse_row_name(row.key)] = status
--- a/chiveledge/log_trace.py
+++ b/chiveledge/log_trace.py
@@ -222,6 +222,8 @@
             return "stored the job"
         case "JobIdInUse", _:
             return "refused the job, as another workspace has a job with its ID"
+        case "Infeasible", _:
+            return "refused the job, as no set of workers could ever hold it"
         case "NotStored", _:
             return "did not store the job"
         case "UnknownOutcome", _:
--- a/chiveledge/placement/__init__.py
+++ b/chiveledge/placement/__init__.py
@@ -10,6 +10,7 @@
     WorkerView,
     charged_usage,
 )
+from chiveledge.placement._fleet_capacity import WorkerKind, explain_infeasible
 from chiveledge.placement._learnt_speed import (
     LearntSpeeds,
     MachineSpeed,
@@ -61,6 +62,7 @@
     "UrgentArrivals",
     "UsageByWorkspace",
     "WaitCause",
+    "WorkerKind",
     "WorkerSpeeds",
     "WorkerSuspicion",
     "WorkerView",
@@ -69,6 +71,7 @@
     "choose_victims",
     "count_reserved",
     "estimate_speeds",
+    "explain_infeasible",
     "find_drain_timeout_s",
     "find_guaranteed_jobs",
     "find_stall_timeout_s",
--- a/chiveledge/placement/_fleet.py
+++ b/chiveledge/placement/_fleet.py
@@ -441,16 +441,20 @@
 
 def can_hold(workers: Iterable[WorkerView], step: Step, count: int) -> bool:
     """Return whether `count` tasks of a step would fit if the workers were empty."""
-    usage = charged_usage(step)
     held = 0
     for worker in workers:
-        fitting = usage.count_in(worker.capacity)
-        held += min(fitting, step.max_per_worker or fitting)
+        held += count_if_empty(worker.capacity, step)
         if held >= count:
             return True
     return False
 
 
+def count_if_empty(capacity: Usage, step: Step) -> int:
+    """Return how many tasks of a step a worker holds if nothing else runs there."""
+    fitting = charged_usage(step).count_in(capacity)
+    return min(fitting, step.max_per_worker or fitting)
+
+
 def exclude_reserved(workers: list[WorkerView], demand: StepDemand) -> list[WorkerView]:
     """Return the workers that are not reserved for urgent work.
 
--- a/chiveledge/platform/_api.py
+++ b/chiveledge/platform/_api.py
@@ -17,6 +17,7 @@
     RELAYED_HEADER,
     REVISION_HEADER,
     Accepted,
+    Infeasible,
     JobIdInUse,
     JobStatus,
     JobStatusCache,
@@ -334,6 +335,8 @@
                 return await self._submit_by_peer(request, reason)
             case Refused(reason):
                 return _make_error(413, f"send a smaller job: {reason}")
+            case Infeasible(reason):
+                return _make_error(422, reason)
             case JobIdInUse():
                 return _make_error(409, "another job has this ID; choose a new one")
             case UnknownOutcome(reason):
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import sys
+from collections.abc import Iterable
 
 from absl import logging
 from aiohttp import web
@@ -20,6 +21,7 @@
 from chiveledge.http_limits import ClientServers, HostResources, RequestLimits
 from chiveledge.intake import (
     JOB_STATUS_PREFIX,
+    FleetCapacityCopy,
     JobStatusCache,
     JobStore,
     PeerDirectory,
@@ -48,7 +50,7 @@
     PlatformWorker,
     WorkerDecoder,
 )
-from chiveledge.services import ConnectionPool, HttpCaller
+from chiveledge.services import ConnectionPool, HttpCaller, Row
 from chiveledge.tasks import cancel_and_wait
 
 EXIT_BAD_SETTINGS = 2
@@ -128,6 +130,7 @@
         self._operator_rows = OperatorRows(self._log)
         self._pools: list[ConnectionPool] = []
         self._status_cache = JobStatusCache(self._log)
+        self._fleet = FleetCapacityCopy(self._clock, self._log)
         self._draining = asyncio.Event()
 
     async def run(self) -> None:
@@ -153,6 +156,7 @@
                 self._log,
                 self._max_row_chars,
                 lambda: store.unresponsive,
+                self._fleet.explain_infeasible,
             ),
             self._status_cache,
             self._make_relay(),
@@ -262,11 +266,19 @@
             JOB_STATUS_PREFIX,
             self._clock,
             self._log,
-            self._status_cache.apply_changes,
+            self._apply_board_changes,
             wait_s=STATUS_WATCH_S,
             pause_s=STATUS_BATCH_S,
         )
 
+    def _apply_board_changes(
+        self, rows: Iterable[Row], deleted: Iterable[str], is_snapshot: bool
+    ) -> None:
+        """Apply changes of the rows that the leader publishes to all processes."""
+        rows, deleted = list(rows), list(deleted)
+        self._fleet.apply_changes(rows, deleted, is_snapshot)
+        self._status_cache.apply_changes(rows, deleted, is_snapshot)
+
     def _make_relay(self) -> Relay:
         settings = self._settings
         self._peers = PeerDirectory(self._own_host, self._log)
--- a/tests/coordinator/cluster.py
+++ b/tests/coordinator/cluster.py
@@ -14,7 +14,12 @@
 from chiveledge.coordinator import Coordinator, CoordinatorTiming, TermContext
 from chiveledge.drains import NO_DRAINS, KnownDrains
 from chiveledge.events import Timeline
-from chiveledge.intake import JobStatusCache, JobStore, TableFollower
+from chiveledge.intake import (
+    FleetCapacityCopy,
+    JobStatusCache,
+    JobStore,
+    TableFollower,
+)
 from chiveledge.intake._status_cache import JOB_STATUS_PREFIX
 from chiveledge.leadership import Leadership
 from chiveledge.metrics import Metrics
@@ -126,12 +131,14 @@
         }
         self.log = RecordingLog()
         self.status_cache = JobStatusCache(self.log)
+        self.fleet = FleetCapacityCopy(cluster.clock, self.log)
         self.job_store = JobStore(
             self.store,
             self.status_cache,
             cluster.clock,
             self.log,
             cluster.table.max_value_chars,
+            explain_infeasible=self.fleet.explain_infeasible,
         )
         self.metrics = Metrics()
         self.follower = TableFollower(
@@ -139,7 +146,7 @@
             JOB_STATUS_PREFIX,
             cluster.clock,
             self.log,
-            self.status_cache.apply_changes,
+            self._apply_board_changes,
         )
         self.drain_rows = DrainRows(self.log)
         self._drain_max_age_s = cluster.drain_max_age_s
@@ -187,6 +194,11 @@
         """Whether this node leads."""
         return self.coordinator.term is not None
 
+    def _apply_board_changes(self, rows, deleted, is_snapshot) -> None:
+        rows, deleted = list(rows), list(deleted)
+        self.fleet.apply_changes(rows, deleted, is_snapshot)
+        self.status_cache.apply_changes(rows, deleted, is_snapshot)
+
     def _get_drains(self) -> KnownDrains:
         if self._drain_max_age_s is None:
             return NO_DRAINS
--- a/tests/platform/test_api.py
+++ b/tests/platform/test_api.py
@@ -76,6 +76,7 @@
         self.catalogue = decode_catalogue(json.dumps(CONFIGURATION)).unwrap()
         self.age_s = 0.0
         self.max_age_s = 2.0
+        self.infeasible = ""
         clock = SystemClock()
         self.table = MemoryTable(clock)
         self.status_cache = JobStatusCache(NullLog())
@@ -92,7 +93,14 @@
             lambda: self.age_s,
             lambda: self.max_age_s,
             lambda: False,
-            JobStore(self.table, self.status_cache, clock, NullLog(), 65_536),
+            JobStore(
+                self.table,
+                self.status_cache,
+                clock,
+                NullLog(),
+                65_536,
+                explain_infeasible=lambda _: self.infeasible,
+            ),
             self.status_cache,
             self._make_relay(clock),
             clock,
@@ -137,6 +145,18 @@
             yield api
 
 
+async def test_job_that_no_set_of_workers_holds_is_refused_unless_it_is_stored(api):
+    """A repeated submission of an accepted job gets the first answer."""
+    api.infeasible = "steps[0]: ask for fewer"
+    status, body, _ = await api.call("POST", f"/q/{ID}", JOB)
+    assert (status, body) == (422, {"error": api.infeasible})
+    assert (await api.call("GET", f"/q/{ID}"))[0] == 410
+    api.infeasible = ""
+    assert (await api.call("POST", f"/q/{ID}", JOB))[0] == 200
+    api.infeasible = "steps[0]: ask for fewer"
+    assert (await api.call("POST", f"/q/{ID}", JOB))[0] == 200
+
+
 async def test_job_is_accepted_read_and_counted(api):
     assert (await api.call("POST", f"/q/{ID}", JOB))[0] == 200
     assert (await api.call("POST", f"/q/{ID}", JOB))[0] == 200
--- a/tests/test_log_trace.py
+++ b/tests/test_log_trace.py
@@ -95,6 +95,12 @@
             ["no"],
             "h1 could not confirm whether the job was stored: UnknownOutcome ['no']",
         ),
+        (
+            "Infeasible",
+            ["no"],
+            "h1 refused the job, as no set of workers could ever hold it: "
+            "Infeasible ['no']",
+        ),
         ("Other", None, "h1 tried to store the job: Other None"),
     ],
 )
