--- a/chiveledge/placement/__init__.py
+++ b/chiveledge/placement/__init__.py
@@ -4,12 +4,7 @@
 
 from chiveledge.placement._evacuation import should_evacuate
 from chiveledge.placement._fairness import UsageByWorkspace, may_compete, order_fairly
-from chiveledge.placement._fleet import (
-    FleetView,
-    RunView,
-    WorkerView,
-    charged_usage,
-)
+from chiveledge.placement._fleet import FleetView
 from chiveledge.placement._fleet_capacity import WorkerKind, explain_infeasible
 from chiveledge.placement._learnt_speed import (
     LearntSpeeds,
@@ -40,6 +35,7 @@
 from chiveledge.placement._suspicion import WorkerSuspicion
 from chiveledge.placement._upkeep import choose_next_machines, find_drain_timeout_s
 from chiveledge.placement._waiting import WaitCause, find_wait_cause
+from chiveledge.placement._worker_view import RunView, WorkerView, charged_usage
 
 __all__ = [
     "APART_S",
--- a/chiveledge/placement/_fairness.py
+++ b/chiveledge/placement/_fairness.py
@@ -21,8 +21,8 @@
 from heapq import heapify, heappop, heappush
 from typing import NamedTuple
 
-from chiveledge.placement._fleet import charged_usage
 from chiveledge.placement._order import StepDemand, find_class, sort_demands
+from chiveledge.placement._worker_view import charged_usage
 from chiveledge.types import WorkspaceName
 from chiveledge.workload import Usage
 
--- a/chiveledge/placement/_fleet_capacity.py
+++ b/chiveledge/placement/_fleet_capacity.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from chiveledge.placement._fleet import count_if_empty
+from chiveledge.placement._worker_view import count_if_empty
 from chiveledge.workload import Step, Usage
 
 
--- a/chiveledge/placement/_packing.py
+++ b/chiveledge/placement/_packing.py
@@ -9,14 +9,10 @@
 
 from typing import NamedTuple
 
-from chiveledge.placement._fleet import (
-    FleetView,
-    WorkerView,
-    charged_usage,
-    exclude_reserved,
-)
+from chiveledge.placement._fleet import FleetView, exclude_reserved
 from chiveledge.placement._order import StepDemand
 from chiveledge.placement._pools import is_slowed_by_distance, list_pools
+from chiveledge.placement._worker_view import WorkerView, charged_usage
 from chiveledge.types import WorkerName
 from chiveledge.workload import Usage
 
--- a/chiveledge/placement/_pools.py
+++ b/chiveledge/placement/_pools.py
@@ -10,8 +10,8 @@
 
 from typing import NamedTuple
 
-from chiveledge.placement._fleet import WorkerView
 from chiveledge.placement._order import StepDemand
+from chiveledge.placement._worker_view import WorkerView
 from chiveledge.workload import Step
 
 RACK_TIMEOUT_S = 2.0
--- a/chiveledge/placement/_preemption.py
+++ b/chiveledge/placement/_preemption.py
@@ -12,15 +12,11 @@
 from heapq import heappop, heappush
 from typing import NamedTuple
 
-from chiveledge.placement._fleet import (
-    FleetView,
-    RunView,
-    WorkerView,
-    charged_usage,
-)
+from chiveledge.placement._fleet import FleetView
 from chiveledge.placement._order import StepDemand
 from chiveledge.placement._packing import Placement
 from chiveledge.placement._pools import list_pools
+from chiveledge.placement._worker_view import RunView, WorkerView, charged_usage
 from chiveledge.types import WorkerName
 from chiveledge.workload import Usage
 
--- a/chiveledge/placement/_waiting.py
+++ b/chiveledge/placement/_waiting.py
@@ -9,13 +9,9 @@
 from collections.abc import Iterable
 from enum import StrEnum
 
-from chiveledge.placement._fleet import (
-    FleetView,
-    WorkerView,
-    can_hold,
-    exclude_reserved,
-)
+from chiveledge.placement._fleet import FleetView, can_hold, exclude_reserved
 from chiveledge.placement._order import StepDemand
+from chiveledge.placement._worker_view import WorkerView
 
 
 class WaitCause(StrEnum):
--- a/tests/placement/test_preemption.py
+++ b/tests/placement/test_preemption.py
@@ -8,8 +8,8 @@
 import pytest
 
 from chiveledge.placement import choose_victims, make_plan
-from chiveledge.placement._fleet import charged_usage
 from chiveledge.placement._preemption import STOP_LOSS_CORE_S, _TrialAllocation
+from chiveledge.placement._worker_view import charged_usage
 from chiveledge.workload import Usage
 from tests.placement.fleets import make_demand, make_fleet, make_run, make_worker
 
