Read the rows of a region's inbox in a module of its own

What it reads of notices, cancellations and jobs is now in _inbox.py; what it decides by them stays. No change of behaviour; 519 tests of scheduler, administration, gateway and layout pass.

--- a/chiveledge/scheduler/_region.py
+++ b/chiveledge/scheduler/_region.py
@@ -6,14 +6,14 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from chiveledge.cells import GuaranteeRisk, WorkerSize
 from chiveledge.clock import Clock, run_with_timeout
 from chiveledge.configuration import Document
 from chiveledge.drains import KnownDrains
 from chiveledge.events import Timeline
-from chiveledge.jobs import Attempt, Job, JobState, job_key
+from chiveledge.jobs import Attempt, Job, JobState
 from chiveledge.leadership import Leadership
 from chiveledge.logs import PartLogger
 from chiveledge.metrics import Metrics
@@ -21,6 +21,7 @@
 from chiveledge.scheduler._attempt_runner import AttemptRunner
 from chiveledge.scheduler._drain_follower import DrainFollower
 from chiveledge.scheduler._failure_tracker import FailureTracker
+from chiveledge.scheduler._inbox import STORE_RETRY_S, InboxReader, parse_job_id
 from chiveledge.scheduler._job_repository import JobRepository
 from chiveledge.scheduler._planner import PlannedStart, Planner
 from chiveledge.scheduler._pressure import (
@@ -31,23 +32,17 @@
 )
 from chiveledge.scheduler._worker_session import WorkerSession
 from chiveledge.services import (
-    CallError,
     GroupCommit,
     ObjectStore,
-    Row,
     TableService,
     Worker,
 )
 from chiveledge.settings import TimingSettings
 from chiveledge.types import AttemptId, DomainName, JobId, RegionName, WorkerName
 
-STORE_RETRY_S = 0.3
 CLEANUP_INTERVAL_S = 60.0
 PLACEMENT_INTERVAL_S = 1.0
 RESTART_PAUSE_S = 0.2
-FULL_SCAN_THRESHOLD = 50
-"""New jobs above which one scan of all jobs replaces a read of each."""
-
 log = PartLogger("scheduler")
 
 
@@ -113,6 +108,7 @@
             context.region,
             max_age_s=context.timing.drains_stale_s,
         )
+        self._inbox = InboxReader(context.table, context.clock, context.region)
         self._sessions: dict[WorkerName, WorkerSession] = {}
         self._listed_workers = tuple(workers)
         self._planner = Planner(
@@ -251,7 +247,7 @@
         An adopted attempt may have members to start, so the drains are read first.
         """
         await self._read_first_drains()
-        jobs = self._repository.load(await self._scan_jobs())
+        jobs = self._repository.load(await self._inbox.scan_jobs())
         for worker in self._listed_workers:
             self._ensure_session(worker)
         for job in jobs:
@@ -275,15 +271,6 @@
                 self._update_availability()
                 self._wake_placement.set()
 
-    async def _scan_jobs(self) -> list[Row]:
-        prefix = f"job/{self._context.region}/"
-        while True:
-            match await self._context.table.scan(prefix):
-                case Ok(rows):
-                    return rows
-                case Err(_):
-                    await self._context.clock.sleep(STORE_RETRY_S)
-
     def _adopt(self, job: Job) -> None:
         attempt = job.attempt
         for worker in attempt.workers:
@@ -342,16 +329,13 @@
             await self._wait_for(self._wake_inbox, self._context.timing.inbox_poll_s)
 
     async def _read_inbox(self) -> None:
-        region = self._context.region
-        match await self._context.table.scan(f"inbox/{region}/"):
-            case Err(_):
-                return
-            case Ok(notices):
-                keys = [row.key for row in notices]
-        unknown = [
-            key for key in keys if _parse_job_id(key) not in self._repository.jobs
-        ]
-        rows, unread = await self._read_jobs(unknown)
+        keys = await self._inbox.scan_notices()
+        if keys is None:
+            return
+        known = self._repository.jobs
+        rows, unread = await self._inbox.read_jobs(
+            [key for key in keys if parse_job_id(key) not in known]
+        )
         new_jobs = self._repository.load(rows)
         for job in new_jobs:
             await self._reject_infeasible(job)
@@ -361,41 +345,14 @@
         if new_jobs:
             self._wake_placement.set()
 
-    async def _read_jobs(self, inbox_keys: list[str]) -> tuple[list[Row], set[str]]:
-        """Return the rows of new jobs, and the inbox keys whose job was not read.
-
-        A job's row is committed together with its inbox row, so a job without a row
-        has been deleted since.
-        """
-        if len(inbox_keys) > FULL_SCAN_THRESHOLD:
-            return await self._scan_jobs(), set()
-        results = await asyncio.gather(
-            *(self._read_job(_parse_job_id(key)) for key in inbox_keys)
-        )
-        rows = [row for result in results if (row := result.unwrap_or(None))]
-        unread = {
-            key
-            for key, result in zip(inbox_keys, results, strict=True)
-            if result.is_err()
-        }
-        return rows, unread
-
-    async def _read_job(self, job_id: JobId) -> Result[Row | None, CallError]:
-        return await self._context.table.read(job_key(job_id))
-
     async def _reject_infeasible(self, job: Job) -> None:
         reason = self._planner.explain_infeasible(job.spec)
         if reason and job.state is JobState.QUEUED:
             await self._repository.commit_rejection(job, reason)
 
     async def _read_cancellations(self) -> None:
-        region = self._context.region
-        match await self._context.table.scan(f"cancel/{region}/"):
-            case Ok(rows):
-                ids = [_parse_job_id(row.key) for row in rows]
-            case Err(_):
-                return
-        await asyncio.gather(*(self._cancel(job_id) for job_id in ids))
+        ids = await self._inbox.scan_cancellations()
+        await asyncio.gather(*(self._cancel(job_id) for job_id in ids or ()))
 
     async def _cancel(self, job_id: JobId) -> None:
         for runner in self._runners.values():
@@ -404,7 +361,7 @@
                 return
         if job_id not in self._repository.jobs:
             # The job may have arrived after the inbox was read.
-            match await self._read_job(job_id):
+            match await self._inbox.read_job(job_id):
                 case Ok(row):
                     self._repository.load([row] if row else [])
                 case Err(_):
@@ -612,7 +569,3 @@
         self._update_availability()
         self._update_guarantees_at_risk()
         self._wake_placement.set()
-
-
-def _parse_job_id(key: str) -> JobId:
-    return key.rpartition("/")[2]
