Name a wait for reserved or free capacity only while most of the fleet is free

A fleet row that names a service without workers refuses nothing (it would have raised an exception).

--- a/chiveledge/coordinator/_wait_monitor.py
+++ b/chiveledge/coordinator/_wait_monitor.py
@@ -20,6 +20,9 @@
 """Shortest time between two looks. Each is at one step, as hundreds of steps may wait
 for hundreds of workers."""
 
+USUAL_CAUSES = frozenset({WaitCause.FULL, WaitCause.RESERVED})
+"""Reasons that operators expect unless most of the fleet is free."""
+
 
 class _Wait(NamedTuple):
     """A step that waits.
@@ -86,7 +89,7 @@
 
     def _check_step(self, fleet: FleetView, demand: StepDemand, now_s: float) -> None:
         cause: WaitCause | None = find_wait_cause(fleet, demand)
-        if cause is WaitCause.FULL and not fleet.is_mostly_free(demand.service):
+        if cause in USUAL_CAUSES and not fleet.is_mostly_free(demand.service):
             cause = None
         before = self._waits.get(demand.step_name)
         self._waits[demand.step_name] = _Wait(now_s, cause)
--- a/chiveledge/intake/_fleet_row.py
+++ b/chiveledge/intake/_fleet_row.py
@@ -109,6 +109,7 @@
         kinds = self._fleet.get(service)
         if not kinds:
             return ""
-        if self._clock.monotonic() - self._grown_s[service] < SETTLED_S:
+        grown_s = self._grown_s.get(service, float("inf"))
+        if self._clock.monotonic() - grown_s < SETTLED_S:
             return ""
         return explain_infeasible(kinds, request.steps)
--- a/tests/coordinator/test_fleet_capacity.py
+++ b/tests/coordinator/test_fleet_capacity.py
@@ -7,7 +7,7 @@
 from chiveledge.coordinator import _fleet_capacity
 from chiveledge.intake import FLEET_KEY, Accepted, Infeasible
 from chiveledge.intake._fleet_row import SETTLED_S
-from chiveledge.workload import Step, Usage
+from chiveledge.workload import JobRequest, Step, Usage
 from tests.coordinator.cluster import CAPACITY, SMALL
 
 WHOLE_WORKER = Usage(1000, 100, CAPACITY.accelerators)
@@ -106,7 +106,11 @@
     assert len(node.log.find("intake", "bad_fleet")) == 4
     node.fleet.apply_changes([row], [], False)
     node.fleet.apply_changes([], [FLEET_KEY], False)
+    empty = '{"other":[[["a"],1,1,1,0]]}'
+    node.fleet.apply_changes([row._replace(value=empty)], [], False)
     assert await cluster.submit("j2", WIDE) == Accepted()
+    request = JobRequest("j3", "q", "cafes", "", (WIDE,), 0, service="other")
+    assert not node.fleet.explain_infeasible(request)
 
 
 async def test_capacity_is_written_once_while_it_stays_the_same(cluster):
--- a/tests/coordinator/test_wait_monitor.py
+++ b/tests/coordinator/test_wait_monitor.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import pytest
+
+from chiveledge.coordinator import _planning
 from chiveledge.placement import WaitCause
 from chiveledge.workload import JobState, Step, Usage
 from tests.coordinator.cluster import CAPACITY, SMALL
@@ -40,6 +43,23 @@
     assert cluster.state("j2") is JobState.COMPLETED
 
 
+@pytest.mark.parametrize("busy", [1, 3])
+async def test_reservation_is_named_only_if_most_of_the_fleet_is_free(
+    make_cluster, monkeypatch, busy
+):
+    """Of four workers one is reserved; the other three are full, or one of them is."""
+    monkeypatch.setattr(_planning, "count_reserved", lambda *_: 1)
+    cluster = make_cluster(workers=4)
+    await cluster.advance(1.0)
+    await cluster.submit("u", Step(count=1, usage=SMALL), queue="urgent", work_s=0.2)
+    await cluster.submit("j1", Step(count=busy, usage=FULL_WORKER), work_s=20.0)
+    await cluster.advance(1.0)
+    await cluster.submit("j2", Step(count=3, usage=FULL_WORKER, gang=True))
+    await cluster.advance(6.0)
+    causes = [line["cause"] for line in cluster.leader.log.find("coordinator", "waits")]
+    assert causes == ([WaitCause.RESERVED] if busy == 1 else [])
+
+
 async def test_waiting_on_a_full_fleet_has_no_line(make_cluster):
     cluster = make_cluster(workers=1)
     await cluster.advance(1.0)
