--- a/tests/coordinator/test_random_faults.py
+++ b/tests/coordinator/test_random_faults.py
@@ -67,6 +67,7 @@
             gang=rng.random() < 0.4,
             checkpoints=rng.random() < 0.4,
         )
+        step = self.place_preferably(step)
         fails = rng.random() < 0.1
         outcome = await self.cluster.submit(
             job_id,
@@ -86,6 +87,10 @@
                 if isinstance(done, Accepted):
                     self.cancelled.add(job_id)
 
+    def place_preferably(self, step: Step) -> Step:
+        """Return a step with what it prefers of its workers; here nothing."""
+        return step
+
     async def inject_fault(self, number: int) -> None:
         rng, cluster = self.rng, self.cluster
         worker = rng.choice(list(cluster.workers.values()))
@@ -165,6 +170,36 @@
         assert not left
 
 
+class PreferenceScenario(FaultScenario):
+    """Steps prefer racks and spread, so that many gangs fit on no preferred set.
+
+    The last rack holds the data of some, though no worker is there.
+    """
+
+    def __init__(self, seed: int, **options) -> None:
+        super().__init__(seed, **options)
+        self._preferences = random.Random(f"preferences {seed}")
+
+    def place_preferably(self, step: Step) -> Step:
+        draw = self._preferences
+        return step._replace(
+            data_rack=draw.choice(["", "r0", "r1", "r9"]),
+            same_rack=draw.random() < 0.3,
+            max_per_worker=draw.choice([0, 1, 1]),
+        )
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_no_job_with_preferences_is_lost_or_repeated(seed):
+    """A gang wider than each set of workers it preferred never started (review/6)."""
+    scenario = PreferenceScenario(seed)
+    try:
+        await scenario.run()
+        await scenario.check()
+    finally:
+        await scenario.cluster.close()
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_no_job_is_lost_or_repeated(seed):
     scenario = FaultScenario(seed)
