--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -44,6 +44,10 @@
 """The bounds on the sheet of pedal-sched."""
 
 HEARTBEAT_S = 1.5
+
+LATE_S = 10.0
+"""When an order that was left unanswered is carried out; the pages say 2 to 12 s."""
+
 SERVICE = "bench"
 HOST = "queue.example"
 KEY = "a-key-of-the-tenant"
@@ -400,6 +404,25 @@
 
     async def _start(self, request: web.Request) -> web.Response:
         body = await request.json()
+        is_late = self._platform.is_late_order(self, body["task"])
+        self._platform.count_order(is_late=is_late)
+        if not is_late:
+            return self._carry_out(body)
+        text = (
+            f"{self.name} leaves the start of {body['task']} #{body['run']} unanswered"
+        )
+        self._platform.record.write(text)
+        self._tasks.append(asyncio.create_task(self._carry_out_late(body)))
+        await asyncio.sleep(LATE_S)
+        raise web.HTTPServiceUnavailable
+
+    async def _carry_out_late(self, body: dict) -> None:
+        await asyncio.sleep(LATE_S)
+        text = f"{self.name} carries out late: {body['task']} #{body['run']}"
+        self._platform.record.write(text)
+        self._carry_out(body)
+
+    def _carry_out(self, body: dict) -> web.Response:
         task, number = body["task"], body["run"]
         if body.get("fence", 0) < self.fence:
             return self._respond("fence")
@@ -425,6 +448,7 @@
 
     async def _stop(self, request: web.Request) -> web.Response:
         body = await request.json()
+        self._platform.count_order(is_late=False)
         if body.get("fence", 0) < self.fence:
             return self._respond("fence")
         self.fence = body.get("fence", 0)
@@ -474,6 +498,9 @@
         self.starts: list[tuple[float, str, int]] = []
         self.ends: list[tuple[float, str, int, str]] = []
         self.active: dict[str, int] = defaultdict(int)
+        self.is_late_order = lambda minion, task: False
+        self.orders = 0
+        self.late_orders = 0
         self.nodes: dict[str, Node] = {}
         self._tickets: dict[str, float] = {}
         self._advice_turns: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
@@ -550,6 +577,19 @@
                     self.store.drop("servers", "", name)
                     self.record.write(f"the entry of {name} expires")
 
+    def count_order(self, *, is_late: bool) -> None:
+        self.orders += 1
+        self.late_orders += is_late
+
+    async def restart_minion(self, minion: Minion, down_s: float) -> None:
+        """Crash a minion; it starts again under its name and knows nothing."""
+        self.record.write(f"{minion.name} crashes")
+        await minion.crash()
+        self.minions.remove(minion)
+        await asyncio.sleep(down_s)
+        await self.add_minion(minion.name, minion.zone)
+        self.record.write(f"{minion.name} is back")
+
     def note_start(self, run: Run, minion: Minion) -> None:
         self.starts.append((self.record.now_s, run.task, run.number))
         self.active[run.task.split(".")[0]] += 1
