--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -43,6 +43,9 @@
 }  # fmt: skip
 """The bounds on the sheet of pedal-sched."""
 
+MAX_S = 110.0
+"""Longest time of a script; the rest of two minutes is for its end."""
+
 HEARTBEAT_S = 1.5
 
 LATE_S = 10.0
@@ -785,7 +788,7 @@
     """Relays connections to a port; a partition holds up all bytes of both ways.
 
     Bytes that are held up are delivered when the partition ends, unless their sender
-    has reset the connection meanwhile.
+    has reset the connection meanwhile. No connection is made during a partition.
     """
 
     def __init__(self, port: int) -> None:
@@ -806,8 +809,12 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        try:
+        if not self._open.is_set():
+            # Behind a partition no connection is made; its client gives up.
             await self._open.wait()
+            writer.transport.abort()
+            return
+        try:
             target = await asyncio.open_connection("127.0.0.1", self._target)
         except OSError:
             writer.transport.abort()
@@ -822,6 +829,9 @@
         try:
             while data := await reader.read(1 << 16):
                 await self._open.wait()
+                if reader.exception() is not None:
+                    # The sender has reset the connection: what is held up is lost.
+                    raise reader.exception()
                 writer.write(data)
                 await writer.drain()
             await self._open.wait()
@@ -848,12 +858,26 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"TROUBLE={int(trouble)}")
     platform = Platform(record)
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
-        await platform.start(minions, nodes, wire)
-        broken = await play(platform, trouble)
+        async with asyncio.timeout(MAX_S):
+            await platform.start(minions, nodes, wire)
+            broken = await play(platform, trouble)
+    except asyncio.CancelledError:
+        record.write("the case was ended from outside")
+        return NOT_RUN
+    except TimeoutError:
+        record.write(f"the case could not run: it took over {MAX_S} s")
+        return NOT_RUN
     except NotRun as error:
         record.write(f"the case could not run: {error}")
         return NOT_RUN
+    except Exception as error:
+        # An error of the stand-ins must not look like a broken rule.
+        record.write(f"the case could not run: {error!r}")
+        return NOT_RUN
     finally:
         if os.environ.get("SHOW_LOGS"):
             for node in platform.nodes.values():
