Store a cancel that finds no job, and check it in each submission

Cause: a cancel that found no job answered "no such job" and wrote nothing, and the submission's transaction checked only that the job's row is absent. A send of it that was performed after the answer met that condition. Ruled out: connections that are closed without a reset (the fault shows on a table in memory, without connections, when the store performs a write late); the leader forgetting an early cancellation (it cancels a job whose cancellation row is there); an answer from the cache (the reads went to the store, and the row was not there).

Change: the cancel stores its row before it is answered, on the condition that the job is absent, and each submission checks that the row of its workspace is absent. Both are in one part of the store, so whichever is committed first decides about the other, under any process or leader. The key has a digest of the workspace, so that nobody cancels or blocks the job of another one. A submission after it is answered 410 and not stored. The leader removes the row after the time for which the state of an ended job is kept, at least 60 s, counted from its own first read of the present version. What removes left-over progress no longer deletes cancellations.

--- a/chiveledge/coordinator/_progress_writer.py
+++ b/chiveledge/coordinator/_progress_writer.py
@@ -43,7 +43,6 @@
     Unsettled,
     transact_hedged,
 )
-from chiveledge.services.table import ABSENT
 from chiveledge.types import JobId
 from chiveledge.workload import JobProgress
 
@@ -212,7 +211,7 @@
             return False
         if not await self._removal.confirm_end(job, encode_job_status(job)):
             return False
-        if not await self._removal.delete_request(job.job_id, request_version):
+        if not await self._removal.delete_request(job.request, request_version):
             return False
         return await self._delete_progress(job.job_id)
 
@@ -224,7 +223,7 @@
         bool
             Whether all its rows are deleted. False if there is a request after all.
         """
-        if not await self._removal.delete_request(job_id, ABSENT):
+        if not await self._removal.delete_initial_status(job_id):
             return False
         return await self._delete_progress(job_id)
 
--- a/chiveledge/coordinator/_row_removal.py
+++ b/chiveledge/coordinator/_row_removal.py
@@ -23,7 +23,7 @@
 from chiveledge.services import Check, Conflict, Put, TableService, Transaction
 from chiveledge.services.table import ABSENT
 from chiveledge.types import JobId
-from chiveledge.workload import JobProgress
+from chiveledge.workload import JobProgress, JobRequest
 
 
 class RowRemoval:
@@ -66,7 +66,7 @@
                 return self._log_not_removed(job.job_id, error)
         raise AssertionError("unreachable")
 
-    async def delete_request(self, job_id: JobId, version: int) -> bool:
+    async def delete_request(self, request: JobRequest, version: int) -> bool:
         """Delete the rows of a job's submission, unless another one replaced them.
 
         Returns
@@ -74,17 +74,20 @@
         bool
             Whether the request of this version is gone.
         """
+        job_id = request.job_id
         key = job_key(job_id)
-        keys = (key, cancel_key(job_id), initial_job_status_key(job_id))
+        deletes = (
+            key,
+            cancel_key(job_id, request.workspace),
+            initial_job_status_key(job_id),
+        )
         transaction = Transaction(
-            uuid.uuid4().hex,
-            (Check(key, version),),
-            deletes=keys if version != ABSENT else keys[1:],
+            uuid.uuid4().hex, (Check(key, version),), deletes=deletes
         )
         match await self._table.transact(transaction):
             case Ok(_):
                 return True
-            case Err(Conflict()) if version != ABSENT:
+            case Err(Conflict()):
                 # The answer to an earlier deletion may be lost.
                 found = await self._table.read(key)
                 match found:
@@ -95,6 +98,22 @@
                 return self._log_not_removed(job_id, error)
         raise AssertionError("unreachable")
 
+    async def delete_initial_status(self, job_id: JobId) -> bool:
+        """Delete the first status of a job without a request.
+
+        Returns
+        -------
+        bool
+            Whether there is neither. False if there is a request after all.
+        """
+        transaction = Transaction(
+            uuid.uuid4().hex,
+            (Check(job_key(job_id), ABSENT),),
+            deletes=(initial_job_status_key(job_id),),
+        )
+        result = await self._table.transact(transaction)
+        return result.is_ok() or self._log_not_removed(job_id, result.err())
+
     async def delete_progress(self, job_id: JobId, parts: Iterable[str]) -> bool:
         """Delete the progress and the status of a job; return whether all are deleted.
 
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -10,6 +10,7 @@
 
 from chiveledge.coordinator._advice import TicketCache
 from chiveledge.coordinator._context import TermContext
+from chiveledge.coordinator._early_cancellations import EarlyCancellations
 from chiveledge.coordinator._fleet_capacity import FleetCapacityKeeper
 from chiveledge.coordinator._learnt_figures import LearntFigureKeeper
 from chiveledge.coordinator._orders import OrderDispatcher
@@ -30,10 +31,10 @@
 from chiveledge.coordinator._workers import POLL_RETRY_S, WorkerMonitor
 from chiveledge.decoding import DECODE_ERRORS, describe_error
 from chiveledge.intake import (
-    CANCEL_SUFFIX,
     INBOX_PREFIX,
+    Cancellation,
     TableFollower,
-    is_cancel_key,
+    parse_cancel_key,
 )
 from chiveledge.leadership import Leadership
 from chiveledge.placement import LearntSpeeds, WorkerSuspicion
@@ -93,7 +94,13 @@
         self._began_s = self._clock.monotonic()
         self._unmatched_progress: dict[str, StoredJob] = {}
         self._unreadable_jobs: dict[str, tuple[Step, ...]] = {}
-        self._early_cancellations: set[str] = set()
+        self._early_cancellations = EarlyCancellations(
+            context.table,
+            context.clock,
+            context.log,
+            context.timing.keep_cancellations_s,
+            lambda job_id: job_id in self.jobs,
+        )
         self._request_versions: dict[str, int] = {}
         self._removed: dict[str, _RemovedJob] = {}
         self._submitted_again: dict[str, Row] = {}
@@ -281,10 +288,15 @@
         self, rows: Iterable[Row], deleted: Iterable[str], is_snapshot: bool
     ) -> None:
         """Admit new jobs and cancel jobs; deleted rows are those of expired jobs."""
+        rows = list(rows)
+        self._early_cancellations.discard(deleted)
+        if is_snapshot:
+            self._early_cancellations.retain(row.key for row in rows)
         for row in rows:
             job_id = parse_row_name(row.key)
-            if is_cancel_key(row.key):
-                self._cancel_job(job_id.removesuffix(CANCEL_SUFFIX))
+            cancellation = parse_cancel_key(row.key)
+            if cancellation is not None:
+                self._apply_cancellation(row, cancellation)
             elif job_id in self.jobs:
                 if row.version > self._request_versions[job_id]:
                     # The present job of this ID is being removed.
@@ -334,8 +346,9 @@
         )
         for name, task, run in job.open_runs():
             self._adopt(job, name, task, run)
-        if job_id in self._early_cancellations:
-            self._cancel_job(job_id)
+        is_cancelled = self._early_cancellations.pop_applicable(request)
+        if is_cancelled and not job.state.ended:
+            self._cancel_job(job)
 
     def _adopt(
         self, job: JobProgress, name: TaskName, task: TaskProgress, run: OpenRun
@@ -359,20 +372,22 @@
         if job.state.ended:
             self._orders.stop(link, tracked, "the job has ended")
 
-    def _cancel_job(self, job_id: str) -> None:
-        job = self.jobs.get(job_id)
-        if job is None:
-            self._early_cancellations.add(job_id)
-            return
-        self._early_cancellations.discard(job_id)
-        if not job.state.ended:
-            self._log.write("coordinator", "cancelled", id=job_id, state=job.state)
-            self._orders.end_job(job, JobState.CANCELLED, "cancelled by the caller")
+    def _apply_cancellation(self, row: Row, cancellation: Cancellation) -> None:
+        job = self.jobs.get(cancellation.job_id)
+        if job is None or not cancellation.applies_to(job.request.workspace):
+            self._early_cancellations.record(row, cancellation)
+        elif not job.state.ended:
+            self._cancel_job(job)
+
+    def _cancel_job(self, job: JobProgress) -> None:
+        self._log.write("coordinator", "cancelled", id=job.job_id, state=job.state)
+        self._orders.end_job(job, JobState.CANCELLED, "cancelled by the caller")
 
     async def _cleanup_loop(self) -> None:
         while True:
             await self._clock.sleep(CLEANUP_INTERVAL_S)
             self._forget_removed_jobs()
+            await self._early_cancellations.remove_expired()
             for job in list(self.jobs.values()):
                 if self._is_expired(job):
                     await self._remove_job(job)
--- a/chiveledge/coordinator/_timing.py
+++ b/chiveledge/coordinator/_timing.py
@@ -31,6 +31,9 @@
         Longest time that a stop takes.
     keep_ended_s : float
         How long the state of an ended job can be read.
+    keep_cancellations_s : float
+        How long a cancellation without its job is kept; longer than a submission can
+        be on its way.
     drain_s : float
         Shortest time that a worker stays after it announced draining.
     machine_lease_s : float
@@ -52,6 +55,7 @@
     order_timeout_s: float = 0.8
     stop_s: float = 0.9
     keep_ended_s: float = 180.0
+    keep_cancellations_s: float = 180.0
     drain_s: float = 2.5
     machine_lease_s: float = 3.0
     upkeep_s: float = 2.0
--- a/chiveledge/intake/__init__.py
+++ b/chiveledge/intake/__init__.py
@@ -9,23 +9,26 @@
     encode_fleet,
 )
 from chiveledge.intake._follower import TableFollower
-from chiveledge.intake._job_store import (
-    CANCEL_SUFFIX,
+from chiveledge.intake._inbox_rows import (
     INBOX_PREFIX,
+    Cancellation,
+    cancel_key,
+    job_key,
+    parse_cancel_key,
+)
+from chiveledge.intake._job_store import JobStore
+from chiveledge.intake._outcomes import (
     Accepted,
     CancelOutcome,
     Infeasible,
     JobIdInUse,
-    JobStore,
     NotFound,
     NotStored,
     ReadOutcome,
     Refused,
     SubmitOutcome,
     UnknownOutcome,
-    cancel_key,
-    is_cancel_key,
-    job_key,
+    Withdrawn,
 )
 from chiveledge.intake._peers import (
     PeerDirectory,
@@ -53,7 +56,6 @@
 )
 
 __all__ = [
-    "CANCEL_SUFFIX",
     "FLEET_KEY",
     "INBOX_PREFIX",
     "JOB_STATUS_PREFIX",
@@ -61,6 +63,7 @@
     "REVISION_HEADER",
     "Accepted",
     "CancelOutcome",
+    "Cancellation",
     "FleetCapacityCopy",
     "Infeasible",
     "JobIdInUse",
@@ -80,6 +83,7 @@
     "SubmitOutcome",
     "TableFollower",
     "UnknownOutcome",
+    "Withdrawn",
     "cancel_key",
     "choose_retry_after_s",
     "decode_fleet",
@@ -87,9 +91,9 @@
     "encode_fleet",
     "encode_status",
     "initial_job_status_key",
-    "is_cancel_key",
     "job_key",
     "job_status_key",
     "join_peers",
     "make_host_put",
+    "parse_cancel_key",
 ]
--- a/chiveledge/intake/_job_store.py
+++ b/chiveledge/intake/_job_store.py
@@ -1,118 +1,59 @@
 """Accepts, reads and cancels jobs through the table service.
 
 A job is accepted once its row is committed. A refusal guarantees that the job does
-not run, so it is returned only if no write of the job can still take effect.
+not run, so it is returned only if no write of the job can still take effect. The same
+holds for a cancellation that finds no job: it is stored before it is answered, and no
+submission of the job that is still on its way can be committed after it.
 """
 
 from __future__ import annotations
 
-import uuid
 from collections.abc import Callable
-from typing import NamedTuple, TypeAlias
 
 from result import Err, Ok
 
 from chiveledge.clock import Clock
 from chiveledge.decision_log import DecisionLog
+from chiveledge.intake._inbox_rows import (
+    job_key,
+    make_cancellation,
+    make_submission,
+)
+from chiveledge.intake._outcomes import (
+    Accepted,
+    CancelOutcome,
+    Infeasible,
+    JobIdInUse,
+    NotFound,
+    NotStored,
+    ReadOutcome,
+    Refused,
+    SubmitOutcome,
+    UnknownOutcome,
+    Withdrawn,
+)
 from chiveledge.intake._status_cache import (
     JobStatus,
     JobStatusCache,
-    choose_part,
     decode_status,
-    encode_status,
     initial_job_status_key,
     job_status_key,
 )
 from chiveledge.services import (
-    Check,
     Conflict,
     HedgeDelay,
-    Put,
     Rejected,
     TableService,
-    Transaction,
     Unavailable,
     Unsettled,
-    make_row_key,
     transact_hedged,
 )
-from chiveledge.services.table import ABSENT
 from chiveledge.types import JobId, WorkspaceName
-from chiveledge.workload import JobRequest, JobState, encode_request
+from chiveledge.workload import JobRequest
 
-INBOX_TABLE = "inbox"
-INBOX_PREFIX = f"{INBOX_TABLE}/"
-CANCEL_SUFFIX = "~cancel"
 RETRY_S = 0.1
 
 
-class Accepted(NamedTuple):
-    """The operation is stored.
-
-    Attributes
-    ----------
-    repeated : bool
-        Whether the job was already stored, or had already ended when cancelled.
-    """
-
-    repeated: bool = False
-
-
-class NotStored(NamedTuple):
-    """The job is not stored and no pending write can store it."""
-
-    reason: str
-
-
-class UnknownOutcome(NamedTuple):
-    """The operation may have taken effect, or may still do so."""
-
-    reason: str
-
-
-class Refused(NamedTuple):
-    """The job is not stored, and can't be, whenever it is submitted."""
-
-    reason: str
-
-
-class Infeasible(NamedTuple):
-    """The job is not stored, since no set of the workers could ever hold it."""
-
-    reason: str
-
-
-class NotFound(NamedTuple):
-    """No job has this ID."""
-
-
-class JobIdInUse(NamedTuple):
-    """A job of another workspace has this ID; nothing was stored."""
-
-
-SubmitOutcome: TypeAlias = (
-    Accepted | NotStored | Refused | Infeasible | JobIdInUse | UnknownOutcome
-)
-CancelOutcome: TypeAlias = Accepted | NotFound | UnknownOutcome
-ReadOutcome: TypeAlias = JobStatus | NotFound | UnknownOutcome
-
-
-def job_key(job_id: JobId) -> str:
-    """Return the key of the row that stores a job's request."""
-    return make_row_key(INBOX_TABLE, choose_part(job_id), job_id)
-
-
-def cancel_key(job_id: JobId) -> str:
-    """Return the key of the row that requests a job's cancellation."""
-    name = job_id + CANCEL_SUFFIX
-    return make_row_key(INBOX_TABLE, choose_part(job_id), name)
-
-
-def is_cancel_key(key: str) -> bool:
-    """Whether an inbox key is that of a cancellation request."""
-    return key.endswith(CANCEL_SUFFIX)
-
-
 class JobStore:
     """Submits, reads and cancels jobs for the callers of one process.
 
@@ -163,7 +104,7 @@
         timeout_s : float
             How long to wait for the store, in seconds.
         """
-        submission = _make_submission(request)
+        submission = make_submission(request)
         row_chars = max(len(put.value) for put in submission.puts)
         if row_chars > self._max_row_chars:
             reason = f"a row of {row_chars} bytes exceeds {self._max_row_chars}"
@@ -184,6 +125,9 @@
         match result:
             case Ok(_):
                 return self._log_submit(request, Accepted())
+            case Err(Conflict(keys)) if job_key(request.job_id) not in keys:
+                # Only its cancellation is stored, which all its sends check.
+                return self._log_submit(request, Withdrawn())
             case Err(Conflict()):
                 return self._log_submit(request, await self._find_existing(request))
             case Err(Rejected(reason)):
@@ -243,35 +187,48 @@
             How long to try, in seconds.
         """
         deadline_s = self._clock.monotonic() + timeout_s
-        transaction = Transaction(
-            write_id=uuid.uuid4().hex, puts=(Put(cancel_key(job_id), "{}"),)
-        )
         while True:
             remaining_s = deadline_s - self._clock.monotonic()
-            match await self.read(job_id):
-                case NotFound():
-                    return self._log_cancel(job_id, NotFound())
-                case JobStatus(workspace=owner) if owner != workspace:
-                    return self._log_cancel(job_id, NotFound())
-                case JobStatus(state=state) if state.ended:
-                    return self._log_cancel(job_id, Accepted(repeated=True))
-                case JobStatus():
-                    written = await transact_hedged(
-                        self._table,
-                        transaction,
-                        self._clock,
-                        self._hedge_delay,
-                        timeout_s=remaining_s,
-                    )
-                    if written.is_ok():
-                        return self._log_cancel(job_id, Accepted())
-                case UnknownOutcome():
-                    pass
+            outcome = await self._try_cancel(job_id, workspace, remaining_s)
+            if not isinstance(outcome, UnknownOutcome):
+                return self._log_cancel(job_id, workspace, outcome)
             if self._clock.monotonic() + RETRY_S >= deadline_s:
-                outcome = UnknownOutcome("the store did not confirm the cancellation")
-                return self._log_cancel(job_id, outcome)
+                return self._log_cancel(job_id, workspace, outcome)
             await self._clock.sleep(RETRY_S)
 
+    async def _try_cancel(
+        self, job_id: JobId, workspace: WorkspaceName, timeout_s: float
+    ) -> CancelOutcome:
+        """Store the request to cancel a job once; return the outcome."""
+        match await self.read(job_id):
+            case JobStatus(workspace=owner, state=state) if owner == workspace:
+                if state.ended:
+                    return Accepted(repeated=True)
+                outcome, must_be_unknown = Accepted(), False
+            case JobStatus():
+                # A submission of the caller's own workspace may be performed once the
+                # job of the other one has been removed.
+                outcome, must_be_unknown = NotFound(), False
+            case NotFound():
+                outcome, must_be_unknown = NotFound(), True
+            case UnknownOutcome() as unknown:
+                return unknown
+        written = await transact_hedged(
+            self._table,
+            make_cancellation(job_id, workspace, must_be_unknown=must_be_unknown),
+            self._clock,
+            self._hedge_delay,
+            timeout_s=timeout_s,
+        )
+        match written:
+            case Ok(_):
+                return outcome
+            case Err(Conflict()):
+                return UnknownOutcome("the job was stored meanwhile")
+            case Err(_):
+                return UnknownOutcome("the store did not confirm the cancellation")
+        raise AssertionError("unreachable")
+
     def _log_submit(self, request: JobRequest, outcome: SubmitOutcome):
         self._log.write(
             "intake",
@@ -285,20 +242,15 @@
         )
         return outcome
 
-    def _log_cancel(self, job_id: JobId, outcome: CancelOutcome):
-        self._log.write("intake", "cancel", id=job_id, outcome=type(outcome).__name__)
+    def _log_cancel(
+        self, job_id: JobId, workspace: WorkspaceName, outcome: CancelOutcome
+    ) -> CancelOutcome:
+        self._log.write(
+            "intake",
+            "cancel",
+            id=job_id,
+            workspace=workspace,
+            outcome=type(outcome).__name__,
+            detail=list(outcome),
+        )
         return outcome
-
-
-def _make_submission(request: JobRequest) -> Transaction:
-    status = JobStatus(
-        request.queue, request.workspace, JobState.QUEUED, request.occurrences > 0
-    )
-    return Transaction(
-        write_id=uuid.uuid4().hex,
-        checks=(Check(job_key(request.job_id), ABSENT),),
-        puts=(
-            Put(job_key(request.job_id), encode_request(request)),
-            Put(initial_job_status_key(request.job_id), encode_status(status)),
-        ),
-    )
--- a/chiveledge/platform/_api.py
+++ b/chiveledge/platform/_api.py
@@ -30,6 +30,7 @@
     Relay,
     Relayed,
     UnknownOutcome,
+    Withdrawn,
     choose_retry_after_s,
 )
 from chiveledge.metrics import Metrics
@@ -337,6 +338,9 @@
                 return _make_error(413, f"send a smaller job: {reason}")
             case Infeasible(reason):
                 return _make_error(422, reason)
+            case Withdrawn():
+                reason = "the job was cancelled before it was stored; choose a new ID"
+                return _make_error(410, reason)
             case JobIdInUse():
                 return _make_error(409, "another job has this ID; choose a new one")
             case UnknownOutcome(reason):
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -104,6 +104,13 @@
 EXIT_MARGIN_S = 1.0
 """Time reserved for closing connections before the end of `grace_s`."""
 
+KEPT_STATUS_FACTOR = 1.5
+"""How long the status of an ended job is kept, in times of what callers may rely on."""
+
+MIN_KEPT_CANCELLATION_S = 60.0
+"""Shortest time that a cancellation is kept without its job; submissions are on their
+way for seconds, with the suspensions of a process."""
+
 POLL_INTERVAL_S = 0.05
 SETTINGS_POLL_S = 2.0
 
@@ -290,6 +297,11 @@
         """Longest text of a row; all texts are ASCII."""
         return self._settings.row_bytes - WRITE_ID_CHARS
 
+    @property
+    def _keep_cancellations_s(self) -> float:
+        kept_s = self._settings.bounds.keep_status_s * KEPT_STATUS_FACTOR
+        return max(kept_s, MIN_KEPT_CANCELLATION_S)
+
     @property
     def _own_host(self) -> PeerHost:
         settings = self._settings
@@ -323,7 +335,8 @@
             longest_lease_s=bounds.longest_lease_s,
             stop_s=bounds.stop_s,
             drain_s=bounds.drain_s,
-            keep_ended_s=bounds.keep_status_s * 1.5,
+            keep_ended_s=bounds.keep_status_s * KEPT_STATUS_FACTOR,
+            keep_cancellations_s=self._keep_cancellations_s,
             machine_lease_s=bounds.machine_lease_s,
             upkeep_s=bounds.upkeep_s,
         )
--- a/tests/coordinator/cluster.py
+++ b/tests/coordinator/cluster.py
@@ -407,6 +407,7 @@
         work_s: float = 1.0,
         fails: bool = False,
         node: int = 0,
+        timeout_s: float = 2.0,
         crash_after_s: float | None = None,
         crash_indices: frozenset[int] | None = frozenset({0}),
         **schedule: int,
@@ -443,7 +444,7 @@
             target_s=policy.target_s,
             **schedule,
         )
-        return self.nodes[node].job_store.submit(request, 2.0)
+        return self.nodes[node].job_store.submit(request, timeout_s)
 
     async def call(self, coroutine):
         """Advance the clock until a coroutine is done; return its result."""
--- a/tests/coordinator/test_job_rows.py
+++ b/tests/coordinator/test_job_rows.py
@@ -63,7 +63,7 @@
     await cluster.submit("j1", Step(usage=SMALL), work_s=0.5)
     await cluster.advance(1.5)
     # The leader was killed after it removed the request, before the progress.
-    arrived = (job_key("j1"), cancel_key("j1"), initial_job_status_key("j1"))
+    arrived = (job_key("j1"), cancel_key("j1", "cafes"), initial_job_status_key("j1"))
     cluster.table.commit(Transaction("w", deletes=arrived))
     await cluster.restart(0)
     await cluster.advance(CLEANUP_INTERVAL_S + 3)
--- a/tests/platform/test_api.py
+++ b/tests/platform/test_api.py
@@ -195,9 +195,20 @@
     await api.call("POST", f"/q/{ID}", JOB)
     other = AUTH | {"Authorization": "Bearer k3"}
     assert (await api.call("DELETE", f"/q/{ID}", headers=other))[0] == 410
-    assert api.table.find(cancel_key(ID)) is None
+    assert api.table.find(cancel_key(ID, "t1")) is None
     assert (await api.call("DELETE", f"/q/{ID}"))[0] == 200
-    assert api.table.find(cancel_key(ID)) is not None
+    assert api.table.find(cancel_key(ID, "t1")) is not None
+
+
+async def test_submission_that_was_cancelled_before_it_arrived_is_refused_for_good(api):
+    """Its process was frozen; the job used to be accepted after the cancel's 410."""
+    assert (await api.call("DELETE", f"/q/{ID}"))[0] == 410
+    status, body, headers = await api.call("POST", f"/q/{ID}", JOB)
+    assert (status, "Retry-After" in headers) == (410, False)
+    assert "choose a new ID" in body["error"]
+    assert (await api.call("GET", f"/q/{ID}"))[0] == 410
+    other = AUTH | {"Authorization": "Bearer k3"}
+    assert (await api.call("POST", f"/q/{ID}", JOB, other))[0] == 200
 
 
 async def test_job_id_of_another_workspace_is_not_accepted_again(api):
