Carry out the cancel of a job that replaced a removed one of its ID

Callers saw: a job whose ID was used before is accepted while the leader removes the former job, its cancel is answered 200, and it runs.

Cause: between the deletion of the former job's request and that of its status row, the cancel read the status of the ended job and answered without a write. The leader, too, took a cancellation for one of the ended job that it still held.

Change: a cancel of an ended job stores its row as well, and the leader keeps a cancellation that meets an ended job until it knows the next one. Costs one write for a cancel of an ended job; the row goes with the rows of that job.

Evidence: test_cancel_of_a_job_submitted_again_during_its_removal_is_carried_out failed before (a second start of j1.0.0.0), passes now.

--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -374,9 +374,14 @@
 
     def _apply_cancellation(self, row: Row, cancellation: Cancellation) -> None:
         job = self.jobs.get(cancellation.job_id)
-        if job is None or not cancellation.applies_to(job.request.workspace):
+        if (
+            job is None
+            or job.state.ended
+            or not cancellation.applies_to(job.request.workspace)
+        ):
+            # An ended job may be about to be replaced by another one of its ID.
             self._early_cancellations.record(row, cancellation)
-        elif not job.state.ended:
+        else:
             self._cancel_job(job)
 
     def _cancel_job(self, job: JobProgress) -> None:
--- a/chiveledge/intake/_job_store.py
+++ b/chiveledge/intake/_job_store.py
@@ -202,9 +202,9 @@
         """Store the request to cancel a job once; return the outcome."""
         match await self.read(job_id):
             case JobStatus(workspace=owner, state=state) if owner == workspace:
-                if state.ended:
-                    return Accepted(repeated=True)
-                outcome, must_be_unknown = Accepted(), False
+                # The status may be that of an ended job which another one of its ID
+                # has just replaced, so the row is written all the same.
+                outcome, must_be_unknown = Accepted(repeated=state.ended), False
             case JobStatus():
                 # A submission of the caller's own workspace may be performed once the
                 # job of the other one has been removed.
--- a/tests/coordinator/test_early_cancellations.py
+++ b/tests/coordinator/test_early_cancellations.py
@@ -142,3 +142,26 @@
     await cluster.advance(KEEP_S + 2 * CLEANUP_INTERVAL_S)
     assert cluster.table.find(job_key("j1")) is not None
     assert has_cancel(cluster, "j1")
+
+
+async def test_cancel_of_a_job_submitted_again_during_its_removal_is_carried_out(
+    cluster, monkeypatch
+):
+    """It was taken for a cancel of the removed job, and the new one ran."""
+    await cluster.submit("j1", STEP, work_s=0.3)
+    await cluster.advance(1.5)
+    writer = cluster.leader.coordinator.term._progress_writer
+    delete_progress = writer._delete_progress
+
+    async def delete_late(job_id):
+        await cluster.clock.sleep(2.0)
+        return await delete_progress(job_id)
+
+    monkeypatch.setattr(writer, "_delete_progress", delete_late)
+    while cluster.table.find(job_key("j1")):
+        await cluster.advance(0.1)
+    starts = len(cluster.starts("j1"))
+    assert await cluster.submit("j1", STEP, work_s=0.5) == Accepted()
+    assert await cancel(cluster, "j1") == Accepted(repeated=True)
+    await cluster.advance(6)
+    assert len(cluster.starts("j1")) == starts
