Pass over late copies of the cancellation of a removed job

Callers saw: a job with an ID that was used before is cancelled, though nobody cancelled it since.

Cause: a read of the inbox that began before the removal of a cancelled job returns its cancellation. The leader kept it as one that came before its job, for as long as it led.

Change: a job is stored only if it is not cancelled, so a cancellation that concerns it has a higher version than its row. The leader passes over those with a lower one.

Evidence: test_late_read_of_a_removed_cancel_stops_no_later_job failed before (state cancelled instead of completed), passes now.

--- a/chiveledge/coordinator/_early_cancellations.py
+++ b/chiveledge/coordinator/_early_cancellations.py
@@ -89,16 +89,23 @@
         present = set(keys)
         self.discard([key for key in self._rows if key not in present])
 
-    def pop_applicable(self, job: JobRequest) -> bool:
-        """Return whether a job that is now known is cancelled; forget its rows."""
-        keys = [
-            key
+    def pop_applicable(self, job: JobRequest, version: int) -> bool:
+        """Return whether a job that is now known is cancelled; forget its rows.
+
+        Parameters
+        ----------
+        version : int
+            Version of the job's row. A job is stored only if it is not cancelled, so
+            rows of earlier versions are late copies of removed ones.
+        """
+        keys = {
+            key: known.version > version
             for key, known in self._rows.items()
             if known.cancellation.job_id == job.job_id
             and known.cancellation.applies_to(job.workspace)
-        ]
+        }
         self.discard(keys)
-        return bool(keys)
+        return any(keys.values())
 
     async def remove_expired(self) -> None:
         """Remove the rows that have been kept long enough, while the store answers."""
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -346,7 +346,7 @@
         )
         for name, task, run in job.open_runs():
             self._adopt(job, name, task, run)
-        is_cancelled = self._early_cancellations.pop_applicable(request)
+        is_cancelled = self._early_cancellations.pop_applicable(request, row.version)
         if is_cancelled and not job.state.ended:
             self._cancel_job(job)
 
@@ -381,7 +381,7 @@
         ):
             # An ended job may be about to be replaced by another one of its ID.
             self._early_cancellations.record(row, cancellation)
-        else:
+        elif row.version > self._request_versions[job.job_id]:
             self._cancel_job(job)
 
     def _cancel_job(self, job: JobProgress) -> None:
--- a/tests/coordinator/test_early_cancellations.py
+++ b/tests/coordinator/test_early_cancellations.py
@@ -165,3 +165,19 @@
     assert await cancel(cluster, "j1") == Accepted(repeated=True)
     await cluster.advance(6)
     assert len(cluster.starts("j1")) == starts
+
+
+async def test_late_read_of_a_removed_cancel_stops_no_later_job(cluster):
+    """The leader kept it for ever and cancelled the next job of the same ID."""
+    await cluster.submit("j1", STEP, work_s=30.0)
+    await cluster.advance(0.5)
+    assert await cancel(cluster, "j1") == Accepted()
+    stale = cluster.table.find_all("inbox/")
+    term = cluster.leader.coordinator.term
+    while "j1" in term.jobs:
+        await cluster.advance(0.1)
+    assert not has_cancel(cluster, "j1")
+    term._apply_inbox_changes(stale, (), False)
+    assert await cluster.submit("j1", STEP) == Accepted()
+    await cluster.advance(4)
+    assert cluster.state("j1") is JobState.COMPLETED
