Move whose cancellation a row is, and the ages of rows, to a package of their own

Both schedulers need them. EarlyCancellations finds the rows of a job by its ID instead of looking at all of them with each admission.

--- a/chiveledge/coordinator/_early_cancellations.py
+++ b/chiveledge/coordinator/_early_cancellations.py
@@ -4,41 +4,23 @@
 
 import uuid
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
 
 from result import Err, Ok
 
+from chiveledge.cancellations import RowAges
 from chiveledge.clock import Clock
 from chiveledge.decision_log import DecisionLog
-from chiveledge.intake import Cancellation, job_key, parse_cancel_key
+from chiveledge.intake import job_key, parse_cancel_key
 from chiveledge.services import Check, Conflict, Row, TableService, Transaction
-from chiveledge.types import JobId
-from chiveledge.workload import JobRequest
+from chiveledge.types import JobId, WorkspaceName
 
 MAX_REMOVALS = 256
 """Rows removed in one pass, more than callers may store in the time between two."""
 
 
-class _KnownRow(NamedTuple):
-    """A row, and when this leader read its present version first.
-
-    Attributes
-    ----------
-    seen_s : float
-        Monotonic time.
-    """
-
-    cancellation: Cancellation
-    version: int
-    seen_s: float
-
-
 class EarlyCancellations:
     """Rows of cancellations without their job, until no submission can arrive late.
 
-    Ages count from the first read by this leader on its own monotonic clock, since wall
-    clocks are set and differ. A takeover thus prolongs them and never shortens them.
-
     Parameters
     ----------
     table : TableService
@@ -46,7 +28,7 @@
     clock : Clock
         Time source.
     log : DecisionLog
-        Receives a line for each row that is removed, or that can't be.
+        Receives a line for each row whose time has ended.
     keep_s : float
         How long a row is kept, in seconds.
     is_known_job : callable
@@ -62,34 +44,43 @@
         is_known_job: Callable[[JobId], bool],
     ) -> None:
         self._table = table
-        self._clock = clock
         self._log = log
         self._keep_s = keep_s
         self._is_known_job = is_known_job
-        self._rows: dict[str, _KnownRow] = {}
+        self._ages = RowAges(clock)
+        self._rows: dict[JobId, dict[str, int]] = {}
 
     def __len__(self) -> int:
         """Return the number of rows."""
-        return len(self._rows)
+        return len(self._ages)
 
-    def record(self, row: Row, cancellation: Cancellation) -> None:
-        """Record the row of a cancellation that applies to no known job."""
-        known = self._rows.get(row.key)
-        if known is None or known.version != row.version:
-            now_s = self._clock.monotonic()
-            self._rows[row.key] = _KnownRow(cancellation, row.version, now_s)
+    def record(self, row: Row) -> None:
+        """Record the row of a cancellation that applies to no open job."""
+        job_id = parse_cancel_key(row.key).job_id
+        self._rows.setdefault(job_id, {})[row.key] = row.version
+        self._ages.record(row.key, row.version)
 
     def discard(self, keys: Iterable[str]) -> None:
         """Forget rows that were removed."""
         for key in keys:
-            self._rows.pop(key, None)
+            cancellation = parse_cancel_key(key)
+            if cancellation is None:
+                continue
+            rows = self._rows.get(cancellation.job_id, {})
+            rows.pop(key, None)
+            if not rows:
+                self._rows.pop(cancellation.job_id, None)
+            self._ages.discard([key])
 
     def retain(self, keys: Iterable[str]) -> None:
         """Forget all rows but some, which a read of all rows found."""
         present = set(keys)
-        self.discard([key for key in self._rows if key not in present])
+        recorded = [key for rows in self._rows.values() for key in rows]
+        self.discard(key for key in recorded if key not in present)
 
-    def pop_applicable(self, job: JobRequest, version: int) -> bool:
+    def pop_applicable(
+        self, job_id: JobId, workspace: WorkspaceName, version: int
+    ) -> bool:
         """Return whether a job that is now known is cancelled; forget its rows.
 
         Parameters
@@ -98,41 +89,36 @@
             Version of the job's row. A job is stored only if it is not cancelled, so
             rows of earlier versions are late copies of removed ones.
         """
-        keys = {
-            key: known.version > version
-            for key, known in self._rows.items()
-            if known.cancellation.job_id == job.job_id
-            and known.cancellation.applies_to(job.workspace)
+        rows = {
+            key: row_version
+            for key, row_version in self._rows.get(job_id, {}).items()
+            if parse_cancel_key(key).applies_to(workspace)
         }
-        self.discard(keys)
-        return any(keys.values())
+        self.discard(rows)
+        return any(row_version > version for row_version in rows.values())
 
     async def remove_expired(self) -> None:
         """Remove the rows that have been kept long enough, while the store answers."""
-        limit_s = self._clock.monotonic() - self._keep_s
-        expired = [key for key, known in self._rows.items() if known.seen_s <= limit_s]
-        for key in expired[:MAX_REMOVALS]:
-            known = self._rows.get(key)
-            if known is not None and not await self._remove(key, known):
+        for key, version in self._ages.list_older(self._keep_s)[:MAX_REMOVALS]:
+            if self._ages.has(key, version) and not await self._remove(key, version):
                 return
 
-    async def _remove(self, key: str, known: _KnownRow) -> bool:
+    async def _remove(self, key: str, version: int) -> bool:
         """Remove a row whose job isn't stored; return whether the store answered."""
-        job_id = known.cancellation.job_id
+        job_id = parse_cancel_key(key).job_id
         if not self._is_known_job(job_id):
             found = await self._table.read(job_key(job_id))
             if found != Ok(None):
                 # Only a later leader can read the job.
                 return found.is_ok()
         transaction = Transaction(
-            uuid.uuid4().hex, (Check(key, known.version),), deletes=(key,)
+            uuid.uuid4().hex, (Check(key, version),), deletes=(key,)
         )
         result = await self._table.transact(transaction)
         self._log.write(
             "coordinator",
             "early_cancellation_ended",
             id=job_id,
-            age_s=round(self._clock.monotonic() - known.seen_s, 3),
             removed=result.is_ok(),
             error=str(result.err() or ""),
         )
@@ -150,7 +136,7 @@
             case Ok(None):
                 self.discard([key])
             case Ok(row):
-                self.record(row, parse_cancel_key(key))
+                self.record(row)
             case Err(_):
                 return False
         return True
--- a/chiveledge/coordinator/_term.py
+++ b/chiveledge/coordinator/_term.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok
 
+from chiveledge.cancellations import Cancellation
 from chiveledge.coordinator._advice import TicketCache
 from chiveledge.coordinator._context import TermContext
 from chiveledge.coordinator._early_cancellations import EarlyCancellations
@@ -32,7 +33,6 @@
 from chiveledge.decoding import DECODE_ERRORS, describe_error
 from chiveledge.intake import (
     INBOX_PREFIX,
-    Cancellation,
     TableFollower,
     parse_cancel_key,
 )
@@ -346,7 +346,9 @@
         )
         for name, task, run in job.open_runs():
             self._adopt(job, name, task, run)
-        is_cancelled = self._early_cancellations.pop_applicable(request, row.version)
+        is_cancelled = self._early_cancellations.pop_applicable(
+            job_id, request.workspace, row.version
+        )
         if is_cancelled and not job.state.ended:
             self._cancel_job(job)
 
@@ -380,7 +382,7 @@
             or not cancellation.applies_to(job.request.workspace)
         ):
             # An ended job may be about to be replaced by another one of its ID.
-            self._early_cancellations.record(row, cancellation)
+            self._early_cancellations.record(row)
         elif row.version > self._request_versions[job.job_id]:
             self._cancel_job(job)
 
--- a/chiveledge/coordinator/_timing.py
+++ b/chiveledge/coordinator/_timing.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from chiveledge.cancellations import RETENTION_S
+
 POLLS_PER_SECOND = 120
 """Polls of busy workers in a second; each takes a leader about half a millisecond."""
 
@@ -55,7 +57,7 @@
     order_timeout_s: float = 0.8
     stop_s: float = 0.9
     keep_ended_s: float = 180.0
-    keep_cancellations_s: float = 180.0
+    keep_cancellations_s: float = RETENTION_S
     drain_s: float = 2.5
     machine_lease_s: float = 3.0
     upkeep_s: float = 2.0
--- a/chiveledge/intake/__init__.py
+++ b/chiveledge/intake/__init__.py
@@ -11,7 +11,6 @@
 from chiveledge.intake._follower import TableFollower
 from chiveledge.intake._inbox_rows import (
     INBOX_PREFIX,
-    Cancellation,
     cancel_key,
     job_key,
     parse_cancel_key,
@@ -63,7 +62,6 @@
     "REVISION_HEADER",
     "Accepted",
     "CancelOutcome",
-    "Cancellation",
     "FleetCapacityCopy",
     "Infeasible",
     "JobIdInUse",
--- a/chiveledge/intake/_inbox_rows.py
+++ b/chiveledge/intake/_inbox_rows.py
@@ -7,10 +7,9 @@
 
 from __future__ import annotations
 
-import hashlib
 import uuid
-from typing import NamedTuple
 
+from chiveledge.cancellations import Cancellation, digest_owner
 from chiveledge.intake._status_cache import (
     JobStatus,
     choose_part,
@@ -26,26 +25,6 @@
 INBOX_PREFIX = f"{INBOX_TABLE}/"
 CANCEL_MARK = "~cancel"
 OWNER_SEPARATOR = "~"
-OWNER_CHARS = 16
-"""Length of the digest that stands for a workspace, whose name may be long."""
-
-
-class Cancellation(NamedTuple):
-    """What the key of a cancellation row says.
-
-    Attributes
-    ----------
-    owner : str
-        Digest of the workspace that cancelled; empty in the rows of earlier versions,
-        which only the owner of a stored job could write.
-    """
-
-    job_id: JobId
-    owner: str
-
-    def applies_to(self, workspace: WorkspaceName) -> bool:
-        """Whether a job of a workspace is cancelled."""
-        return self.owner in ("", _digest(workspace))
 
 
 def job_key(job_id: JobId) -> str:
@@ -55,7 +34,7 @@
 
 def cancel_key(job_id: JobId, workspace: WorkspaceName) -> str:
     """Return the key of the row by which a workspace cancels a job."""
-    name = f"{job_id}{CANCEL_MARK}{OWNER_SEPARATOR}{_digest(workspace)}"
+    name = f"{job_id}{CANCEL_MARK}{OWNER_SEPARATOR}{digest_owner(workspace)}"
     return make_row_key(INBOX_TABLE, choose_part(job_id), name)
 
 
@@ -97,7 +76,3 @@
     checks = (Check(job_key(job_id), ABSENT),) if must_be_unknown else ()
     puts = (Put(cancel_key(job_id, workspace), "{}"),)
     return Transaction(uuid.uuid4().hex, checks, puts)
-
-
-def _digest(workspace: WorkspaceName) -> str:
-    return hashlib.sha256(workspace.encode()).hexdigest()[:OWNER_CHARS]
--- /dev/null
+++ b/tests/cancellations/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what both schedulers share on cancellations."""
