Store a cancel that finds no job on the product's own interface, too

Callers saw: a submission whose outcome is unknown, a cancel answered "not_found", and the job running after all once the store performed the submission.

Besides, the region's leader removed a cancellation without a job at once, so that writing it would not have helped.

Change: cancel stores its row on the condition that the job's row is absent, in a group commit of its own, and a submission checks that its workspace's row is absent; it is refused with the request to choose another Idempotency-Key. IDs that no job can have store nothing. Keys have a digest of the workspace.

--- a/chiveledge/gateway/_jobs.py
+++ b/chiveledge/gateway/_jobs.py
@@ -20,6 +20,7 @@
     decode_job,
     encode_job,
     inbox_key,
+    is_job_id,
     job_key,
     make_job_id,
     region_of,
@@ -37,6 +38,7 @@
     TableService,
     Unavailable,
 )
+from chiveledge.services.table import ABSENT
 from chiveledge.types import JobId, RegionName, WorkspaceName
 
 JOB_COMMIT_TIMEOUT_S = 2.0
@@ -120,6 +122,11 @@
         self._writes = GroupCommit(
             table, clock, metrics, timeout_s=JOB_COMMIT_TIMEOUT_S
         )
+        # Apart from submissions: a job and its early cancellation in one transaction
+        # would each hold against the other.
+        self._early_cancellations = GroupCommit(
+            table, clock, metrics, timeout_s=JOB_COMMIT_TIMEOUT_S
+        )
 
     async def submit(
         self, workspace: WorkspaceName, key: str, spec: JobSpec
@@ -131,13 +138,21 @@
         job_id = make_job_id(spec.region, workspace, key)
         job = Job(job_id, workspace, spec, self._clock.now())
         result = await self._writes.commit(
-            checks=(Check(job.key, 0),),
+            checks=(
+                Check(job.key, ABSENT),
+                Check(cancel_key(job_id, workspace), ABSENT),
+            ),
             puts=(Put(job.key, encode_job(job)), Put(inbox_key(job_id), "{}")),
         )
         match result:
             case Ok(_):
                 self._notify_leader(spec.region)
                 return JobAccepted(job, repeated=False)
+            case Err(Conflict(keys)) if job.key not in keys:
+                return JobRefused(
+                    "Idempotency-Key: its job was cancelled before it was stored; "
+                    "choose a new one"
+                )
             case Err(Conflict()):
                 return await self._find_existing(job)
             case Err(Unavailable(reason)):
@@ -150,15 +165,14 @@
         self, workspace: WorkspaceName, job_id: JobId
     ) -> Result[Job | None, CallError]:
         """Return a job of the workspace, or None."""
-        match await self._table.read(job_key(job_id)):
-            case Ok(None):
-                return Ok(None)
-            case Ok(row):
-                job = decode_job(row.value)
-                return Ok(job if job.workspace == workspace else None)
-            case Err(error):
-                return Err(error)
-        raise AssertionError("unreachable")
+        found = await self._read(job_id)
+        return found.map(
+            lambda job: job if job is not None and job.workspace == workspace else None
+        )
+
+    async def _read(self, job_id: JobId) -> Result[Job | None, CallError]:
+        row = await self._table.read(job_key(job_id))
+        return row.map(lambda row: None if row is None else decode_job(row.value))
 
     async def read_results(self, job: Job) -> Result[tuple[str, ...], CallError]:
         """Return the results of a finished job's members."""
@@ -189,16 +203,21 @@
         return dict(zip(job_ids, answers, strict=True))
 
     async def _cancel(self, workspace: WorkspaceName, job_id: JobId) -> str:
-        match await self.find(workspace, job_id):
+        match await self._read(job_id):
+            case Ok(None) if is_job_id(job_id, self._regions):
+                return await self._cancel_unknown(workspace, job_id)
             case Ok(None):
                 return "not_found"
+            case Ok(job) if job.workspace != workspace:
+                # IDs depend on workspaces: no submission of the caller is on its way.
+                return "not_found"
             case Ok(job) if job.state.ended:
                 return "ended"
             case Err(_):
                 return "refused"
-        key = cancel_key(job_id)
+        key = cancel_key(job_id, workspace)
         result = await self._writes.commit(
-            checks=(Check(key, 0),), puts=(Put(key, "{}"),)
+            checks=(Check(key, ABSENT),), puts=(Put(key, "{}"),)
         )
         match result:
             case Ok(_) | Err(Conflict()):
@@ -209,6 +228,26 @@
                 return "unknown"
         raise AssertionError("unreachable")
 
+    async def _cancel_unknown(self, workspace: WorkspaceName, job_id: JobId) -> str:
+        """Store the cancellation of a job whose submission may be on its way.
+
+        The row is written again if it is there: its time starts anew.
+        """
+        result = await self._early_cancellations.commit(
+            checks=(Check(job_key(job_id), ABSENT),),
+            puts=(Put(cancel_key(job_id, workspace), "{}"),),
+        )
+        match result:
+            case Ok(_):
+                return "not_found"
+            case Err(Conflict()):
+                return await self._cancel(workspace, job_id)
+            case Err(Unavailable()):
+                return "refused"
+            case Err(_):
+                return "unknown"
+        raise AssertionError("unreachable")
+
     async def _find_existing(self, job: Job) -> SubmitOutcome:
         match await self.find(job.workspace, job.job_id):
             case Ok(found) if found is not None and found.spec == job.spec:
--- a/chiveledge/jobs.py
+++ b/chiveledge/jobs.py
@@ -4,12 +4,15 @@
 
 import hashlib
 import json
+import re
+from collections.abc import Collection
 from datetime import datetime
 from enum import StrEnum
 from typing import NamedTuple
 
 from pydantic import Field
 
+from chiveledge.cancellations import Cancellation, digest_owner
 from chiveledge.configuration import RequestClass
 from chiveledge.services import MemberPlacement
 from chiveledge.settings import StrictModel
@@ -24,6 +27,9 @@
 
 MAX_MEMBERS = 64
 MAX_PAYLOAD_CHARS = 65536
+DIGEST_CHARS = 20
+
+_DIGEST = re.compile(rf"[0-9a-f]{{{DIGEST_CHARS}}}")
 
 
 class JobState(StrEnum):
@@ -171,10 +177,16 @@
 
 def make_job_id(region: RegionName, workspace: WorkspaceName, key: str) -> JobId:
     """Return the ID of the job with an idempotency key of a workspace."""
-    digest = hashlib.sha256(f"{workspace}\n{key}".encode()).hexdigest()[:20]
+    digest = hashlib.sha256(f"{workspace}\n{key}".encode()).hexdigest()[:DIGEST_CHARS]
     return f"{region}.{digest}"
 
 
+def is_job_id(text: str, regions: Collection[RegionName]) -> bool:
+    """Return whether a job of one of the regions can have an ID."""
+    region, _, digest = text.rpartition(".")
+    return region in regions and _DIGEST.fullmatch(digest) is not None
+
+
 def region_of(job_id: JobId) -> RegionName:
     """Return the region of a job."""
     return job_id.rpartition(".")[0]
@@ -190,9 +202,27 @@
     return f"inbox/{region_of(job_id)}/{job_id}"
 
 
-def cancel_key(job_id: JobId) -> str:
-    """Return the key of the row that asks the leader to cancel a job."""
-    return f"cancel/{region_of(job_id)}/{job_id}"
+def cancel_prefix(region: RegionName) -> str:
+    """Return the prefix of the keys of a region's cancellations."""
+    return f"cancel/{region}/"
+
+
+def cancel_key(job_id: JobId, workspace: WorkspaceName) -> str:
+    """Return the key of the row by which a workspace asks to cancel a job."""
+    return f"{cancel_prefix(region_of(job_id))}{digest_owner(workspace)}/{job_id}"
+
+
+def parse_cancel_key(key: str) -> Cancellation:
+    """Return what the key of a cancellation row says.
+
+    Examples
+    --------
+    >>> parse_cancel_key("cancel/gyeonggi/5f0e/gyeonggi.00c0ffee").job_id
+    'gyeonggi.00c0ffee'
+    """
+    _, _, rest = key.removeprefix("cancel/").partition("/")
+    owner, _, job_id = rest.rpartition("/")
+    return Cancellation(job_id, owner)
 
 
 def encode_job(job: Job) -> str:
--- a/chiveledge/scheduler/_inbox.py
+++ b/chiveledge/scheduler/_inbox.py
@@ -8,7 +8,7 @@
 from result import Result
 
 from chiveledge.clock import Clock
-from chiveledge.jobs import job_key
+from chiveledge.jobs import cancel_prefix, job_key
 from chiveledge.services import CallError, Row, TableService
 from chiveledge.types import JobId, RegionName
 
@@ -55,10 +55,9 @@
         """Return the keys of the notices of new jobs, None without an answer."""
         return await self._scan_keys(f"inbox/{self._region}/")
 
-    async def scan_cancellations(self) -> list[JobId] | None:
-        """Return the IDs of the jobs to cancel, None without an answer."""
-        keys = await self._scan_keys(f"cancel/{self._region}/")
-        return None if keys is None else [parse_job_id(key) for key in keys]
+    async def scan_cancellations(self) -> list[Row] | None:
+        """Return the rows of cancellations, None without an answer."""
+        return (await self._table.scan(cancel_prefix(self._region))).unwrap_or(None)
 
     async def read_jobs(self, notices: list[str]) -> NewJobs:
         """Read the rows of new jobs by the keys of their notices.
@@ -87,5 +86,5 @@
 
 
 def parse_job_id(key: str) -> JobId:
-    """Return the ID of the job that an inbox or cancellation row is about."""
+    """Return the ID of the job that an inbox row is about."""
     return key.rpartition("/")[2]
--- a/chiveledge/scheduler/_job_repository.py
+++ b/chiveledge/scheduler/_job_repository.py
@@ -188,7 +188,7 @@
 
     async def _write(self, job: Job) -> Result[Job, CallError]:
         check = Check(job.key, self._versions[job.job_id])
-        deletes = (cancel_key(job.job_id),) if job.state.ended else ()
+        deletes = (cancel_key(job.job_id, job.workspace),) if job.state.ended else ()
         result = await self._writes.commit(
             checks=(self._leadership.fence, check),
             puts=(Put(job.key, encode_job(job)),),
--- a/tests/scheduler/test_jobs.py
+++ b/tests/scheduler/test_jobs.py
@@ -7,8 +7,9 @@
 import pytest
 from result import Err
 
+from chiveledge.cancellations import RETENTION_S
 from chiveledge.configuration import RequestClass
-from chiveledge.jobs import JobSpec, JobState, cancel_key
+from chiveledge.jobs import JobSpec, JobState, cancel_key, make_job_id
 from chiveledge.services import Put, TaskState, Transaction, Unavailable
 from tests.support import (
     REGION,
@@ -36,7 +37,8 @@
 
 
 def request_cancel(region: Region, job_id: str) -> None:
-    puts = (Put(cancel_key(job_id), "{}"),)
+    workspace = region.job(job_id).workspace
+    puts = (Put(cancel_key(job_id, workspace), "{}"),)
     region.table.commit(Transaction(f"c-{job_id}", puts=puts))
 
 
@@ -422,6 +424,39 @@
     run_region(work)
 
 
+@pytest.mark.parametrize("takeover", [False, True])
+def test_cancellation_without_its_job_is_kept_while_a_submission_may_be_late(takeover):
+    """The leader removed it at once, and a late submission was stored and ran."""
+
+    async def work(region):
+        leader = region.start_leader("a")
+        job_id = make_job_id(REGION, "cafes", "k")
+        key = cancel_key(job_id, "cafes")
+        region.table.commit(Transaction("c", puts=(Put(key, "{}"),)))
+        await region.run_for(RETENTION_S / 2)
+        if takeover:
+            leader.cancel()
+            region.start_leader("b")
+        await region.run_for(RETENTION_S / 2 - 2)
+        assert region.table.find(key) is not None
+        await region.run_for((RETENTION_S / 2 if takeover else 0) + 15)
+        assert region.table.find(key) is None
+
+    run_region(work)
+
+
+def test_cancellation_of_another_workspace_stops_no_job():
+    async def work(region):
+        region.start_leader("a")
+        job_id = await region.submit(make_spec(payload='{"run_s": 1.0}'), "k")
+        key = cancel_key(job_id, "depots")
+        region.table.commit(Transaction("c", puts=(Put(key, "{}"),)))
+        await region.run_until(lambda: region.job(job_id).state.ended, within_s=9.0)
+        assert region.job(job_id).state is JobState.FINISHED
+
+    run_region(work)
+
+
 def test_clock_step_is_not_taken_for_work_that_a_checkpoint_saved():
     # The time on the wall clock since its start was taken for the work of an attempt.
     async def work(region):
