Bound the stored cancellations of unknown jobs

Each one is a row that stays for minutes, and anybody with an API key can ask for any number of them. A process now stores at most its part of 2,048 rows within the time that a row is kept (64 in any case), half of them for one workspace, and answers 429 with the time until one is free. The bound needs no leader. A repeated cancel takes no further row; one that is certainly not stored frees its own.

Not bounded by it: rows of a process that is restarted within the time, and rows that no leader lives long enough to remove, since each leader counts the time anew.

Evidence: test_cancels_of_unknown_jobs_store_a_bounded_number_of_rows on both interfaces.

--- a/chiveledge/cancellations/__init__.py
+++ b/chiveledge/cancellations/__init__.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from chiveledge.cancellations._cancellation import Cancellation, digest_owner
+from chiveledge.cancellations._quota import CancellationQuota
 from chiveledge.cancellations._row_ages import RowAges
 
 RETENTION_S = 180.0
@@ -17,6 +18,7 @@
 __all__ = [
     "RETENTION_S",
     "Cancellation",
+    "CancellationQuota",
     "RowAges",
     "digest_owner",
 ]
--- a/chiveledge/gateway/_commands.py
+++ b/chiveledge/gateway/_commands.py
@@ -30,6 +30,9 @@
 MAX_CANCELLATIONS = 5000
 ACCEPTED_STATUS = 202
 
+TOO_MANY_RETRY_S = 60.0
+"""Delay after which a caller may cancel unknown jobs again; some rows end by then."""
+
 
 class CallerCommands:
     """Handlers that change state.
@@ -185,6 +188,12 @@
                 "cancellation not requested; retry",
                 retry_after_s=1.0,
             )
+        case "too_many":
+            return make_refusal(
+                Reason.QUEUE_FULL,
+                "too many cancellations of unknown jobs; send fewer",
+                retry_after_s=TOO_MANY_RETRY_S,
+            )
     return make_unknown(
         Reason.STORE_UNAVAILABLE, "the cancellation may be requested; repeat it"
     )
--- a/chiveledge/gateway/_jobs.py
+++ b/chiveledge/gateway/_jobs.py
@@ -10,6 +10,7 @@
 
 from result import Err, Ok, Result
 
+from chiveledge.cancellations import RETENTION_S, CancellationQuota
 from chiveledge.clock import Clock
 from chiveledge.configuration import ConfigurationReplica
 from chiveledge.jobs import (
@@ -33,6 +34,7 @@
     Check,
     Conflict,
     GroupCommit,
+    HostRole,
     ObjectStore,
     Put,
     TableService,
@@ -122,12 +124,18 @@
         self._writes = GroupCommit(
             table, clock, metrics, timeout_s=JOB_COMMIT_TIMEOUT_S
         )
+        self._quota = CancellationQuota(
+            clock, RETENTION_S, count_hosts=self._count_hosts
+        )
         # Apart from submissions: a job and its early cancellation in one transaction
         # would each hold against the other.
         self._early_cancellations = GroupCommit(
             table, clock, metrics, timeout_s=JOB_COMMIT_TIMEOUT_S
         )
 
+    def _count_hosts(self) -> int:
+        return len(self._membership.find_by_role(HostRole.CHIVELEDGE))
+
     async def submit(
         self, workspace: WorkspaceName, key: str, spec: JobSpec
     ) -> SubmitOutcome:
@@ -193,7 +201,7 @@
         """Request the cancellation of jobs and return the status of each request.
 
         The values are ``"requested"``, ``"ended"``, ``"not_found"``,
-        ``"refused"`` and ``"unknown"``.
+        ``"refused"``, ``"too_many"`` and ``"unknown"``.
         """
         answers = await asyncio.gather(
             *(self._cancel(workspace, job_id) for job_id in job_ids)
@@ -233,6 +241,8 @@
 
         The row is written again if it is there: its time starts anew.
         """
+        if self._quota.reserve(job_id, workspace) > 0:
+            return "too_many"
         result = await self._early_cancellations.commit(
             checks=(Check(job_key(job_id), ABSENT),),
             puts=(Put(cancel_key(job_id, workspace), "{}"),),
@@ -241,8 +251,10 @@
             case Ok(_):
                 return "not_found"
             case Err(Conflict()):
+                self._quota.release(job_id, workspace)
                 return await self._cancel(workspace, job_id)
             case Err(Unavailable()):
+                self._quota.release(job_id, workspace)
                 return "refused"
             case Err(_):
                 return "unknown"
--- a/chiveledge/intake/__init__.py
+++ b/chiveledge/intake/__init__.py
@@ -26,6 +26,7 @@
     ReadOutcome,
     Refused,
     SubmitOutcome,
+    TooManyCancellations,
     UnknownOutcome,
     Withdrawn,
 )
@@ -80,6 +81,7 @@
     "Relayed",
     "SubmitOutcome",
     "TableFollower",
+    "TooManyCancellations",
     "UnknownOutcome",
     "Withdrawn",
     "cancel_key",
--- a/chiveledge/intake/_inbox_rows.py
+++ b/chiveledge/intake/_inbox_rows.py
@@ -64,13 +64,13 @@
 
 
 def make_cancellation(
-    job_id: JobId, workspace: WorkspaceName, *, must_be_unknown: bool
+    job_id: JobId, workspace: WorkspaceName, *, must_be_unknown: bool = False
 ) -> Transaction:
     """Return the transaction that stores a cancellation; it may be sent repeatedly.
 
     Parameters
     ----------
-    must_be_unknown : bool
+    must_be_unknown : bool, optional
         Store it only if no job has this ID.
     """
     checks = (Check(job_key(job_id), ABSENT),) if must_be_unknown else ()
--- a/chiveledge/intake/_job_store.py
+++ b/chiveledge/intake/_job_store.py
@@ -12,6 +12,7 @@
 
 from result import Err, Ok
 
+from chiveledge.cancellations import RETENTION_S, CancellationQuota
 from chiveledge.clock import Clock
 from chiveledge.decision_log import DecisionLog
 from chiveledge.intake._inbox_rows import (
@@ -29,6 +30,7 @@
     ReadOutcome,
     Refused,
     SubmitOutcome,
+    TooManyCancellations,
     UnknownOutcome,
     Withdrawn,
 )
@@ -73,6 +75,8 @@
         Returns whether the table service currently answers no calls.
     explain_infeasible : callable, optional
         Returns why a job can never start, or an empty text if it may.
+    quota : CancellationQuota, optional
+        Bounds the stored cancellations of unknown jobs.
     """
 
     def __init__(
@@ -84,6 +88,7 @@
         max_row_chars: int,
         is_unresponsive: Callable[[], bool] = lambda: False,
         explain_infeasible: Callable[[JobRequest], str] = lambda _: "",
+        quota: CancellationQuota | None = None,
     ) -> None:
         self._table = table
         self._status_cache = status_cache
@@ -92,6 +97,7 @@
         self._max_row_chars = max_row_chars
         self._is_unresponsive = is_unresponsive
         self._explain_infeasible = explain_infeasible
+        self._quota = quota or CancellationQuota(clock, RETENTION_S)
         self._hedge_delay = HedgeDelay()
 
     async def submit(self, request: JobRequest, timeout_s: float) -> SubmitOutcome:
@@ -204,29 +210,38 @@
             case JobStatus(workspace=owner, state=state) if owner == workspace:
                 # The status may be that of an ended job which another one of its ID
                 # has just replaced, so the row is written all the same.
-                outcome, must_be_unknown = Accepted(repeated=state.ended), False
+                found = Accepted(repeated=state.ended)
+                cancellation = make_cancellation(job_id, workspace)
             case JobStatus():
                 # A submission of the caller's own workspace may be performed once the
                 # job of the other one has been removed.
-                outcome, must_be_unknown = NotFound(), False
-            case NotFound():
-                outcome, must_be_unknown = NotFound(), True
+                found = NotFound()
+                cancellation = make_cancellation(job_id, workspace)
+            case NotFound() as found:
+                cancellation = make_cancellation(
+                    job_id, workspace, must_be_unknown=True
+                )
             case UnknownOutcome() as unknown:
                 return unknown
+        if found == NotFound():
+            wait_s = self._quota.reserve(job_id, workspace)
+            if wait_s > 0:
+                return TooManyCancellations(wait_s)
         written = await transact_hedged(
             self._table,
-            make_cancellation(job_id, workspace, must_be_unknown=must_be_unknown),
+            cancellation,
             self._clock,
             self._hedge_delay,
             timeout_s=timeout_s,
         )
         match written:
             case Ok(_):
-                return outcome
-            case Err(Conflict()):
-                return UnknownOutcome("the job was stored meanwhile")
-            case Err(_):
+                return found
+            case Err(Unsettled()):
                 return UnknownOutcome("the store did not confirm the cancellation")
+            case Err(error):
+                self._quota.release(job_id, workspace)
+                return UnknownOutcome(f"the cancellation is not stored: {error}")
         raise AssertionError("unreachable")
 
     def _log_submit(self, request: JobRequest, outcome: SubmitOutcome):
--- a/chiveledge/intake/_outcomes.py
+++ b/chiveledge/intake/_outcomes.py
@@ -55,6 +55,18 @@
     """
 
 
+class TooManyCancellations(NamedTuple):
+    """The cancellation of an unknown job is not stored, since too many are.
+
+    Attributes
+    ----------
+    retry_after_s : float
+        Time until one of them has ended, in seconds.
+    """
+
+    retry_after_s: float
+
+
 class JobIdInUse(NamedTuple):
     """A job of another workspace has this ID; nothing was stored."""
 
@@ -68,5 +80,5 @@
     | JobIdInUse
     | UnknownOutcome
 )
-CancelOutcome: TypeAlias = Accepted | NotFound | NotStored | UnknownOutcome
+CancelOutcome: TypeAlias = Accepted | NotFound | TooManyCancellations | UnknownOutcome
 ReadOutcome: TypeAlias = JobStatus | NotFound | UnknownOutcome
--- a/chiveledge/platform/_api.py
+++ b/chiveledge/platform/_api.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import re
 from collections.abc import Callable
 
@@ -29,6 +30,7 @@
     Refused,
     Relay,
     Relayed,
+    TooManyCancellations,
     UnknownOutcome,
     Withdrawn,
     choose_retry_after_s,
@@ -379,6 +381,11 @@
                 return web.json_response({})
             case NotFound():
                 return _make_error(410, "no such job")
+            case TooManyCancellations(retry_after_s):
+                reason = "too many cancellations of unknown jobs; send fewer"
+                response = _make_error(429, reason)
+                response.headers["Retry-After"] = str(math.ceil(retry_after_s))
+                return response
             case UnknownOutcome(reason):
                 return _make_error(504, reason)
         raise AssertionError("unreachable")
--- a/chiveledge/platform/_node.py
+++ b/chiveledge/platform/_node.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 from result import Err, Ok
 
+from chiveledge.cancellations import CancellationQuota
 from chiveledge.clock import SystemClock
 from chiveledge.coordinator import Coordinator, CoordinatorTiming, TermContext
 from chiveledge.decision_log import JsonLog
@@ -164,6 +165,11 @@
                 self._max_row_chars,
                 lambda: store.unresponsive,
                 self._fleet.explain_infeasible,
+                CancellationQuota(
+                    self._clock,
+                    self._keep_cancellations_s,
+                    count_hosts=lambda: len(self._peers),
+                ),
             ),
             self._status_cache,
             self._make_relay(),
--- a/tests/gateway/test_early_cancellations.py
+++ b/tests/gateway/test_early_cancellations.py
@@ -11,6 +11,7 @@
 import pytest
 from result import Err
 
+from chiveledge.cancellations._quota import MAX_STORED_ROWS, WORKSPACE_SHARE
 from chiveledge.clock import ManualClock
 from chiveledge.gateway._jobs import (
     JobAccepted,
@@ -42,7 +43,7 @@
             self.table,
             None,
             None,
-            SimpleNamespace(entries=()),
+            SimpleNamespace(entries=(), find_by_role=lambda role: ()),
             self.clock,
             Metrics(),
             lambda region: None,
@@ -120,6 +121,17 @@
     assert harness.table.find(cancel_key(JOB_ID, "cafes")) is None
 
 
+async def test_cancels_of_unknown_jobs_store_a_bounded_number_of_rows(harness):
+    """Anybody with a key could fill the store with them."""
+    ids = [make_job_id(REGION, "depots", str(n)) for n in range(2 * MAX_STORED_ROWS)]
+    answers = await harness.call(harness.first.cancel("depots", ids))
+    stored = len(harness.table.find_all("cancel/"))
+    assert stored <= MAX_STORED_ROWS * WORKSPACE_SHARE
+    assert stored == sum(answer == "not_found" for answer in answers.values())
+    assert set(answers.values()) == {"not_found", "too_many"}
+    assert await harness.cancel(harness.first) == "not_found"
+
+
 @pytest.mark.parametrize(
     "text", ["", "x", f"{REGION}.", "nowhere." + "0" * 20, f"{REGION}/a.{'0' * 20}"]
 )
--- a/tests/intake/test_cancel_before_submission.py
+++ b/tests/intake/test_cancel_before_submission.py
@@ -14,6 +14,7 @@
 import pytest
 from result import Err, Ok
 
+from chiveledge.cancellations._quota import MAX_STORED_ROWS, WORKSPACE_SHARE
 from chiveledge.clock import ManualClock
 from chiveledge.decision_log import NullLog
 from chiveledge.intake import (
@@ -22,12 +23,13 @@
     JobStore,
     NotFound,
     NotStored,
+    TooManyCancellations,
     UnknownOutcome,
     Withdrawn,
     cancel_key,
     job_key,
 )
-from chiveledge.services import Unsettled
+from chiveledge.services import Unavailable, Unsettled
 from chiveledge.workload import JobRequest, Step
 from standins.table import MemoryTable
 
@@ -222,3 +224,36 @@
     assert await service.cancel(service.second) == NotFound()
     assert isinstance(await service.submit(service.first), Withdrawn)
     assert Ok(None) == await service.table.read(job_key(JOB_ID))
+
+
+async def test_cancels_of_unknown_jobs_store_a_bounded_number_of_rows():
+    """Anybody with a key could fill the store; others still cancel."""
+    service = Service()
+    outcomes = []
+    for number in range(MAX_STORED_ROWS):
+        cancelling = service.first.cancel(f"{number:016x}", "roasters", TIMEOUT_S)
+        outcomes.append(await cancelling)
+    stored = len(service.table.find_all("inbox/"))
+    assert stored == outcomes.count(NotFound()) <= MAX_STORED_ROWS * WORKSPACE_SHARE
+    refused = outcomes[-1]
+    assert isinstance(refused, TooManyCancellations)
+    assert await service.cancel(service.first) == NotFound()
+    await service.clock.advance(refused.retry_after_s)
+    again = await service.first.cancel("f" * 16, "roasters", TIMEOUT_S)
+    assert again == NotFound()
+
+
+async def test_cancels_that_are_not_stored_use_no_part_of_the_bound():
+    """The store was away for a while, and callers went on cancelling."""
+    service = Service()
+    perform = service.table.transact
+
+    async def refuse(transaction):
+        return Err(Unavailable("down"))
+
+    service.table.transact = refuse
+    for number in range(MAX_STORED_ROWS):
+        cancelling = service.first.cancel(f"{number:016x}", "cafes", 0.0)
+        assert isinstance(await cancelling, UnknownOutcome)
+    service.table.transact = perform
+    assert await service.cancel(service.first) == NotFound()
--- a/tests/platform/test_api.py
+++ b/tests/platform/test_api.py
@@ -12,6 +12,7 @@
 import pytest
 from aiohttp import web
 
+from chiveledge.cancellations import RETENTION_S, CancellationQuota
 from chiveledge.clock import SystemClock
 from chiveledge.decision_log import NullLog
 from chiveledge.intake import (
@@ -211,6 +212,18 @@
     assert (await api.call("POST", f"/q/{ID}", JOB, other))[0] == 200
 
 
+async def test_too_many_cancels_of_unknown_jobs_are_refused_with_a_time(
+    api, monkeypatch
+):
+    monkeypatch.setattr(CancellationQuota, "max_rows", 4)
+    statuses = [
+        (await api.call("DELETE", f"/q/{number:016x}"))[0] for number in range(3)
+    ]
+    status, _, headers = await api.call("DELETE", f"/q/{ID}")
+    assert (statuses, status) == ([410, 410, 429], 429)
+    assert 0 < int(headers["Retry-After"]) <= RETENTION_S
+
+
 async def test_job_id_of_another_workspace_is_not_accepted_again(api):
     """The other workspace was told that its job is stored, which was not true."""
     await api.call("POST", f"/q/{ID}", JOB)
