Keep earlier submissions out when a repeated one is refused as infeasible

Callers saw: a submission is answered 504; repeated elsewhere, it is answered 422 ("no set of workers could hold it"), which says that the job is not stored; the first send is performed later, and the job waits, and runs if the fleet grows.

Change: the refusal stores a row in the place of the cancellation before it is answered. Other than a cancellation it does not hold for later submissions: these replace it, in the version that they read, so that the caller may ask for less under the same ID. It counts against the bound of stored rows; beyond that the refusal is answered without it. Costs a write instead of a read for each refused job.

--- a/chiveledge/intake/_inbox_rows.py
+++ b/chiveledge/intake/_inbox_rows.py
@@ -16,7 +16,14 @@
     encode_status,
     initial_job_status_key,
 )
-from chiveledge.services import Check, Put, Transaction, make_row_key, parse_row_name
+from chiveledge.services import (
+    Check,
+    Put,
+    Row,
+    Transaction,
+    make_row_key,
+    parse_row_name,
+)
 from chiveledge.services.table import ABSENT
 from chiveledge.types import JobId, WorkspaceName
 from chiveledge.workload import JobRequest, JobState, encode_request
@@ -25,6 +32,8 @@
 INBOX_PREFIX = f"{INBOX_TABLE}/"
 CANCEL_MARK = "~cancel"
 OWNER_SEPARATOR = "~"
+CANCELLED_VALUE = "{}"
+REFUSED_VALUE = '{"refused": true}'
 
 
 def job_key(job_id: JobId) -> str:
@@ -44,9 +53,16 @@
     return Cancellation(job_id, owner.removeprefix(OWNER_SEPARATOR)) if mark else None
 
 
-def make_submission(request: JobRequest) -> Transaction:
-    """Return the transaction that stores a job unless it was stored or cancelled."""
+def make_submission(request: JobRequest, refusal_version: int = ABSENT) -> Transaction:
+    """Return the transaction that stores a job unless it was stored or cancelled.
+
+    Parameters
+    ----------
+    refusal_version : int, optional
+        Version of the row by which an earlier submission was refused; it is replaced.
+    """
     job_id = request.job_id
+    withdrawal_key = cancel_key(job_id, request.workspace)
     status = JobStatus(
         request.queue, request.workspace, JobState.QUEUED, request.occurrences > 0
     )
@@ -54,15 +70,38 @@
         write_id=uuid.uuid4().hex,
         checks=(
             Check(job_key(job_id), ABSENT),
-            Check(cancel_key(job_id, request.workspace), ABSENT),
+            Check(withdrawal_key, refusal_version),
         ),
         puts=(
             Put(job_key(job_id), encode_request(request)),
             Put(initial_job_status_key(job_id), encode_status(status)),
         ),
+        deletes=() if refusal_version == ABSENT else (withdrawal_key,),
     )
 
 
+def make_refusal(request: JobRequest, refusal_version: int) -> Transaction:
+    """Return the transaction that keeps out earlier submissions of a refused job.
+
+    Parameters
+    ----------
+    refusal_version : int
+        Version of the row by which it was refused before, or `ABSENT`.
+    """
+    job_id = request.job_id
+    key = cancel_key(job_id, request.workspace)
+    checks = (Check(job_key(job_id), ABSENT), Check(key, refusal_version))
+    return Transaction(uuid.uuid4().hex, checks, (Put(key, REFUSED_VALUE),))
+
+
+def is_refusal(row: Row) -> bool:
+    """Return whether a cancellation row is that of a refused submission.
+
+    Unlike a cancellation by a caller, it does not hold for later submissions.
+    """
+    return row.value == REFUSED_VALUE
+
+
 def make_cancellation(
     job_id: JobId, workspace: WorkspaceName, *, must_be_unknown: bool = False
 ) -> Transaction:
@@ -74,5 +113,5 @@
         Store it only if no job has this ID.
     """
     checks = (Check(job_key(job_id), ABSENT),) if must_be_unknown else ()
-    puts = (Put(cancel_key(job_id, workspace), "{}"),)
+    puts = (Put(cancel_key(job_id, workspace), CANCELLED_VALUE),)
     return Transaction(uuid.uuid4().hex, checks, puts)
--- a/chiveledge/intake/_job_store.py
+++ b/chiveledge/intake/_job_store.py
@@ -10,14 +10,17 @@
 
 from collections.abc import Callable
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from chiveledge.cancellations import RETENTION_S, CancellationQuota
 from chiveledge.clock import Clock
 from chiveledge.decision_log import DecisionLog
 from chiveledge.intake._inbox_rows import (
+    cancel_key,
+    is_refusal,
     job_key,
     make_cancellation,
+    make_refusal,
     make_submission,
 )
 from chiveledge.intake._outcomes import (
@@ -42,14 +45,17 @@
     job_status_key,
 )
 from chiveledge.services import (
+    CallError,
     Conflict,
     HedgeDelay,
     Rejected,
     TableService,
+    Transaction,
     Unavailable,
     Unsettled,
     transact_hedged,
 )
+from chiveledge.services.table import ABSENT
 from chiveledge.types import JobId, WorkspaceName
 from chiveledge.workload import JobRequest
 
@@ -118,32 +124,99 @@
         if self._is_unresponsive():
             return self._log_submit(request, NotStored("the store does not answer"))
         reason = self._explain_infeasible(request)
-        if reason and await self.read(request.job_id) == NotFound():
-            # A job that is stored was accepted when the fleet was larger.
-            return self._log_submit(request, Infeasible(reason))
-        result = await transact_hedged(
-            self._table,
-            submission,
-            self._clock,
-            self._hedge_delay,
-            timeout_s=timeout_s,
-        )
-        match result:
+        outcome = None
+        if reason:
+            outcome = await self._refuse_infeasible(request, reason, timeout_s)
+        if outcome is None:
+            outcome = await self._store(request, make_submission(request), timeout_s)
+        return self._log_submit(request, outcome)
+
+    async def _store(
+        self, request: JobRequest, submission: Transaction, timeout_s: float
+    ) -> SubmitOutcome:
+        match await self._transact(submission, timeout_s):
             case Ok(_):
-                return self._log_submit(request, Accepted())
+                return Accepted()
             case Err(Conflict(keys)) if job_key(request.job_id) not in keys:
-                # Only its cancellation is stored, which all its sends check.
-                return self._log_submit(request, Withdrawn())
+                return await self._find_withdrawal(request, submission, timeout_s)
             case Err(Conflict()):
-                return self._log_submit(request, await self._find_existing(request))
+                return await self._find_existing(request)
             case Err(Rejected(reason)):
-                return self._log_submit(request, Refused(reason))
+                return Refused(reason)
             case Err(Unavailable(reason)):
-                return self._log_submit(request, NotStored(reason))
+                return NotStored(reason)
+            case Err(Unsettled(reason)):
+                return UnknownOutcome(reason)
+        raise AssertionError("unreachable")
+
+    async def _find_withdrawal(
+        self, request: JobRequest, submission: Transaction, timeout_s: float
+    ) -> SubmitOutcome:
+        """Return the outcome of submitting a job whose cancellation is stored.
+
+        It holds against all sends of the submission, which check that it is absent. If
+        it was a refusal, a submission that replaces it is sent.
+        """
+        match await self._table.read(cancel_key(request.job_id, request.workspace)):
+            case Ok(None):
+                return UnknownOutcome("the cancellation of this job was just removed")
+            case Ok(row) if not is_refusal(row):
+                return Withdrawn()
+            case Ok(row) if submission.deletes:
+                return UnknownOutcome("the job is submitted and refused repeatedly")
+            case Ok(row):
+                replacing = make_submission(request, row.version)
+                return await self._store(request, replacing, timeout_s)
+            case Err(error):
+                return UnknownOutcome(str(error))
+        raise AssertionError("unreachable")
+
+    async def _refuse_infeasible(
+        self, request: JobRequest, reason: str, timeout_s: float
+    ) -> SubmitOutcome | None:
+        """Store that a job is refused, and return the outcome.
+
+        An earlier submission whose outcome is unknown can't be performed after it. None
+        means that the job may be stored: it was accepted when the fleet was larger.
+        """
+        job_id, workspace = request.job_id, request.workspace
+        match await self._table.read(cancel_key(job_id, workspace)):
+            case Ok(row) if row is None or is_refusal(row):
+                refusal = make_refusal(request, row.version if row else ABSENT)
+            case Ok(_):
+                return None
+            case Err(error):
+                return NotStored(str(error))
+        if self._quota.reserve(job_id, workspace) > 0:
+            is_stored = await self.read(job_id) != NotFound()
+            return None if is_stored else Infeasible(reason)
+        match await self._transact(refusal, timeout_s):
+            case Ok(_):
+                return Infeasible(reason)
+            case Err(Conflict(keys)) if job_key(job_id) not in keys:
+                # An own send was committed, or others refuse or cancel it right now.
+                found = await self._table.read(cancel_key(job_id, workspace))
+                if found.map(lambda row: row is not None) == Ok(True):
+                    return Infeasible(reason)
+                return UnknownOutcome("the refusal of this job is not confirmed")
             case Err(Unsettled(reason)):
-                return self._log_submit(request, UnknownOutcome(reason))
+                return UnknownOutcome(reason)
+            case Err(error):
+                self._quota.release(job_id, workspace)
+                return None if isinstance(error, Conflict) else NotStored(error.reason)
         raise AssertionError("unreachable")
 
+    async def _transact(
+        self, transaction: Transaction, timeout_s: float
+    ) -> Result[int, CallError]:
+        return await transact_hedged(
+            self._table,
+            transaction,
+            self._clock,
+            self._hedge_delay,
+            timeout_s=timeout_s,
+        )
+
     async def _find_existing(self, request: JobRequest) -> SubmitOutcome:
         """Return the outcome of submitting a job whose ID is already stored."""
         status = self._status_cache.find(request.job_id)
@@ -227,14 +300,7 @@
             wait_s = self._quota.reserve(job_id, workspace)
             if wait_s > 0:
                 return TooManyCancellations(wait_s)
-        written = await transact_hedged(
-            self._table,
-            cancellation,
-            self._clock,
-            self._hedge_delay,
-            timeout_s=timeout_s,
-        )
-        match written:
+        match await self._transact(cancellation, timeout_s):
             case Ok(_):
                 return found
             case Err(Unsettled()):
--- a/tests/coordinator/test_early_cancellations.py
+++ b/tests/coordinator/test_early_cancellations.py
@@ -11,6 +11,7 @@
 from chiveledge.coordinator._term import CLEANUP_INTERVAL_S
 from chiveledge.intake import (
     Accepted,
+    Infeasible,
     JobStatus,
     NotFound,
     UnknownOutcome,
@@ -90,6 +91,22 @@
     assert cluster.state("j1") is JobState.COMPLETED
 
 
+@pytest.mark.parametrize("takeover", [False, True])
+async def test_job_that_was_refused_before_runs(cluster, monkeypatch, takeover):
+    """The row of its refusal was taken for a cancellation of it."""
+    job_store = cluster.nodes[0].job_store
+    with monkeypatch.context() as patched:
+        patched.setattr(job_store, "_explain_infeasible", lambda _: "too large")
+        assert await cluster.submit("j1", STEP) == Infeasible("too large")
+    await cluster.advance(1)
+    assert await cluster.submit("j1", STEP, work_s=1.5) == Accepted()
+    await cluster.advance(0.5)
+    if takeover:
+        await cluster.restart(cluster.nodes.index(cluster.leader))
+    await cluster.advance(4)
+    assert cluster.state("j1") is JobState.COMPLETED
+
+
 @pytest.mark.parametrize("takeover", [False, True])
 async def test_cancel_without_its_job_ends_after_the_time_that_a_write_may_be_late(
     cluster, takeover
