--- a/chiveledge/coordinator/_early_cancellations.py
+++ b/chiveledge/coordinator/_early_cancellations.py
@@ -28,7 +28,7 @@
     clock : Clock
         Time source.
     log : DecisionLog
-        Receives a line for each row whose time has ended.
+        Receives a line for each row that is kept, and when its time has ended.
     keep_s : float
         How long a row is kept, in seconds.
     is_known_job : callable
@@ -56,9 +56,12 @@
 
     def record(self, row: Row) -> None:
         """Record the row of a cancellation that applies to no open job."""
+        if self._ages.has(row.key, row.version):
+            return
         job_id = parse_cancel_key(row.key).job_id
         self._rows.setdefault(job_id, {})[row.key] = row.version
         self._ages.record(row.key, row.version)
+        self._log.write("coordinator", "early_cancellation", id=job_id, key=row.key)
 
     def discard(self, keys: Iterable[str]) -> None:
         """Forget rows that were removed."""
--- a/chiveledge/log_trace.py
+++ b/chiveledge/log_trace.py
@@ -29,6 +29,8 @@
 STATE_SENTENCES = {
     "admitted": "admitted the job",
     "cancelled": "cancelled the job",
+    "early_cancellation": "keeps a cancellation that finds no open job",
+    "early_cancellation_ended": "no longer keeps a cancellation that found no open job",
     "job_failed": "recorded that the job failed",
 }
 
@@ -167,6 +169,8 @@
         case ("intake", "submit"):
             outcome = f"{fields.get('outcome')} {fields.get('detail')}"
             return f"{where} {_describe_submission(fields)}: {outcome}"
+        case ("intake", "cancel"):
+            return f"{where} {_describe_cancellation(fields)}"
         case ("coordinator", "placed"):
             return (
                 f"{where} placed {len(fields.get('workers', ()))} tasks of "
@@ -177,8 +181,8 @@
             return _describe_wait(fields, where)
         case ("coordinator", "wait_over"):
             return f"{where} found that {fields.get('step')} no longer waits so"
-        case ("coordinator", "admitted" | "cancelled") | ("settlement", "job_failed"):
-            return f"{where} {STATE_SENTENCES[line.event]}"
+        case ("coordinator" | "settlement", event) if event in STATE_SENTENCES:
+            return f"{where} {STATE_SENTENCES[event]}"
         case ("settlement", "closed"):
             return (
                 f"{where} closed run {fields.get('run')} of {fields.get('task')} on "
@@ -224,6 +228,8 @@
             return "refused the job, as another workspace has a job with its ID"
         case "Infeasible", _:
             return "refused the job, as no set of workers could ever hold it"
+        case "Withdrawn", _:
+            return "refused the job, as it was cancelled before it was stored"
         case "NotStored", _:
             return "did not store the job"
         case "UnknownOutcome", _:
@@ -231,6 +237,22 @@
     return "tried to store the job"
 
 
+def _describe_cancellation(fields: dict[str, Any]) -> str:
+    match fields.get("outcome"), fields.get("detail"):
+        case "Accepted", [True]:
+            return "was asked to cancel the job, which had ended"
+        case "Accepted", _:
+            return "stored the cancellation of the job"
+        case "NotFound", _:
+            return (
+                f"stored a cancellation by workspace {fields.get('workspace')}, which "
+                "has no such job: a submission after it is refused"
+            )
+        case "TooManyCancellations", _:
+            return "refused to cancel an unknown job, as too many were cancelled"
+    return "could not confirm whether the cancellation was stored"
+
+
 def _describe_route(fields: dict[str, Any], where: str) -> str:
     shorter = fields.get("shorter") or ()
     why = "the only route that matches its host and path"
--- a/tests/test_log_trace.py
+++ b/tests/test_log_trace.py
@@ -133,6 +133,21 @@
     assert described.endswith(f"  {sentence}")
 
 
+def test_cancel_that_found_nothing_and_the_submission_after_it_are_named():
+    """Nothing in a trace joined the cancel of an unknown job to what came after it."""
+    clock = ManualClock()
+    host = Host("h1", "gyeonggi-b", clock)
+    host.log.write(
+        "intake", "cancel", id=JOB, workspace="cafes", outcome="NotFound", detail=[]
+    )
+    host.log.write("coordinator", "early_cancellation", id=JOB, key="k")
+    host.log.write("intake", "submit", id=JOB, outcome="Withdrawn", detail=[])
+    text = "\n".join(describe_trace(trace_job(host.read(), JOB)))
+    assert "stored a cancellation by workspace cafes, which has no such job" in text
+    assert "keeps a cancellation that finds no open job" in text
+    assert "refused the job, as it was cancelled before it was stored" in text
+
+
 def test_unknown_job_is_reported(texts):
     assert describe_trace(trace_job(texts, "feedfeedfeedfeed")) == [
         "No line names the job feedfeedfeedfeed."
