Cancel jobs beside their submission in the soak

A tenth of the jobs is cancelled within a second of the first submission, at another process; one whose cancel is answered 410 must neither be accepted nor start.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,6 +21,9 @@
 REFUSED_STATUSES = (429, 503)
 UNKNOWN_JOB_STATUS = 410
 
+EARLY_CANCEL_SHARE = 0.1
+"""Share of jobs that are cancelled beside their submission."""
+
 
 @dataclass
 class JobRecord:
@@ -33,6 +36,9 @@
         the job doesn't run.
     cancelled : bool
         Whether its cancellation was requested.
+    withdrawn : bool
+        Whether its cancellation beside its submission was answered that there is no
+        such job: it must neither be accepted nor run.
     states : list of str
         States that were read, in order; the HTTP status of an answer without one.
     """
@@ -42,6 +48,7 @@
     accepted: bool = False
     refused: bool = False
     cancelled: bool = False
+    withdrawn: bool = False
     states: list[str] = field(default_factory=list)
 
     @property
@@ -73,6 +80,8 @@
         self._nodes = nodes
         self._rng = rng
         self._prefix = prefix
+        # Apart, so that the draws of earlier seeds stay as they were.
+        self._cancel_rng = random.Random(prefix)
 
     async def run(self) -> None:
         """Submit up to `MAX_JOBS` jobs; stop early when cancelled."""
@@ -97,6 +106,21 @@
         step = {"count": count, "cpu": 1000, "gpu": 1, "gang": is_gang}
         step["checkpoint"] = self._rng.random() < 0.5
         body = {"spec": "x", "steps": [step]}
+        async with asyncio.TaskGroup() as group:
+            if self._cancel_rng.random() < EARLY_CANCEL_SHARE:
+                group.create_task(self._cancel_early(session, record))
+            await self._send(session, record, body)
+        if record.accepted and self._rng.random() < 0.1:
+            # Recorded before the call: it takes effect even if its answer is lost, as
+            # when the soak ends first.
+            record.cancelled = True
+            if await self._call(session, "DELETE", record.path) == UNKNOWN_JOB_STATUS:
+                record.states.append(str(UNKNOWN_JOB_STATUS))
+
+    async def _send(
+        self, session: aiohttp.ClientSession, record: JobRecord, body: dict
+    ) -> None:
+        """Submit a job until it is accepted, `MAX_SUBMISSIONS` times at most."""
         answers = []
         for _ in range(MAX_SUBMISSIONS):
             answers.append(await self._call(session, "POST", record.path, body))
@@ -105,18 +129,27 @@
                 break
             await asyncio.sleep(self._rng.uniform(0.1, 0.6))
         record.refused = all(answer in REFUSED_STATUSES for answer in answers)
-        if record.accepted and self._rng.random() < 0.1:
-            # Recorded before the call: it takes effect even if its answer is lost, as
-            # when the soak ends first.
-            record.cancelled = True
-            if await self._call(session, "DELETE", record.path) == UNKNOWN_JOB_STATUS:
-                record.states.append(str(UNKNOWN_JOB_STATUS))
+
+    async def _cancel_early(
+        self, session: aiohttp.ClientSession, record: JobRecord
+    ) -> None:
+        """Cancel a job while its submission may still be on its way."""
+        await asyncio.sleep(self._cancel_rng.uniform(0.0, 1.0))
+        record.cancelled = True
+        node = self._cancel_rng.choice(self._nodes)
+        status = await self._call(session, "DELETE", record.path, node=node)
+        record.withdrawn = status == UNKNOWN_JOB_STATUS
 
     async def _call(
-        self, session: aiohttp.ClientSession, method: str, path: str, body=None
+        self,
+        session: aiohttp.ClientSession,
+        method: str,
+        path: str,
+        body=None,
+        node: str = "",
     ) -> int:
-        """Return the HTTP status, or 0 without an answer."""
-        url = self._deployment.url(self._rng.choice(self._nodes))
+        """Return the HTTP status of a node, drawn if none is given; 0 if unanswered."""
+        url = self._deployment.url(node or self._rng.choice(self._nodes))
         try:
             async with session.request(method, url + path, json=body) as response:
                 await response.read()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -63,6 +63,8 @@
         started = self._deployment.count_starts(job.path)
         if job.refused and started:
             self._record([f"{job.path} was refused but ran"])
+        if job.withdrawn and (started or job.accepted):
+            self._record([f"{job.path} is said not to exist, but was stored"])
         if not job.accepted or not job.states:
             return
         if str(UNKNOWN_JOB_STATUS) in job.states:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -76,6 +76,8 @@
         (JobRecord("/q/a", 1, accepted=True, states=["cancelled"]), True),
         (JobRecord("/q/a", 0, accepted=True, states=["completed"]), False),
         (JobRecord("/q/a", 1, refused=True), False),
+        (JobRecord("/q/a", 1, withdrawn=True, accepted=True), True),
+        (JobRecord("/q/a", 1, withdrawn=True), False),
     ],
 )
 def test_checker_reports_violations(tmp_path, record, found):
