--- a/tests/coordinator/test_early_cancellations.py
+++ b/tests/coordinator/test_early_cancellations.py
@@ -62,7 +62,7 @@
     monkeypatch.setattr(cluster.table, "transact", hold)
 
 
-@pytest.mark.parametrize("takeover", [False, True])
+@pytest.mark.parametrize("takeover", ["none", "before", "after"])
 @pytest.mark.parametrize("sends", [1, 2, 4])
 async def test_submission_performed_after_its_cancel_never_starts(
     cluster, monkeypatch, sends, takeover
@@ -71,8 +71,11 @@
     hold_submissions(cluster, monkeypatch)
     call = cluster.send("j1", STEP, timeout_s=0.3 * sends - 0.1)
     assert isinstance(await cluster.call(call), UnknownOutcome)
+    if takeover == "before":
+        await cluster.restart(cluster.nodes.index(cluster.leader))
     assert await cancel(cluster, "j1") == NotFound()
-    if takeover:
+    if takeover == "after":
+        await cluster.advance(0.5)
         await cluster.restart(cluster.nodes.index(cluster.leader))
     await cluster.advance(LATE_S + 5)
     assert cluster.starts("j1") == []
@@ -126,6 +129,19 @@
     assert cluster.state("j1") is JobState.COMPLETED
 
 
+async def test_cancel_without_its_job_is_kept_when_the_store_forgets_its_history(
+    cluster,
+):
+    """The leader reads all rows again, and counts their time on."""
+    assert await cancel(cluster, "j1") == NotFound()
+    await cluster.advance(KEEP_S / 2)
+    cluster.table.forget_history()
+    await cluster.advance(KEEP_S / 2 - 1)
+    assert has_cancel(cluster, "j1")
+    await cluster.advance(CLEANUP_INTERVAL_S + 2)
+    assert not has_cancel(cluster, "j1")
+
+
 async def test_repeated_cancel_starts_the_time_anew(cluster):
     """The first one's row ended while a submission after it was still on its way."""
     assert await cancel(cluster, "j1") == NotFound()
