--- a/chiveledge/intake/_job_store.py
+++ b/chiveledge/intake/_job_store.py
@@ -19,10 +19,11 @@
     cancel_key,
     is_refusal,
     job_key,
-    make_cancellation,
     make_refusal,
     make_submission,
 )
+from chiveledge.intake._job_canceller import JobCanceller
+from chiveledge.intake._job_reader import JobReader
 from chiveledge.intake._outcomes import (
     Accepted,
     CancelOutcome,
@@ -33,16 +34,12 @@
     ReadOutcome,
     Refused,
     SubmitOutcome,
-    TooManyCancellations,
     UnknownOutcome,
     Withdrawn,
 )
 from chiveledge.intake._status_cache import (
     JobStatus,
     JobStatusCache,
-    decode_status,
-    initial_job_status_key,
-    job_status_key,
 )
 from chiveledge.services import (
     CallError,
@@ -59,8 +56,6 @@
 from chiveledge.types import JobId, WorkspaceName
 from chiveledge.workload import JobRequest
 
-RETRY_S = 0.1
-
 
 class JobStore:
     """Submits, reads and cancels jobs for the callers of one process.
@@ -105,6 +100,10 @@
         self._explain_infeasible = explain_infeasible
         self._quota = quota or CancellationQuota(clock, RETENTION_S)
         self._hedge_delay = HedgeDelay()
+        self._reader = JobReader(table, status_cache, is_unresponsive)
+        self._canceller = JobCanceller(
+            table, self._reader, clock, self._quota, self._hedge_delay
+        )
 
     async def submit(self, request: JobRequest, timeout_s: float) -> SubmitOutcome:
         """Store a job unless a job with its ID is already stored.
@@ -116,29 +115,42 @@
         timeout_s : float
             How long to wait for the store, in seconds.
         """
+        deadline_s = self._clock.monotonic() + timeout_s
+        outcome = await self._submit(request, deadline_s)
+        self._log.write(
+            "intake",
+            "submit",
+            id=request.job_id,
+            queue=request.queue,
+            workspace=request.workspace,
+            steps=[step.count for step in request.steps],
+            outcome=type(outcome).__name__,
+            detail=list(outcome),
+        )
+        return outcome
+
+    async def _submit(self, request: JobRequest, deadline_s: float) -> SubmitOutcome:
         submission = make_submission(request)
         row_chars = max(len(put.value) for put in submission.puts)
         if row_chars > self._max_row_chars:
-            reason = f"a row of {row_chars} bytes exceeds {self._max_row_chars}"
-            return self._log_submit(request, Refused(reason))
+            return Refused(f"a row of {row_chars} bytes exceeds {self._max_row_chars}")
         if self._is_unresponsive():
-            return self._log_submit(request, NotStored("the store does not answer"))
+            return NotStored("the store does not answer")
         reason = self._explain_infeasible(request)
-        outcome = None
         if reason:
-            outcome = await self._refuse_infeasible(request, reason, timeout_s)
-        if outcome is None:
-            outcome = await self._store(request, make_submission(request), timeout_s)
-        return self._log_submit(request, outcome)
+            outcome = await self._refuse_infeasible(request, reason, deadline_s)
+            if outcome is not None:
+                return outcome
+        return await self._store(request, submission, deadline_s)
 
     async def _store(
-        self, request: JobRequest, submission: Transaction, timeout_s: float
+        self, request: JobRequest, submission: Transaction, deadline_s: float
     ) -> SubmitOutcome:
-        match await self._transact(submission, timeout_s):
+        match await self._transact(submission, deadline_s):
             case Ok(_):
                 return Accepted()
             case Err(Conflict(keys)) if job_key(request.job_id) not in keys:
-                return await self._find_withdrawal(request, submission, timeout_s)
+                return await self._find_withdrawal(request, submission, deadline_s)
             case Err(Conflict()):
                 return await self._find_existing(request)
             case Err(Rejected(reason)):
@@ -150,7 +162,7 @@
         raise AssertionError("unreachable")
 
     async def _find_withdrawal(
-        self, request: JobRequest, submission: Transaction, timeout_s: float
+        self, request: JobRequest, submission: Transaction, deadline_s: float
     ) -> SubmitOutcome:
         """Return the outcome of submitting a job whose cancellation is stored.
 
@@ -166,13 +178,13 @@
                 return UnknownOutcome("the job is submitted and refused repeatedly")
             case Ok(row):
                 replacing = make_submission(request, row.version)
-                return await self._store(request, replacing, timeout_s)
+                return await self._store(request, replacing, deadline_s)
             case Err(error):
                 return UnknownOutcome(str(error))
         raise AssertionError("unreachable")
 
     async def _refuse_infeasible(
-        self, request: JobRequest, reason: str, timeout_s: float
+        self, request: JobRequest, reason: str, deadline_s: float
     ) -> SubmitOutcome | None:
         """Store that a job is refused, and return the outcome.
 
@@ -190,7 +202,7 @@
         if self._quota.reserve(job_id, workspace) > 0:
             is_stored = await self.read(job_id) != NotFound()
             return None if is_stored else Infeasible(reason)
-        match await self._transact(refusal, timeout_s):
+        match await self._transact(refusal, deadline_s):
             case Ok(_):
                 return Infeasible(reason)
             case Err(Conflict(keys)) if job_key(job_id) not in keys:
@@ -207,14 +219,14 @@
         raise AssertionError("unreachable")
 
     async def _transact(
-        self, transaction: Transaction, timeout_s: float
+        self, transaction: Transaction, deadline_s: float
     ) -> Result[int, CallError]:
         return await transact_hedged(
             self._table,
             transaction,
             self._clock,
             self._hedge_delay,
-            timeout_s=timeout_s,
+            timeout_s=deadline_s - self._clock.monotonic(),
         )
 
     async def _find_existing(self, request: JobRequest) -> SubmitOutcome:
@@ -232,24 +244,8 @@
         raise AssertionError("unreachable")
 
     async def read(self, job_id: JobId) -> ReadOutcome:
-        """Return a job's public status.
-
-        The cache lags behind the store, so only the status of an ended job is
-        taken from it. Others are read from the store, with the cache as fallback
-        if the store does not answer.
-        """
-        cached = self._status_cache.find(job_id)
-        if cached is not None and (cached.state.ended or self._is_unresponsive()):
-            return cached
-        for key in (job_status_key(job_id), initial_job_status_key(job_id)):
-            match await self._table.read(key):
-                case Ok(None):
-                    pass
-                case Ok(row):
-                    return decode_status(row.value).unwrap_or_else(UnknownOutcome)
-                case Err(error):
-                    return cached or UnknownOutcome(str(error))
-        return NotFound()
+        """Return a job's public status, which may lag if the store does not answer."""
+        return await self._reader.read(job_id)
 
     async def cancel(
         self, job_id: JobId, workspace: WorkspaceName, timeout_s: float
@@ -265,67 +261,7 @@
         timeout_s : float
             How long to try, in seconds.
         """
-        deadline_s = self._clock.monotonic() + timeout_s
-        while True:
-            remaining_s = deadline_s - self._clock.monotonic()
-            outcome = await self._try_cancel(job_id, workspace, remaining_s)
-            if not isinstance(outcome, UnknownOutcome):
-                return self._log_cancel(job_id, workspace, outcome)
-            if self._clock.monotonic() + RETRY_S >= deadline_s:
-                return self._log_cancel(job_id, workspace, outcome)
-            await self._clock.sleep(RETRY_S)
-
-    async def _try_cancel(
-        self, job_id: JobId, workspace: WorkspaceName, timeout_s: float
-    ) -> CancelOutcome:
-        """Store the request to cancel a job once; return the outcome."""
-        match await self.read(job_id):
-            case JobStatus(workspace=owner, state=state) if owner == workspace:
-                # The status may be that of an ended job which another one of its ID
-                # has just replaced, so the row is written all the same.
-                found = Accepted(repeated=state.ended)
-                cancellation = make_cancellation(job_id, workspace)
-            case JobStatus():
-                # A submission of the caller's own workspace may be performed once the
-                # job of the other one has been removed.
-                found = NotFound()
-                cancellation = make_cancellation(job_id, workspace)
-            case NotFound() as found:
-                cancellation = make_cancellation(
-                    job_id, workspace, must_be_unknown=True
-                )
-            case UnknownOutcome() as unknown:
-                return unknown
-        if found == NotFound():
-            wait_s = self._quota.reserve(job_id, workspace)
-            if wait_s > 0:
-                return TooManyCancellations(wait_s)
-        match await self._transact(cancellation, timeout_s):
-            case Ok(_):
-                return found
-            case Err(Unsettled()):
-                return UnknownOutcome("the store did not confirm the cancellation")
-            case Err(error):
-                self._quota.release(job_id, workspace)
-                return UnknownOutcome(f"the cancellation is not stored: {error}")
-        raise AssertionError("unreachable")
-
-    def _log_submit(self, request: JobRequest, outcome: SubmitOutcome):
-        self._log.write(
-            "intake",
-            "submit",
-            id=request.job_id,
-            queue=request.queue,
-            workspace=request.workspace,
-            steps=[step.count for step in request.steps],
-            outcome=type(outcome).__name__,
-            detail=list(outcome),
-        )
-        return outcome
-
-    def _log_cancel(
-        self, job_id: JobId, workspace: WorkspaceName, outcome: CancelOutcome
-    ) -> CancelOutcome:
+        outcome = await self._canceller.cancel(job_id, workspace, timeout_s)
         self._log.write(
             "intake",
             "cancel",
