--- a/chiveledge/scheduler/_region.py
+++ b/chiveledge/scheduler/_region.py
@@ -6,20 +6,18 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple
 
-from result import Err, Ok, Result
-
-from chiveledge.cancellations import RETENTION_S, RowAges
 from chiveledge.cells import GuaranteeRisk, WorkerSize
 from chiveledge.clock import Clock, run_with_timeout
 from chiveledge.configuration import Document
 from chiveledge.drains import KnownDrains
 from chiveledge.events import Timeline
-from chiveledge.jobs import Attempt, Job, JobState, parse_cancel_key
+from chiveledge.jobs import Attempt, Job, JobState
 from chiveledge.leadership import Leadership
 from chiveledge.logs import PartLogger
 from chiveledge.metrics import Metrics
 from chiveledge.scheduler._attempt_outcomes import Cancelled, Reclaimed
 from chiveledge.scheduler._attempt_runner import AttemptRunner
+from chiveledge.scheduler._cancellations import CancellationHandler
 from chiveledge.scheduler._drain_follower import DrainFollower
 from chiveledge.scheduler._failure_tracker import FailureTracker
 from chiveledge.scheduler._inbox import STORE_RETRY_S, InboxReader, parse_job_id
@@ -33,13 +31,9 @@
 )
 from chiveledge.scheduler._worker_session import WorkerSession
 from chiveledge.services import (
-    CallError,
-    Check,
     GroupCommit,
     ObjectStore,
-    Row,
     TableService,
-    Unavailable,
     Worker,
 )
 from chiveledge.settings import TimingSettings
@@ -114,7 +108,14 @@
             max_age_s=context.timing.drains_stale_s,
         )
         self._inbox = InboxReader(context.table, context.clock, context.region)
-        self._early_cancellations = RowAges(context.clock)
+        self._cancellations = CancellationHandler(
+            self._inbox,
+            self._repository,
+            writes,
+            leadership,
+            context.clock,
+            self._cancel,
+        )
         self._sessions: dict[WorkerName, WorkerSession] = {}
         self._listed_workers = tuple(workers)
         self._planner = Planner(
@@ -331,7 +332,7 @@
     async def _inbox_loop(self) -> None:
         while True:
             await self._read_inbox()
-            await self._read_cancellations()
+            await self._cancellations.apply_all()
             await self._wait_for(self._wake_inbox, self._context.timing.inbox_poll_s)
 
     async def _read_inbox(self) -> None:
@@ -356,50 +357,6 @@
         if reason and job.state is JobState.QUEUED:
             await self._repository.commit_rejection(job, reason)
 
-    async def _read_cancellations(self) -> None:
-        rows = await self._inbox.scan_cancellations()
-        if rows is None:
-            return
-        self._early_cancellations.retain(row.key for row in rows)
-        await asyncio.gather(*(self._apply_cancellation(row) for row in rows))
-
-    async def _apply_cancellation(self, row: Row) -> None:
-        cancellation = parse_cancel_key(row.key)
-        known = await self._find_job(cancellation.job_id, row)
-        if known.is_err():
-            return
-        job = known.ok()
-        if job is None or not cancellation.applies_to(job.workspace):
-            await self._keep_for_a_time(row)
-        elif job.state.ended:
-            await self._delete_cancellation(row)
-        else:
-            await self._cancel(job)
-
-    async def _find_job(
-        self, job_id: JobId, cancellation: Row
-    ) -> Result[Job | None, CallError]:
-        """Return the job of a cancellation, which may be newer than the known jobs.
-
-        Once a cancellation is stored without its job, no job can be stored.
-        """
-        job = self._repository.jobs.get(job_id)
-        if job is not None or self._early_cancellations.has(
-            cancellation.key, cancellation.version
-        ):
-            return Ok(job)
-        match await self._inbox.read_job(job_id):
-            case Ok(None):
-                return Ok(None)
-            case Ok(row):
-                self._repository.load([row])
-                job = self._repository.jobs.get(job_id)
-                # A later leader may be able to read a row that this one can't.
-                return Err(Unavailable("unreadable")) if job is None else Ok(job)
-            case Err(error):
-                return Err(error)
-        raise AssertionError("unreachable")
-
     async def _cancel(self, job: Job) -> None:
         for runner in self._runners.values():
             if runner.job.job_id == job.job_id:
@@ -410,19 +367,6 @@
             "scheduler", "job_cancelled", job.job_id, epoch=self._leadership.epoch
         )
 
-    async def _keep_for_a_time(self, row: Row) -> None:
-        """Delete a cancellation without its job once no submission can arrive late."""
-        if not self._early_cancellations.has(row.key, row.version):
-            log.info("A cancellation has no job; it is kept.", key=row.key)
-            self._early_cancellations.record(row.key, row.version)
-        elif self._early_cancellations.find_age_s(row.key) >= RETENTION_S:
-            await self._delete_cancellation(row)
-
-    async def _delete_cancellation(self, row: Row) -> None:
-        """Delete a cancellation unless the job was cancelled again meanwhile."""
-        checks = (self._leadership.fence, Check(row.key, row.version))
-        await self._writes.commit(checks=checks, deletes=(row.key,))
-
     async def _placement_loop(self) -> None:
         while True:
             if self._leadership.valid and self._drains.known.is_current:
