--- a/chiveledge/cancellations/_quota.py
+++ b/chiveledge/cancellations/_quota.py
@@ -69,7 +69,7 @@
         return 0.0
 
     def release(self, job_id: JobId, workspace: WorkspaceName) -> None:
-        """Return a reserved row: it was certainly not stored, or its job is known."""
+        """Return a reserved row that was certainly not stored."""
         if (workspace, job_id) in self._stored_s:
             self._drop((workspace, job_id))
 
